Add the workspace, the design page, shared types, messages and links

The repository was empty. The design page records the modules, their interfaces, the state and its owners. The core, wire and settings crates hold the types that all roles share, so that the roles can be written independently.

--- /dev/null
+++ b/crates/waxwing-agent/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placeholder of the `waxwing-agent` crate; see docs/design.md.
--- /dev/null
+++ b/crates/waxwing-control/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placeholder of the `waxwing-control` crate; see docs/design.md.
--- /dev/null
+++ b/crates/waxwing-core/src/units.rs
@@ -0,0 +1,101 @@
+//! Sizes and rates with their units.
+
+use std::{fmt, ops, str};
+
+use serde::{Deserialize, Serialize};
+
+use crate::errors;
+
+macro_rules! size_type {
+    ($(#[$doc:meta])* $type:ident, $words:literal, $unit:literal) => {
+        $(#[$doc])*
+        #[derive(
+            Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+        )]
+        #[serde(transparent)]
+        pub struct $type(pub u64);
+
+        impl $type {
+            /// Nothing at all.
+            pub const ZERO: Self = Self(0);
+
+            /// Subtracts without going below zero.
+            #[must_use]
+            pub fn saturating_sub(self, other: Self) -> Self {
+                Self(self.0.saturating_sub(other.0))
+            }
+        }
+
+        impl ops::Add for $type {
+            type Output = Self;
+
+            fn add(self, other: Self) -> Self {
+                Self(self.0.saturating_add(other.0))
+            }
+        }
+
+        impl ops::AddAssign for $type {
+            fn add_assign(&mut self, other: Self) {
+                *self = *self + other;
+            }
+        }
+
+        impl fmt::Display for $type {
+            fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+                write!(formatter, concat!("{} ", $unit), self.0)
+            }
+        }
+
+        impl str::FromStr for $type {
+            type Err = errors::ParseError;
+
+            fn from_str(text: &str) -> Result<Self, Self::Err> {
+                let digits = text.strip_suffix($unit).unwrap_or(text).trim();
+                digits
+                    .parse()
+                    .map(Self)
+                    .map_err(|_| errors::ParseError::new($words, text, "a whole number"))
+            }
+        }
+    };
+}
+
+size_type!(
+    /// A `TokenCount` is a number of model tokens.
+    TokenCount,
+    "token count",
+    "tokens"
+);
+size_type!(
+    /// A `ByteCount` is a number of bytes.
+    ByteCount,
+    "byte count",
+    "bytes"
+);
+
+/// A `TokenRate` is a rate in tokens per second, always finite and not negative.
+#[derive(Debug, Clone, Copy, Default, PartialEq, PartialOrd, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct TokenRate(pub f64);
+
+impl fmt::Display for TokenRate {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "{:.1} tokens/s", self.0)
+    }
+}
+
+impl str::FromStr for TokenRate {
+    type Err = errors::ParseError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let digits = text.strip_suffix("tokens/s").unwrap_or(text).trim();
+        match digits.parse::<f64>() {
+            Ok(rate) if rate.is_finite() && rate >= 0.0 => Ok(Self(rate)),
+            _ => Err(errors::ParseError::new(
+                "token rate",
+                text,
+                "a number not below zero",
+            )),
+        }
+    }
+}
--- /dev/null
+++ b/crates/waxwing-entry/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placeholder of the `waxwing-entry` crate; see docs/design.md.
--- /dev/null
+++ b/crates/waxwing-load/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placeholder of the `waxwing-load` crate; see docs/design.md.
--- /dev/null
+++ b/crates/waxwing-policy/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placeholder of the `waxwing-policy` crate; see docs/design.md.
--- /dev/null
+++ b/crates/waxwing-proof/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placeholder of the `waxwing-proof` crate; see docs/design.md.
--- /dev/null
+++ b/crates/waxwing-quorum/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placeholder of the `waxwing-quorum` crate; see docs/design.md.
--- /dev/null
+++ b/crates/waxwing-settings/src/lib.rs
@@ -0,0 +1,8 @@
+//! Settings: the files from which a process starts, and the agreed settings tree of the fleet.
+//!
+//! The tree and its owners are described in `docs/design.md`, section 6.
+
+pub mod credentials;
+pub mod errors;
+pub mod files;
+pub mod view;
--- /dev/null
+++ b/crates/waxwing-solo/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placeholder of the `waxwing-solo` crate; see docs/design.md.
--- /dev/null
+++ b/crates/waxwing-standin/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placeholder of the `waxwing-standin` crate; see docs/design.md.
--- /dev/null
+++ b/crates/waxwing-store/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placeholder of the `waxwing-store` crate; see docs/design.md.
--- /dev/null
+++ b/crates/waxwing-wire/src/lib.rs
@@ -0,0 +1,10 @@
+//! The protocol between the system's own processes: messages, framing, and links with heartbeats.
+//!
+//! Every frame holds one [`messages::Envelope`]; `docs/design.md`, sections 5 and 6, describe what
+//! the messages mean.
+
+pub mod errors;
+pub mod framing;
+pub mod links;
+pub mod messages;
+pub mod security;
--- /dev/null
+++ b/crates/waxwing/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placeholder of the `waxwing` crate; see docs/design.md.
--- /dev/null
+++ b/crates/waxwingctl/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placeholder of the `waxwingctl` crate; see docs/design.md.
