Add the client of the control hosts and settings patches

Entries and agents need one link to the control hosts with failover, so the client lives in a crate of its own that doesn't pull in the control role.

--- /dev/null
+++ b/crates/waxwing-client/src/settings.rs
@@ -0,0 +1,86 @@
+//! The settings tree of this process: whole snapshots and deltas, never an older version.
+
+use std::sync::Arc;
+
+use arc_swap::ArcSwap;
+use serde_json::Value;
+use waxwing_core::ids;
+use waxwing_settings::{patches, view};
+use waxwing_wire::messages;
+
+/// A `SettingsUpdate` tells what became of a received version.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum SettingsUpdate {
+    /// The version is in force.
+    Applied,
+    /// The version was in force already.
+    Known,
+    /// The version is older than the one in force and was refused.
+    Older,
+    /// The delta doesn't build on the version in force; a snapshot is needed.
+    Gap,
+    /// The tree could not be read.
+    Invalid,
+}
+
+/// A `SettingsReplica` is the raw tree beside the typed view that is shared with the request path.
+#[derive(Debug)]
+pub(crate) struct SettingsReplica {
+    tree: Value,
+    view: Arc<ArcSwap<view::SettingsView>>,
+}
+
+impl SettingsReplica {
+    pub(crate) fn new(view: Arc<ArcSwap<view::SettingsView>>) -> Self {
+        Self {
+            tree: Value::Object(serde_json::Map::new()),
+            view,
+        }
+    }
+
+    pub(crate) fn version(&self) -> ids::SettingsVersion {
+        self.view.load().version
+    }
+
+    pub(crate) fn take_snapshot(&mut self, update: &messages::SettingsSnapshot) -> SettingsUpdate {
+        let version = ids::SettingsVersion(update.version);
+        match version.cmp(&self.version()) {
+            std::cmp::Ordering::Less => SettingsUpdate::Older,
+            std::cmp::Ordering::Equal => SettingsUpdate::Known,
+            std::cmp::Ordering::Greater => match serde_json::from_slice(&update.tree) {
+                Ok(tree) => self.install(version, tree),
+                Err(_) => SettingsUpdate::Invalid,
+            },
+        }
+    }
+
+    pub(crate) fn take_delta(&mut self, update: &messages::SettingsDelta) -> SettingsUpdate {
+        let version = ids::SettingsVersion(update.version);
+        if version <= self.version() {
+            return SettingsUpdate::Known;
+        }
+        if update.base != self.version().0 {
+            return SettingsUpdate::Gap;
+        }
+        let Ok(patch) = patches::SettingsPatch::from_slice(&update.patch) else {
+            return SettingsUpdate::Invalid;
+        };
+        let mut tree = self.tree.clone();
+        match patch.apply(&mut tree) {
+            Ok(()) => self.install(version, tree),
+            Err(_) => SettingsUpdate::Gap,
+        }
+    }
+
+    fn install(&mut self, version: ids::SettingsVersion, tree: Value) -> SettingsUpdate {
+        match serde_json::from_value(tree.clone()) {
+            Ok(typed) => {
+                self.tree = tree;
+                let view = view::SettingsView::new(version, typed);
+                self.view.store(Arc::new(view));
+                SettingsUpdate::Applied
+            }
+            Err(_) => SettingsUpdate::Invalid,
+        }
+    }
+}
--- a/crates/waxwing-settings/src/errors.rs
+++ b/crates/waxwing-settings/src/errors.rs
@@ -41,3 +41,52 @@
         allowed: SmolStr,
     },
 }
+
+/// A `PatchError` tells why a patch can't be read or applied.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+pub enum PatchError {
+    /// The patch is longer than the limit.
+    #[error("a patch of {found} bytes is over the limit of {allowed} bytes")]
+    TooLong {
+        /// The length in bytes.
+        found: usize,
+        /// The longest allowed patch in bytes.
+        allowed: usize,
+    },
+    /// The patch names too many paths.
+    #[error("a patch of {found} paths is over the limit of {allowed} paths")]
+    TooManyPaths {
+        /// The number of paths.
+        found: usize,
+        /// The largest allowed number.
+        allowed: usize,
+    },
+    /// The bytes are not a JSON object.
+    #[error("the patch is not a JSON object of paths and values: {0}")]
+    Syntax(SmolStr),
+    /// A path is malformed.
+    #[error("`{0}` is not a path; allowed: `/name/name…` without empty names")]
+    Path(SmolStr),
+    /// A path lies inside another path of the patch.
+    #[error("{0}: lies inside another path of the same patch")]
+    Nested(SmolStr),
+    /// A path runs through a value that holds no names.
+    #[error("{0}: runs through a value that is not an object")]
+    NotObject(SmolStr),
+    /// A path to remove is absent.
+    #[error("{0}: can't be removed since it is absent")]
+    Missing(SmolStr),
+}
+
+impl PatchError {
+    /// Returns the path that the error is about, or `/` where it is about the patch as a whole.
+    #[must_use]
+    pub fn path(&self) -> &str {
+        match self {
+            Self::TooLong { .. } | Self::TooManyPaths { .. } | Self::Syntax(_) => "/",
+            Self::Path(path) | Self::Nested(path) | Self::NotObject(path) | Self::Missing(path) => {
+                path
+            }
+        }
+    }
+}
--- a/crates/waxwing-settings/src/lib.rs
+++ b/crates/waxwing-settings/src/lib.rs
@@ -5,4 +5,5 @@
 pub mod credentials;
 pub mod errors;
 pub mod files;
+pub mod patches;
 pub mod view;
--- a/crates/waxwing-wire/src/messages.rs
+++ b/crates/waxwing-wire/src/messages.rs
@@ -19,7 +19,7 @@
     /// The message itself.
     #[prost(
         oneof = "Body",
-        tags = "3,4,5,10,11,12,13,14,15,16,17,18,19,20,21,22,23,24,30,31,32,33,34,35,36,37,38,39,40,41,42,43,44,50,51,52"
+        tags = "3,4,5,10,11,12,13,14,15,16,17,18,19,20,21,22,23,24,30,31,32,33,34,35,36,37,38,39,40,41,42,43,44,45,50,51,52"
     )]
     pub body: Option<Body>,
 }
@@ -126,6 +126,9 @@
     /// Control to any: the question can't be answered now.
     #[prost(message, tag = "44")]
     Unavailable(Unavailable),
+    /// Control to all: the settings in force were confirmed by a quorum.
+    #[prost(message, tag = "45")]
+    SettingsConfirmed(SettingsConfirmed),
     /// Control to control: a message of the replicated log.
     #[prost(message, tag = "50")]
     Quorum(Quorum),
@@ -557,6 +560,9 @@
     /// The largest number of endpoints an entry wants to watch.
     #[prost(uint32, tag = "8")]
     pub watch_limit: u32,
+    /// Milliseconds since the process started, at sending; shows how late an announcement is.
+    #[prost(uint64, tag = "9")]
+    pub uptime_millis: u64,
 }
 
 /// An `EndpointInfo` describes the endpoint beside an agent.
@@ -641,6 +647,16 @@
     pub patch: bytes::Bytes,
 }
 
+/// A `SettingsConfirmed` says that a quorum confirmed a version a moment ago. A control host that
+/// is cut off from the quorum can't send it, so a process notices within seconds that its settings
+/// may be old, even while its link works.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct SettingsConfirmed {
+    /// The newest version at the time of the confirmation.
+    #[prost(uint64, tag = "1")]
+    pub version: u64,
+}
+
 /// A `ClaimName` names an idempotency key of an account and service.
 #[derive(Clone, PartialEq, Eq, Hash, PartialOrd, Ord, Message)]
 pub struct ClaimName {
