--- /dev/null
+++ b/crates/waxwing-core/tests/types.rs
@@ -0,0 +1,104 @@
+//! Names, numbers and counters as other processes and callers see them.
+
+use proptest::prelude::*;
+use test_case::test_case;
+use waxwing_core::{counters, ids, prompts, reasons, units};
+
+/// Guards against names that would break paths of the settings tree or log lines.
+#[test_case(""; "empty")]
+#[test_case("a/b"; "slash")]
+#[test_case("a b"; "space")]
+#[test_case("é"; "not ascii")]
+#[test_case("a\nb"; "line break")]
+fn bad_names_are_refused(text: &str) {
+    assert!(text.parse::<ids::AccountName>().is_err());
+    let json = serde_json::Value::from(text);
+    assert!(serde_json::from_value::<ids::AccountName>(json).is_err());
+}
+
+/// Guards against a name that grows offers beyond their size.
+#[test]
+fn names_are_bounded() {
+    assert!("a".repeat(64).parse::<ids::ModelName>().is_ok());
+    assert!("a".repeat(65).parse::<ids::ModelName>().is_err());
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { failure_persistence: None, ..ProptestConfig::default() })]
+
+    /// Guards against ids that change on their way through an answer header.
+    #[test]
+    fn request_ids_survive_text_and_bytes(value in any::<u128>()) {
+        let id = ids::RequestId(value);
+        prop_assert_eq!(id.to_string().parse::<ids::RequestId>().unwrap(), id);
+        prop_assert_eq!(ids::RequestId::from_slice(&id.to_bytes()).unwrap(), id);
+    }
+
+    /// Guards against a panic on text from callers.
+    #[test]
+    fn any_text_parses_or_fails(text in ".*") {
+        let _ = text.parse::<ids::RequestId>();
+        let _ = text.parse::<units::TokenRate>();
+        let _ = text.parse::<units::ByteCount>();
+        let _ = text.parse::<reasons::RefusalReason>();
+    }
+
+    /// Guards against a prefix that hashes differently once text follows it.
+    #[test]
+    fn block_hashes_of_a_prefix_are_a_prefix(text in "[a-z]{0,300}", more in "[a-z]{0,300}") {
+        let short = prompts::block_hashes(&text);
+        let long = prompts::block_hashes(&format!("{text}{more}"));
+        prop_assert_eq!(&long[..short.len()], &short[..]);
+    }
+}
+
+/// Guards against two reasons that share a counter or a name in answers.
+#[test]
+fn reason_names_are_unique_and_parse() {
+    let mut names: Vec<_> = reasons::RefusalReason::ALL
+        .iter()
+        .map(|r| r.as_str())
+        .collect();
+    for reason in reasons::RefusalReason::ALL {
+        assert_eq!(
+            reason.as_str().parse::<reasons::RefusalReason>().unwrap(),
+            *reason
+        );
+    }
+    names.sort_unstable();
+    names.dedup();
+    assert_eq!(names.len(), reasons::RefusalReason::ALL.len());
+}
+
+/// Guards against a refusal that is counted under another reason.
+#[test]
+fn each_refusal_has_its_own_counter() {
+    let counters = counters::CounterSet::new();
+    counters.refuse(reasons::RefusalReason::Evicted);
+    counters.retry(reasons::RetryReason::Refused);
+    counters.add(counters::CounterEvent::PrefillTokens, 40);
+    let text = counters.render();
+    assert!(text.contains("refusal.evicted 1\n"));
+    assert!(text.contains("refusal.draining 0\n"));
+    assert!(text.contains("retry.refused 1\n"));
+    assert!(text.contains("prefill_tokens 40\n"));
+}
+
+/// Guards against counts that are lost or sent twice between two exports.
+#[test]
+fn exporter_sends_growth_once() {
+    let (receiver, sink) = cadence::SpyMetricSink::new();
+    let client = cadence::StatsdClient::from_sink("waxwing", sink);
+    let counters = counters::CounterSet::new();
+    let mut exporter = counters::CounterExporter::new(counters.clone(), client);
+    counters.add(counters::CounterEvent::Dispatches, 3);
+    exporter.export();
+    exporter.export();
+    counters.count(counters::CounterEvent::Dispatches);
+    exporter.export();
+    let sent: Vec<_> = receiver
+        .try_iter()
+        .map(|line| String::from_utf8(line).unwrap())
+        .collect();
+    assert_eq!(sent, ["waxwing.dispatches:3|c", "waxwing.dispatches:1|c"]);
+}
--- a/crates/waxwing-wire/src/errors.rs
+++ b/crates/waxwing-wire/src/errors.rs
@@ -38,6 +38,12 @@
     Security(Arc<SecurityError>),
 }
 
+impl From<SecurityError> for LinkError {
+    fn from(error: SecurityError) -> Self {
+        Self::Security(Arc::new(error))
+    }
+}
+
 impl From<io::Error> for LinkError {
     fn from(error: io::Error) -> Self {
         Self::Io(Arc::new(error))
@@ -85,6 +91,15 @@
         /// What was expected in it.
         expected: &'static str,
     },
+    /// The peer's certificate doesn't carry the name that the peer introduced itself with.
+    #[error("the certificate does not name {claimed}")]
+    Identity {
+        /// The name that the certificate would have to carry.
+        claimed: String,
+    },
+    /// A key or certificate could not be created.
+    #[error("key creation failed: {0}")]
+    Create(#[from] rcgen::Error),
     /// The TLS library refused the keys.
     #[error("keys are not usable: {0}")]
     Tls(#[from] rustls::Error),
--- a/crates/waxwing-wire/src/links.rs
+++ b/crates/waxwing-wire/src/links.rs
@@ -15,6 +15,7 @@
 
 use bytes::Bytes;
 use futures_util::{SinkExt as _, StreamExt as _};
+use rustls::pki_types;
 use tokio::{
     io::{AsyncRead, AsyncWrite},
     net,
@@ -235,8 +236,14 @@
             security::LinkSecurity::Mutual(context) => {
                 let acceptor = tokio_rustls::TlsAcceptor::from(context.load().server.clone());
                 let limit = options.connect_limit;
-                let secured = limited(&clock, limit, acceptor.accept(stream)).await?;
-                introduce(secured?, address, hello, options, clock).await
+                let secured = limited(&clock, limit, acceptor.accept(stream)).await??;
+                let shown = secured
+                    .get_ref()
+                    .1
+                    .peer_certificates()
+                    .map(copy_certificates);
+                let link = introduce(secured, address, hello, options, clock).await?;
+                check_peer(shown.as_deref(), link)
             }
         }
     }
@@ -260,9 +267,39 @@
         security::LinkSecurity::Plain => introduce(stream, address, hello, options, clock).await,
         security::LinkSecurity::Mutual(context) => {
             let connector = tokio_rustls::TlsConnector::from(context.load().client.clone());
-            let name = rustls::pki_types::ServerName::IpAddress(address.ip().into());
-            let secured = limited(&clock, limit, connector.connect(name, stream)).await?;
-            introduce(secured?, address, hello, options, clock).await
+            let name = pki_types::ServerName::try_from(security::FLEET_NAME)
+                .map_err(|_| errors::LinkError::Introduction)?;
+            let secured = limited(&clock, limit, connector.connect(name, stream)).await??;
+            let shown = secured
+                .get_ref()
+                .1
+                .peer_certificates()
+                .map(copy_certificates);
+            let link = introduce(secured, address, hello, options, clock).await?;
+            check_peer(shown.as_deref(), link)
+        }
+    }
+}
+
+fn copy_certificates(
+    certificates: &[pki_types::CertificateDer<'_>],
+) -> Vec<pki_types::CertificateDer<'static>> {
+    certificates
+        .iter()
+        .map(|certificate| certificate.clone().into_owned())
+        .collect()
+}
+
+/// Ends a link whose peer introduced itself under a name that its certificate doesn't carry.
+fn check_peer(
+    certificates: Option<&[pki_types::CertificateDer<'_>]>,
+    link: Link,
+) -> Result<Link, errors::LinkError> {
+    match security::check_introduction(certificates, &link.peer) {
+        Ok(()) => Ok(link),
+        Err(error) => {
+            link.sender.close();
+            Err(error.into())
         }
     }
 }
--- a/crates/waxwing-wire/src/messages.rs
+++ b/crates/waxwing-wire/src/messages.rs
@@ -7,6 +7,9 @@
 /// The version of the protocol; links between different versions are refused.
 pub const PROTOCOL_VERSION: u32 = 1;
 
+/// The most prefix hashes in an offer; with the longest names it then still fits 512 bytes.
+pub const MAX_PREFIX_HASHES: usize = 24;
+
 /// An `Envelope` is the one message that frames carry.
 #[derive(Clone, PartialEq, Message)]
 pub struct Envelope {
@@ -209,7 +212,7 @@
     /// Expected output tokens.
     #[prost(uint64, tag = "8")]
     pub output_tokens: u64,
-    /// Hashes of the prompt's prefixes, longest last, at most 32.
+    /// Hashes of the prompt's prefixes, longest last, at most [`MAX_PREFIX_HASHES`].
     #[prost(fixed64, repeated, tag = "9")]
     pub prefix_hashes: Vec<u64>,
     /// Milliseconds until the deadline, by the entry's clock at sending.
