--- /dev/null
+++ b/crates/waxwing-quorum/src/members.rs
@@ -0,0 +1,198 @@
+//! Members of a group: their identities, and which of them vote.
+
+use std::{collections::BTreeMap, fmt};
+
+use prost::Message as _;
+use waxwing_core::ids;
+
+use crate::{errors, messages};
+
+/// A `MemberIdentity` is one life of a member: its member id and the store id of its data folder.
+/// A wiped folder has a new store id, so it can't act on promises that it no longer remembers.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct MemberIdentity {
+    /// The member id.
+    pub member: ids::MemberId,
+    /// The store id of the member's data folder.
+    pub store: ids::StoreId,
+}
+
+impl fmt::Display for MemberIdentity {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(
+            formatter,
+            "member {} with store {}",
+            self.member, self.store
+        )
+    }
+}
+
+/// A `MemberKind` tells voters and learners apart.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum MemberKind {
+    /// The member receives the log and neither votes nor counts for a commit.
+    Learner,
+    /// The member votes and counts for a commit.
+    Voter,
+}
+
+/// A `MemberChange` changes one member; any two quorums before and after it overlap.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum MemberChange {
+    /// Adds a member that only receives the log.
+    AddLearner(MemberIdentity),
+    /// Makes a learner that has caught up a voter.
+    Promote(MemberIdentity),
+    /// Removes a learner or a voter.
+    Remove(MemberIdentity),
+}
+
+/// A `Membership` is the set of voters and learners of a group.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Membership {
+    members: BTreeMap<ids::MemberId, (ids::StoreId, MemberKind)>,
+}
+
+impl Membership {
+    /// Builds the membership of a new group.
+    #[must_use]
+    pub fn of_voters(voters: &[MemberIdentity]) -> Self {
+        let entry = |voter: &MemberIdentity| (voter.member, (voter.store, MemberKind::Voter));
+        Self {
+            members: voters.iter().map(entry).collect(),
+        }
+    }
+
+    /// Tells whether there is no member; a host that has yet to join knows none.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.members.is_empty()
+    }
+
+    /// Returns the identity that is listed under a member id.
+    #[must_use]
+    pub fn find(&self, member: ids::MemberId) -> Option<MemberIdentity> {
+        let (store, _) = self.members.get(&member)?;
+        Some(MemberIdentity {
+            member,
+            store: *store,
+        })
+    }
+
+    /// Returns the kind of a member that is listed with exactly this store id.
+    #[must_use]
+    pub fn kind(&self, identity: MemberIdentity) -> Option<MemberKind> {
+        let (store, kind) = self.members.get(&identity.member)?;
+        (*store == identity.store).then_some(*kind)
+    }
+
+    /// Tells whether the identity is a voter.
+    #[must_use]
+    pub fn is_voter(&self, identity: MemberIdentity) -> bool {
+        self.kind(identity) == Some(MemberKind::Voter)
+    }
+
+    /// Returns all members with their kinds, by member id.
+    pub fn iter(&self) -> impl Iterator<Item = (MemberIdentity, MemberKind)> + '_ {
+        self.members.iter().map(|(member, (store, kind))| {
+            let identity = MemberIdentity {
+                member: *member,
+                store: *store,
+            };
+            (identity, *kind)
+        })
+    }
+
+    /// Returns the voters, by member id.
+    pub fn voters(&self) -> impl Iterator<Item = MemberIdentity> + '_ {
+        self.iter()
+            .filter(|(_, kind)| *kind == MemberKind::Voter)
+            .map(|(identity, _)| identity)
+    }
+
+    /// Returns the number of voters that make a quorum.
+    #[must_use]
+    pub fn quorum(&self) -> usize {
+        self.voters().count() / 2 + 1
+    }
+
+    /// Returns the membership after a change.
+    ///
+    /// # Errors
+    /// Fails if the member is listed already, isn't listed, or has the wrong kind.
+    pub fn with(&self, change: MemberChange) -> Result<Self, errors::ChangeError> {
+        let mut next = self.clone();
+        match change {
+            MemberChange::AddLearner(identity) => {
+                if self.members.contains_key(&identity.member) {
+                    return Err(errors::ChangeError::Listed(identity.member));
+                }
+                next.members
+                    .insert(identity.member, (identity.store, MemberKind::Learner));
+            }
+            MemberChange::Promote(identity) => match self.kind(identity) {
+                None => return Err(errors::ChangeError::NotListed(identity)),
+                Some(MemberKind::Voter) => {
+                    return Err(errors::ChangeError::AlreadyVoter(identity.member));
+                }
+                Some(MemberKind::Learner) => {
+                    next.members
+                        .insert(identity.member, (identity.store, MemberKind::Voter));
+                }
+            },
+            MemberChange::Remove(identity) => {
+                if self.kind(identity).is_none() {
+                    return Err(errors::ChangeError::NotListed(identity));
+                }
+                next.members.remove(&identity.member);
+            }
+        }
+        Ok(next)
+    }
+
+    /// Returns the form that messages, log entries and snapshots carry.
+    #[must_use]
+    pub fn to_message(&self) -> messages::MemberList {
+        let record = |(identity, kind): (MemberIdentity, MemberKind)| messages::MemberRecord {
+            identity: Some(identity.into()),
+            voter: kind == MemberKind::Voter,
+        };
+        messages::MemberList {
+            members: self.iter().map(record).collect(),
+        }
+    }
+
+    /// Reads the form that messages, log entries and snapshots carry.
+    ///
+    /// # Errors
+    /// Fails if an identity is missing or has the wrong length.
+    pub fn from_message(list: &messages::MemberList) -> Result<Self, errors::DecodeError> {
+        let mut members = BTreeMap::new();
+        for record in &list.members {
+            let identity = record.identity.as_ref();
+            let identity = identity.ok_or(errors::DecodeError::Missing("a member's identity"))?;
+            let identity = MemberIdentity::try_from(identity)?;
+            let kind = if record.voter {
+                MemberKind::Voter
+            } else {
+                MemberKind::Learner
+            };
+            members.insert(identity.member, (identity.store, kind));
+        }
+        Ok(Self { members })
+    }
+
+    /// Encodes the membership as the payload of a log entry.
+    #[must_use]
+    pub fn encode(&self) -> bytes::Bytes {
+        self.to_message().encode_to_vec().into()
+    }
+
+    /// Decodes the payload of a log entry.
+    ///
+    /// # Errors
+    /// Fails if the bytes are malformed.
+    pub fn decode(payload: &[u8]) -> Result<Self, errors::DecodeError> {
+        Self::from_message(&messages::MemberList::decode(payload)?)
+    }
+}
