Check a settings tree whole and decide who may change which path

The schema lists each setting with type, unit, range and default; the check walks the tree beside it and then looks at references, so that a report gives path, found and allowed for every fault at once. Digests are never shown. Delegation can't reach operators or delegations, since either would let a team give itself the rest.

--- a/crates/waxwing-settings/src/lib.rs
+++ b/crates/waxwing-settings/src/lib.rs
@@ -2,8 +2,12 @@
 //!
 //! The tree and its owners are described in `docs/design.md`, section 6.
 
+pub mod checks;
 pub mod credentials;
 pub mod errors;
 pub mod files;
+pub mod ownership;
 pub mod patches;
+mod references;
+pub mod schema;
 pub mod view;
--- a/crates/waxwing-settings/src/view.rs
+++ b/crates/waxwing-settings/src/view.rs
@@ -55,6 +55,9 @@
     /// The output tokens expected of a request that names no limit.
     #[serde(default = "default_output")]
     pub expected_output_tokens: units::TokenCount,
+    /// The size of the weights in bytes, which loading takes from the weight store.
+    #[serde(default)]
+    pub weight_bytes: units::ByteCount,
 }
 
 fn default_copies() -> u32 {
@@ -143,6 +146,8 @@
     pub draining: BTreeSet<ids::ProcessName>,
     /// Operators of root, by name.
     pub operators: BTreeMap<ids::OperatorName, OperatorSettings>,
+    /// Paths outside of a team's subtree that the team's operators may change as well.
+    pub delegations: BTreeMap<ids::TeamName, BTreeSet<String>>,
 }
 
 impl Default for FleetSettings {
@@ -153,6 +158,7 @@
             weight_store_bytes_per_second: 1 << 30,
             draining: BTreeSet::new(),
             operators: BTreeMap::new(),
+            delegations: BTreeMap::new(),
         }
     }
 }
