Add the control role of a single host

The state machine of settings, claims, fencing numbers and placement is deterministic: time comes with the commands, so a resend gets its first answer and a jump of a clock expires nothing. A single host applies commands in memory until the replicated log takes its place. Links serve announcements, settings with confirmations, the directory, claims and fencing numbers.

--- a/crates/waxwing-control/src/lib.rs
+++ b/crates/waxwing-control/src/lib.rs
@@ -1,1 +1,21 @@
-//! Placeholder of the `waxwing-control` crate; see docs/design.md.
+//! The control role: the replicated state of settings, claims, fencing numbers, placement and
+//! membership, the directory of announced processes, and the operators' interface.
+//!
+//! See `docs/design.md`, section 6.
+
+pub mod changes;
+pub mod claims;
+pub mod commands;
+pub mod directory;
+pub mod errors;
+mod host;
+mod local;
+mod log;
+pub mod machine;
+pub mod options;
+mod processes;
+pub mod roles;
+pub mod snapshots;
+
+pub use options::ControlOptions;
+pub use roles::{BoundControl, bind};
--- /dev/null
+++ b/crates/waxwing-control/src/roles.rs
@@ -0,0 +1,256 @@
+//! The control role as a library: sockets first, then the tasks.
+
+use std::{net::SocketAddr, sync::Arc};
+
+use tokio::net;
+use tokio_util::{sync::CancellationToken, task::TaskTracker};
+use waxwing_core::{clock::Clock, counters, ids};
+use waxwing_settings::{checks, files};
+use waxwing_wire::{links, messages, security};
+
+use crate::{commands, errors, host, local, options, processes};
+
+/// A `BoundControl` is a control host whose sockets are open.
+pub struct BoundControl<C> {
+    options: options::ControlOptions,
+    clock: C,
+    listener: links::LinkListener<C>,
+    http: net::TcpListener,
+    link_address: SocketAddr,
+    http_address: SocketAddr,
+    incarnation: ids::Incarnation,
+    first_tree: Option<serde_json::Value>,
+    counters: counters::CounterSet,
+}
+
+/// Opens the sockets of a control host and reads the first settings tree, if it has one.
+///
+/// # Errors
+/// Fails if an address can't be bound, the keys can't be used, or the first tree is refused.
+pub async fn bind<C: Clock>(
+    options: options::ControlOptions,
+    clock: C,
+) -> Result<BoundControl<C>, errors::ControlError> {
+    let first_tree = load_first_tree(&options)?;
+    let security = security::LinkSecurity::from_files(options.tls.as_ref())?;
+    let incarnation = ids::Incarnation(clock.wall_millis());
+    let listener = links::LinkListener::bind(
+        options.link,
+        host::hello(&options, incarnation),
+        links::LinkOptions::default(),
+        security,
+        clock.clone(),
+    )
+    .await?;
+    let http = net::TcpListener::bind(options.http)
+        .await
+        .map_err(errors::ControlError::Http)?;
+    Ok(BoundControl {
+        link_address: listener.local_addr()?,
+        http_address: http.local_addr().map_err(errors::ControlError::Http)?,
+        options,
+        clock,
+        listener,
+        http,
+        incarnation,
+        first_tree,
+        counters: counters::CounterSet::new(),
+    })
+}
+
+fn load_first_tree(
+    options: &options::ControlOptions,
+) -> Result<Option<serde_json::Value>, errors::ControlError> {
+    let Some(file) = &options.settings else {
+        return Ok(None);
+    };
+    let tree = files::load(file)?;
+    match checks::check_tree(&tree) {
+        Ok(_) => Ok(Some(tree)),
+        Err(findings) => Err(errors::ControlError::FirstTree {
+            file: file.display().to_string(),
+            findings,
+        }),
+    }
+}
+
+impl<C: Clock> BoundControl<C> {
+    /// Returns the bound address for links.
+    #[must_use]
+    pub fn link_address(&self) -> SocketAddr {
+        self.link_address
+    }
+
+    /// Returns the bound address of the operators' interface.
+    #[must_use]
+    pub fn http_address(&self) -> SocketAddr {
+        self.http_address
+    }
+
+    /// Returns the counters of this host.
+    #[must_use]
+    pub fn counters(&self) -> counters::CounterSet {
+        self.counters.clone()
+    }
+
+    /// Replaces the list of the other control hosts, for hosts whose ports the system chose.
+    pub fn set_peers(&mut self, peers: Vec<options::PeerOptions>) {
+        self.options.peers = peers;
+    }
+
+    /// Sets the first settings tree, in place of the file in the options.
+    ///
+    /// # Errors
+    /// Returns what is not allowed in the tree.
+    pub fn set_first_tree(
+        &mut self,
+        tree: serde_json::Value,
+    ) -> Result<(), Vec<checks::SettingFinding>> {
+        checks::check_tree(&tree)?;
+        self.first_tree = Some(tree);
+        Ok(())
+    }
+
+    /// Serves until `shutdown`.
+    ///
+    /// # Errors
+    /// Fails if the stored state can't be read or can't be written any more.
+    pub async fn run(self, shutdown: CancellationToken) -> Result<(), errors::ControlError> {
+        let (log, handle) =
+            local::LocalLog::open(self.options.name.to_string(), self.clock.clone());
+        let peers = self.options.peers.iter().map(|peer| peer.link.to_string());
+        let control = std::iter::once(self.link_address.to_string()).chain(peers);
+        let state = Arc::new(host::HostState {
+            started: self.clock.now(),
+            clock: self.clock.clone(),
+            counters: self.counters.clone(),
+            incarnation: self.incarnation,
+            log: handle,
+            directory: std::sync::Mutex::default(),
+            directory_changes: tokio::sync::watch::Sender::new(0),
+            confirmations: tokio::sync::watch::Sender::new(0),
+            control: tokio::sync::watch::Sender::new(control.collect()),
+            options: self.options,
+        });
+        drop(self.http);
+        let (name, incarnation) = (&state.options.name, state.incarnation);
+        tracing::info!(%name, %incarnation, "control host started");
+        let tasks = TaskTracker::new();
+        tasks.spawn(log.run(shutdown.clone()));
+        tasks.spawn(sweep_directory(state.clone(), shutdown.clone()));
+        tasks.spawn(confirm_settings(state.clone(), shutdown.clone()));
+        if let Some(tree) = self.first_tree {
+            tasks.spawn(bootstrap(state.clone(), tree, shutdown.clone()));
+        }
+        accept_links(&state, &self.listener, &tasks, &shutdown).await;
+        tasks.close();
+        tasks.wait().await;
+        Ok(())
+    }
+}
+
+async fn accept_links<C: Clock>(
+    state: &host::HostHandle<C>,
+    listener: &links::LinkListener<C>,
+    tasks: &TaskTracker,
+    shutdown: &CancellationToken,
+) {
+    loop {
+        let accepted = tokio::select! {
+            () = shutdown.cancelled() => return,
+            accepted = listener.accept() => accepted,
+        };
+        match accepted {
+            Ok(pending) => {
+                tasks.spawn(open_link(state.clone(), pending, shutdown.clone()));
+            }
+            Err(error) => {
+                // The system is out of some resource; waiting is all that helps.
+                tracing::warn!(%error, "a link could not be accepted");
+                state.clock.sleep(host::SWEEP_INTERVAL).await;
+            }
+        }
+    }
+}
+
+async fn open_link<C: Clock>(
+    state: host::HostHandle<C>,
+    pending: links::PendingLink<C>,
+    shutdown: CancellationToken,
+) {
+    let opened = tokio::select! {
+        () = shutdown.cancelled() => return,
+        opened = pending.open() => opened,
+    };
+    match opened {
+        Ok(link) => match messages::ProcessKind::try_from(link.peer.kind) {
+            Ok(
+                messages::ProcessKind::Entry
+                | messages::ProcessKind::Agent
+                | messages::ProcessKind::Tool,
+            ) => processes::ProcessLink::serve(state, link, shutdown).await,
+            _ => link.sender.close(),
+        },
+        Err(error) => tracing::debug!(%error, "a link could not be opened"),
+    }
+}
+
+/// Ends leases and tells watchers of changes, all those of one interval together.
+async fn sweep_directory<C: Clock>(state: host::HostHandle<C>, shutdown: CancellationToken) {
+    let mut told = 0;
+    let mut warm = false;
+    loop {
+        tokio::select! {
+            () = shutdown.cancelled() => return,
+            () = state.clock.sleep(host::SWEEP_INTERVAL) => {}
+        }
+        let now = state.clock.now();
+        let mut directory = state.directory();
+        directory.sweep(now);
+        let revision = directory.revision();
+        drop(directory);
+        let warmed = !warm && state.is_warm();
+        warm |= warmed;
+        if revision != told || warmed {
+            told = revision;
+            state.publish_directory();
+        }
+    }
+}
+
+/// Has the settings confirmed by a quorum as long as this host runs.
+async fn confirm_settings<C: Clock>(state: host::HostHandle<C>, shutdown: CancellationToken) {
+    loop {
+        let confirmed = tokio::select! {
+            () = shutdown.cancelled() => return,
+            confirmed = state.confirm() => confirmed,
+        };
+        if confirmed.is_ok() {
+            state.confirmations.send_modify(|count| *count += 1);
+        }
+        tokio::select! {
+            () = shutdown.cancelled() => return,
+            () = state.clock.sleep(host::CONFIRM_INTERVAL) => {}
+        }
+    }
+}
+
+/// Submits the first tree until some answer comes; the log ignores it if there is a tree already.
+async fn bootstrap<C: Clock>(
+    state: host::HostHandle<C>,
+    tree: serde_json::Value,
+    shutdown: CancellationToken,
+) {
+    let tree = serde_json::to_vec(&tree).unwrap_or_default().into();
+    let bootstrap = commands::BootstrapSettings { tree };
+    while !shutdown.is_cancelled() {
+        let action = commands::LogAction::Bootstrap(bootstrap.clone());
+        match state.submit(action).await {
+            Ok(result) => {
+                tracing::info!(?result, "first settings submitted");
+                return;
+            }
+            Err(_) => state.clock.sleep(host::SWEEP_INTERVAL).await,
+        }
+    }
+}
