Implement the replicated log state machine

Adds terms, pre-vote, check-quorum, leader lease and read index, log matching with backtracking by whole terms, commits of own-term entries,

leadership transfer and the bound on uncommitted bytes. A node that starts refuses votes for one election timeout, because its former life may have renewed a leader's lease just before it died.

--- /dev/null
+++ b/crates/waxwing-quorum/src/election.rs
@@ -0,0 +1,262 @@
+//! Elections: timeouts, pre-votes, votes, and stepping down.
+
+use std::time::Duration;
+
+use rand::RngExt as _;
+
+use crate::{errors, leading, members, messages, node, ready, units};
+
+impl node::QuorumNode {
+    pub(crate) fn reset_election_deadline(&mut self) {
+        let shortest = self.options.election_timeout_min;
+        let spread = self.options.election_timeout_max.saturating_sub(shortest);
+        let spread = u64::try_from(spread.as_micros()).unwrap_or(u64::MAX);
+        let extra = self.random.random_range(0..=spread);
+        self.election_deadline = self.now + shortest + Duration::from_micros(extra);
+    }
+
+    /// Tells whether a leader was heard so lately that it may still hold a lease. A node that was
+    /// just started says yes, because its former life may have answered the leader.
+    fn hears_leader(&self) -> bool {
+        let timeout = self.options.election_timeout_min;
+        let heard = |contact: Duration| self.now < contact + timeout;
+        self.role == ready::NodeRole::Leader || self.contact.is_some_and(heard)
+    }
+
+    pub(crate) fn tick_follower(&mut self) {
+        if self.now < self.election_deadline {
+            return;
+        }
+        self.leader = None;
+        if self.members().is_voter(self.identity) {
+            self.start_pre_vote();
+        } else {
+            self.reset_election_deadline();
+        }
+    }
+
+    /// Asks the voters whether they would vote, without raising the term: a member that was cut
+    /// off then doesn't depose a working leader when it comes back.
+    fn start_pre_vote(&mut self) {
+        self.role = ready::NodeRole::PreCandidate;
+        self.reset_election_deadline();
+        self.grants.clear();
+        self.grants.insert(self.identity);
+        self.own_vote = None;
+        if self.has_quorum_of_grants() {
+            self.start_election(false);
+            return;
+        }
+        self.request_votes(self.term + 1, true, false);
+    }
+
+    pub(crate) fn start_election(&mut self, transfer: bool) {
+        self.term += 1;
+        self.vote = Some(self.identity);
+        self.role = ready::NodeRole::Candidate;
+        self.leader = None;
+        self.grants.clear();
+        self.reset_election_deadline();
+        self.write_hard_state();
+        self.own_vote = Some(self.writes.required());
+        self.request_votes(self.term, false, transfer);
+    }
+
+    fn request_votes(&mut self, term: units::Term, pre_vote: bool, transfer: bool) {
+        let request = messages::VoteRequest {
+            last_index: self.log.last_index(),
+            last_term: self.log.last_term(),
+            pre_vote,
+            transfer,
+        };
+        let voters: Vec<_> = self.members().voters().collect();
+        for voter in voters {
+            if voter != self.identity {
+                let body = messages::PeerBody::VoteRequest(request.clone());
+                let message = self.message(voter, term, body);
+                self.writes.send_after_writes(message);
+            }
+        }
+    }
+
+    pub(crate) fn message(
+        &self,
+        to: members::MemberIdentity,
+        term: units::Term,
+        body: messages::PeerBody,
+    ) -> ready::OutgoingMessage {
+        ready::OutgoingMessage {
+            to: to.member,
+            message: messages::PeerMessage {
+                term,
+                sender: Some(self.identity.into()),
+                recipient: Some(to.into()),
+                body: Some(body),
+            },
+        }
+    }
+
+    pub(crate) fn write_hard_state(&mut self) {
+        self.writes.hard_state(messages::HardState {
+            term: self.term,
+            vote: self.vote.map(Into::into),
+        });
+    }
+
+    /// Decides about a vote. The membership of the voter may be older than the candidate's, so an
+    /// identity that isn't listed is heard if its log is ahead: a wiped host's log never is, and
+    /// refusing a newer membership could leave a group without a leader after a host is lost.
+    pub(crate) fn on_vote_request(
+        &mut self,
+        sender: members::MemberIdentity,
+        term: units::Term,
+        request: &messages::VoteRequest,
+    ) -> Result<(), errors::ReceiveError> {
+        let theirs = (request.last_term, request.last_index);
+        let own = (self.log.last_term(), self.log.last_index());
+        if self.members().kind(sender).is_none() && theirs <= own {
+            return Err(errors::ReceiveError::Stranger(sender));
+        }
+        let leased = self.hears_leader() && !request.transfer;
+        if leased && !request.pre_vote {
+            return Ok(());
+        }
+        let mut granted = !leased && theirs >= own && term >= self.term;
+        if request.pre_vote {
+            granted &= term > self.term;
+        } else {
+            if term > self.term {
+                self.become_follower(term, None);
+            }
+            let free = self.vote.is_none_or(|vote| vote == sender);
+            granted &= free && self.leader.is_none();
+            if granted {
+                self.vote = Some(sender);
+                self.write_hard_state();
+                self.reset_election_deadline();
+            }
+        }
+        let answer = messages::VoteAnswer {
+            asked_term: term,
+            granted,
+            pre_vote: request.pre_vote,
+        };
+        let body = messages::PeerBody::VoteAnswer(answer);
+        let message = self.message(sender, self.term, body);
+        self.writes.send_after_writes(message);
+        Ok(())
+    }
+
+    pub(crate) fn on_vote_answer(
+        &mut self,
+        sender: members::MemberIdentity,
+        answer: &messages::VoteAnswer,
+    ) {
+        let expected = match self.role {
+            ready::NodeRole::PreCandidate => (true, self.term + 1),
+            ready::NodeRole::Candidate => (false, self.term),
+            _ => return,
+        };
+        if !answer.granted || (answer.pre_vote, answer.asked_term) != expected {
+            return;
+        }
+        self.grants.insert(sender);
+        if !self.has_quorum_of_grants() {
+            return;
+        }
+        if answer.pre_vote {
+            self.start_election(false);
+        } else {
+            self.become_leader();
+        }
+    }
+
+    /// Counts the own vote once it is synced.
+    pub(crate) fn count_own_vote(&mut self) {
+        let synced = |sequence| self.writes.is_persisted(sequence);
+        if self.role != ready::NodeRole::Candidate || !self.own_vote.is_some_and(synced) {
+            return;
+        }
+        self.own_vote = None;
+        self.grants.insert(self.identity);
+        if self.has_quorum_of_grants() {
+            self.become_leader();
+        }
+    }
+
+    /// Tells whether a quorum of the listed voters, each with its listed store id, has granted.
+    fn has_quorum_of_grants(&self) -> bool {
+        let members = self.members();
+        let granted = members.voters().filter(|voter| self.grants.contains(voter));
+        // The own vote stands for the term that the votes are counted in, so a candidate waits
+        // until it is synced.
+        granted.count() >= members.quorum() && self.grants.contains(&self.identity)
+    }
+
+    pub(crate) fn become_follower(
+        &mut self,
+        term: units::Term,
+        leader: Option<members::MemberIdentity>,
+    ) {
+        self.abandon_leadership();
+        if term > self.term {
+            self.term = term;
+            self.vote = None;
+            self.write_hard_state();
+        }
+        self.role = ready::NodeRole::Follower;
+        self.leader = leader;
+        self.grants.clear();
+        self.own_vote = None;
+        self.reset_election_deadline();
+    }
+
+    /// Ends the state of a leader; reads that wait can't be confirmed any more.
+    pub(crate) fn abandon_leadership(&mut self) {
+        if let Some(leading) = self.leading.take() {
+            let tokens = leading.reads.iter().map(|(_, token)| *token);
+            self.failed_reads.extend(tokens);
+            self.contact = None;
+        }
+    }
+
+    fn become_leader(&mut self) {
+        self.role = ready::NodeRole::Leader;
+        self.leader = Some(self.identity);
+        self.grants.clear();
+        let mut leading = leading::LeaderState {
+            uncommitted_bytes: self.log.bytes_above(self.commit),
+            ..leading::LeaderState::default()
+        };
+        let next = self.log.last_index() + 1;
+        let heard = Some(self.now);
+        leading.follow_membership(self.members(), self.identity, next, heard);
+        self.leading = Some(leading);
+        self.append_own(messages::EntryKind::Noop, bytes::Bytes::new());
+        self.begin_round();
+    }
+
+    pub(crate) fn on_elect_now(&mut self, sender: members::MemberIdentity) {
+        let follows = self.role == ready::NodeRole::Follower && self.leader == Some(sender);
+        if follows && self.members().is_voter(self.identity) {
+            self.start_election(true);
+        }
+    }
+
+    /// Steps down if no quorum has answered within the election timeout.
+    pub(crate) fn check_quorum(&mut self) {
+        let Some(leading) = &self.leading else {
+            return;
+        };
+        let oldest = self.now.saturating_sub(self.options.election_timeout_min);
+        let heard = |voter: &members::MemberIdentity| {
+            let peer = leading.peers.get(&voter.member);
+            *voter == self.identity
+                || peer.is_some_and(|peer| peer.heard.is_some_and(|heard| heard >= oldest))
+        };
+        let members = self.members();
+        if members.voters().filter(heard).count() < members.quorum() {
+            self.become_follower(self.term, None);
+        }
+    }
+}
--- a/crates/waxwing-quorum/src/errors.rs
+++ b/crates/waxwing-quorum/src/errors.rs
@@ -55,6 +55,12 @@
     /// A number has no meaning.
     #[error("{0} has the unknown value {1}")]
     Unknown(&'static str, i32),
+    /// A term or index is beyond what any log reaches.
+    #[error("{0} is out of range for a term or an index")]
+    Range(u64),
+    /// The entries of a message don't follow each other.
+    #[error("log entry {0} is out of order")]
+    Order(units::LogIndex),
 }
 
 /// A `ReceiveError` tells why a message was ignored.
@@ -82,6 +88,22 @@
     /// The membership doesn't list the sender with this store id.
     #[error("{0} is not in the membership")]
     Stranger(members::MemberIdentity),
+    /// Another member claims to lead in the term that this node leads in.
+    #[error("{leader} claims to lead in term {term}, which this node leads in")]
+    SecondLeader {
+        /// The other leader.
+        leader: members::MemberIdentity,
+        /// The term.
+        term: units::Term,
+    },
+    /// The leader's snapshot is above the bound.
+    #[error("snapshot of {found} is above the limit of {allowed}")]
+    SnapshotTooLong {
+        /// The length that was announced.
+        found: core_units::ByteCount,
+        /// The bound.
+        allowed: core_units::ByteCount,
+    },
     /// Storage failed earlier; the node takes no further part.
     #[error("storage failed; the node is halted")]
     Halted,
--- /dev/null
+++ b/crates/waxwing-quorum/src/installing.rs
@@ -0,0 +1,201 @@
+//! Snapshots on their way from the leader to a follower, in bounded chunks.
+
+use bytes::Bytes;
+use waxwing_core::units as core_units;
+
+use crate::{entries, errors, leading, members, messages, node, ready, units};
+
+/// An `IncomingSnapshot` is the part of a snapshot that has arrived so far.
+#[derive(Debug)]
+pub(crate) struct IncomingSnapshot {
+    index: units::LogIndex,
+    term: units::Term,
+    total: u64,
+    data: Vec<u8>,
+}
+
+impl IncomingSnapshot {
+    const fn starting(chunk: &messages::SnapshotChunk) -> Self {
+        Self {
+            index: chunk.index,
+            term: chunk.term,
+            total: chunk.total,
+            data: Vec::new(),
+        }
+    }
+
+    fn is_for(&self, chunk: &messages::SnapshotChunk) -> bool {
+        (self.index, self.term, self.total) == (chunk.index, chunk.term, chunk.total)
+    }
+}
+
+impl node::QuorumNode {
+    pub(crate) fn start_snapshot(&self, peer: &mut leading::Progress) {
+        let Some(snapshot) = self.snapshot.clone() else {
+            return;
+        };
+        peer.inflight.clear();
+        peer.state = leading::ProgressState::Snapshot(leading::OutgoingSnapshot {
+            snapshot,
+            offset: 0,
+            sent_at: None,
+        });
+    }
+
+    /// Sends the next chunk, or the same one again if it was not answered and the follower lives.
+    pub(crate) fn pump_snapshot(&mut self, peer: &mut leading::Progress, round: u64) {
+        let (now, patience) = (self.now, self.options.heartbeat_interval * 2);
+        let newest = self.snapshot_index();
+        let heard = peer.heard;
+        let late = |sent| now >= sent + patience && heard.is_some_and(|heard| heard > sent);
+        let leading::ProgressState::Snapshot(outgoing) = &mut peer.state else {
+            return;
+        };
+        if outgoing.sent_at.is_some_and(|sent| !late(sent)) {
+            return;
+        }
+        if outgoing.sent_at.is_some() && outgoing.snapshot.index < newest {
+            // A follower that comes back after a long time starts with the newest state.
+            self.start_snapshot(peer);
+        }
+        let leading::ProgressState::Snapshot(outgoing) = &mut peer.state else {
+            return;
+        };
+        outgoing.sent_at = Some(now);
+        let data = &outgoing.snapshot.data;
+        let start = usize::try_from(outgoing.offset).unwrap_or(usize::MAX);
+        let start = start.min(data.len());
+        let length = usize::try_from(self.options.snapshot_chunk_bytes.0).unwrap_or(usize::MAX);
+        let end = start.saturating_add(length).min(data.len());
+        let chunk = messages::SnapshotChunk {
+            index: outgoing.snapshot.index,
+            term: outgoing.snapshot.term,
+            members: Some(outgoing.snapshot.members.to_message()),
+            total: data.len() as u64,
+            offset: start as u64,
+            data: data.slice(start..end),
+            round,
+        };
+        let body = messages::PeerBody::SnapshotChunk(chunk);
+        let message = self.message(peer.identity, self.term, body);
+        self.writes.send_now(message);
+    }
+
+    pub(crate) fn on_snapshot_chunk(
+        &mut self,
+        sender: members::MemberIdentity,
+        term: units::Term,
+        chunk: messages::SnapshotChunk,
+    ) -> Result<(), errors::ReceiveError> {
+        units::check_range(chunk.index)?;
+        units::check_range(chunk.term)?;
+        let members = chunk.members.as_ref();
+        let members = members.ok_or(errors::DecodeError::Missing("the membership"))?;
+        let members = members::Membership::from_message(members)?;
+        let allowed = self.options.max_snapshot_bytes;
+        if chunk.total > allowed.0 {
+            let found = core_units::ByteCount(chunk.total);
+            return Err(errors::ReceiveError::SnapshotTooLong { found, allowed });
+        }
+        if term < self.term {
+            self.answer_append(sender, messages::AppendAnswer::default());
+            return Ok(());
+        }
+        self.follow(sender, term)?;
+        let (index, round) = (chunk.index, chunk.round);
+        if index <= self.commit || self.log.term_at(index) == Some(chunk.term) {
+            // The log holds everything the snapshot covers.
+            self.commit = self.commit.max(index);
+            self.incoming = None;
+            self.answer_snapshot(sender, index, 0, true, round);
+            return Ok(());
+        }
+        let next_offset = self.take_chunk(&chunk);
+        let installed = next_offset == chunk.total;
+        if installed {
+            let data = self.incoming.take().map(|incoming| incoming.data);
+            self.install(ready::Snapshot {
+                index,
+                term: chunk.term,
+                members,
+                data: Bytes::from(data.unwrap_or_default()),
+            });
+        }
+        self.answer_snapshot(sender, index, next_offset, installed, round);
+        Ok(())
+    }
+
+    /// Adds a chunk if it is the next one and returns the offset that is needed next. The buffer
+    /// grows with what has arrived, never with what is announced.
+    fn take_chunk(&mut self, chunk: &messages::SnapshotChunk) -> u64 {
+        let incoming = match self.incoming.take() {
+            Some(incoming) if incoming.is_for(chunk) => incoming,
+            _ => IncomingSnapshot::starting(chunk),
+        };
+        let incoming = self.incoming.insert(incoming);
+        let held = incoming.data.len() as u64;
+        if chunk.offset == held && held + chunk.data.len() as u64 <= chunk.total {
+            incoming.data.extend_from_slice(&chunk.data);
+        }
+        incoming.data.len() as u64
+    }
+
+    fn install(&mut self, snapshot: ready::Snapshot) {
+        self.log = entries::EntryLog::starting_at(snapshot.index, snapshot.term);
+        self.history =
+            members::MemberHistory::starting_at(snapshot.index, snapshot.members.clone());
+        self.commit = snapshot.index;
+        self.writes.install(snapshot.clone());
+        self.installing = Some((self.writes.required(), snapshot.clone()));
+        self.snapshot = Some(snapshot);
+    }
+
+    fn answer_snapshot(
+        &mut self,
+        leader: members::MemberIdentity,
+        index: units::LogIndex,
+        next_offset: u64,
+        installed: bool,
+        round: u64,
+    ) {
+        let body = messages::PeerBody::SnapshotAnswer(messages::SnapshotAnswer {
+            index,
+            next_offset,
+            installed,
+            round,
+        });
+        let message = self.message(leader, self.term, body);
+        self.writes.send_after_writes(message);
+    }
+
+    pub(crate) fn on_snapshot_answer(
+        &mut self,
+        sender: members::MemberIdentity,
+        answer: &messages::SnapshotAnswer,
+    ) {
+        let now = self.now;
+        let last = self.log.last_index();
+        let Some(leading) = &mut self.leading else {
+            return;
+        };
+        let round = answer.round.min(leading.round);
+        let Some(peer) = leading.peers.get_mut(&sender.member) else {
+            return;
+        };
+        peer.heard = Some(now);
+        peer.acked_round = peer.acked_round.max(round);
+        if let leading::ProgressState::Snapshot(outgoing) = &mut peer.state
+            && outgoing.snapshot.index == answer.index
+        {
+            if answer.installed && answer.index <= last {
+                peer.accept(answer.index);
+                peer.probe_from(peer.matched + 1);
+            } else if answer.next_offset != outgoing.offset {
+                outgoing.offset = answer.next_offset;
+                outgoing.sent_at = None;
+            }
+        }
+        self.advance_commit();
+        self.advance_rounds();
+    }
+}
--- /dev/null
+++ b/crates/waxwing-quorum/src/leading.rs
@@ -0,0 +1,188 @@
+//! What a leader knows for the length of its term.
+
+use std::{collections::BTreeMap, collections::VecDeque, time::Duration};
+
+use waxwing_core::ids;
+
+use crate::{members, ready, units};
+
+/// An `OutgoingSnapshot` is a snapshot on its way to a follower, one chunk at a time.
+#[derive(Debug)]
+pub(crate) struct OutgoingSnapshot {
+    pub(crate) snapshot: ready::Snapshot,
+    pub(crate) offset: u64,
+    /// When the chunk at `offset` was sent; `None` if it is still to be sent.
+    pub(crate) sent_at: Option<Duration>,
+}
+
+/// A `ProgressState` tells how the log goes to a follower.
+#[derive(Debug)]
+pub(crate) enum ProgressState {
+    /// The last matching entry is unknown: only empty appends go out until one is accepted.
+    Probe,
+    /// Entries are streamed.
+    Replicate,
+    /// The follower needs entries that are compacted away.
+    Snapshot(OutgoingSnapshot),
+}
+
+/// A `Progress` is what the leader knows about one follower.
+#[derive(Debug)]
+pub(crate) struct Progress {
+    pub(crate) identity: members::MemberIdentity,
+    pub(crate) matched: units::LogIndex,
+    pub(crate) next: units::LogIndex,
+    pub(crate) state: ProgressState,
+    /// The last index of each append message without an answer.
+    pub(crate) inflight: VecDeque<units::LogIndex>,
+    pub(crate) acked_round: u64,
+    /// When the follower last answered in this term.
+    pub(crate) heard: Option<Duration>,
+    /// Whether an empty append is to be sent.
+    pub(crate) ping_due: bool,
+}
+
+impl Progress {
+    pub(crate) fn new(
+        identity: members::MemberIdentity,
+        next: units::LogIndex,
+        heard: Option<Duration>,
+    ) -> Self {
+        Self {
+            identity,
+            matched: 0,
+            next,
+            state: ProgressState::Probe,
+            inflight: VecDeque::new(),
+            acked_round: 0,
+            heard,
+            ping_due: true,
+        }
+    }
+
+    pub(crate) fn probe_from(&mut self, next: units::LogIndex) {
+        self.next = next;
+        self.state = ProgressState::Probe;
+        self.inflight.clear();
+        self.ping_due = true;
+    }
+
+    /// Takes the news that the follower's synced log matches up to `index`.
+    pub(crate) fn accept(&mut self, index: units::LogIndex) {
+        self.matched = self.matched.max(index);
+        while self
+            .inflight
+            .front()
+            .is_some_and(|last| *last <= self.matched)
+        {
+            self.inflight.pop_front();
+        }
+        match self.state {
+            ProgressState::Probe => {
+                self.next = self.matched + 1;
+                self.state = ProgressState::Replicate;
+            }
+            ProgressState::Replicate => self.next = self.next.max(self.matched + 1),
+            ProgressState::Snapshot(_) => {}
+        }
+    }
+}
+
+/// A `LeaderTransfer` is a hand-over of leadership in progress.
+#[derive(Debug)]
+pub(crate) struct LeaderTransfer {
+    pub(crate) target: members::MemberIdentity,
+    pub(crate) deadline: Duration,
+    pub(crate) due: bool,
+}
+
+/// A `LeaderState` lives for one term of one leader.
+#[derive(Debug, Default)]
+pub(crate) struct LeaderState {
+    pub(crate) peers: BTreeMap<ids::MemberId, Progress>,
+    pub(crate) next_heartbeat: Duration,
+    /// The number of the latest heartbeat round.
+    pub(crate) round: u64,
+    /// The rounds that no quorum has answered yet, with the times of their start.
+    pub(crate) rounds: VecDeque<(u64, Duration)>,
+    /// The latest round that a quorum answered.
+    pub(crate) confirmed_round: u64,
+    /// When the latest answered round was started.
+    pub(crate) lease_start: Option<Duration>,
+    /// Set once the leader told a voter to ignore the lease. It stays for the term, because the
+    /// message may arrive late.
+    pub(crate) lease_given_up: bool,
+    /// Reads with the round that confirms them.
+    pub(crate) reads: VecDeque<(u64, units::ReadToken)>,
+    pub(crate) round_wanted: bool,
+    pub(crate) transfer: Option<LeaderTransfer>,
+    pub(crate) uncommitted_bytes: u64,
+}
+
+impl LeaderState {
+    /// Returns the largest value that a quorum of the voters has reached.
+    pub(crate) fn quorum_value(
+        &self,
+        membership: &members::Membership,
+        own: (members::MemberIdentity, u64),
+        value: impl Fn(&Progress) -> u64,
+    ) -> u64 {
+        let mut values: Vec<u64> = membership
+            .voters()
+            .map(|voter| {
+                if voter == own.0 {
+                    return own.1;
+                }
+                let peer = self.peers.get(&voter.member);
+                peer.filter(|peer| peer.identity == voter).map_or(0, &value)
+            })
+            .collect();
+        values.sort_unstable_by(|left, right| right.cmp(left));
+        values.get(membership.quorum() - 1).copied().unwrap_or(0)
+    }
+
+    /// Starts a round of heartbeats to all followers.
+    pub(crate) fn begin_round(&mut self, now: Duration, interval: Duration) {
+        self.round += 1;
+        self.rounds.push_back((self.round, now));
+        self.round_wanted = false;
+        self.next_heartbeat = now + interval;
+        for peer in self.peers.values_mut() {
+            peer.ping_due = true;
+        }
+        if let Some(transfer) = &mut self.transfer {
+            transfer.due = true;
+        }
+    }
+
+    /// Takes the news that a quorum has answered `round`.
+    pub(crate) fn confirm_round(&mut self, round: u64) {
+        self.confirmed_round = self.confirmed_round.max(round);
+        while let Some((number, start)) = self.rounds.front() {
+            if *number > round {
+                break;
+            }
+            self.lease_start = Some(*start);
+            self.rounds.pop_front();
+        }
+    }
+
+    /// Makes the set of followers that of the membership.
+    pub(crate) fn follow_membership(
+        &mut self,
+        membership: &members::Membership,
+        own: members::MemberIdentity,
+        next: units::LogIndex,
+        heard: Option<Duration>,
+    ) {
+        self.peers
+            .retain(|_, peer| membership.kind(peer.identity).is_some());
+        for (identity, _) in membership.iter() {
+            if identity != own {
+                self.peers
+                    .entry(identity.member)
+                    .or_insert_with(|| Progress::new(identity, next, heard));
+            }
+        }
+    }
+}
--- a/crates/waxwing-quorum/src/lib.rs
+++ b/crates/waxwing-quorum/src/lib.rs
@@ -7,10 +7,17 @@
 //! write are held back by the node until that write is reported, so the caller may send every
 //! message it is given at once.
 
+mod changes;
+mod election;
+mod entries;
 pub mod errors;
+mod installing;
+mod leading;
 pub mod members;
 pub mod messages;
 pub mod node;
 pub mod options;
 pub mod ready;
+mod replication;
 pub mod units;
+mod writes;
--- a/crates/waxwing-quorum/src/members.rs
+++ b/crates/waxwing-quorum/src/members.rs
@@ -5,7 +5,7 @@
 use prost::Message as _;
 use waxwing_core::ids;
 
-use crate::{errors, messages};
+use crate::{errors, messages, units};
 
 /// A `MemberIdentity` is one life of a member: its member id and the store id of its data folder.
 /// A wiped folder has a new store id, so it can't act on promises that it no longer remembers.
@@ -196,3 +196,48 @@
         Self::from_message(&messages::MemberList::decode(payload)?)
     }
 }
+
+/// A `MemberHistory` is the membership at the base of the log and at every change behind it. A
+/// membership is in force from its append on, and is undone when its entry is truncated.
+#[derive(Debug)]
+pub(crate) struct MemberHistory {
+    steps: Vec<(units::LogIndex, Membership)>,
+}
+
+impl MemberHistory {
+    pub(crate) fn starting_at(index: units::LogIndex, membership: Membership) -> Self {
+        Self {
+            steps: vec![(index, membership)],
+        }
+    }
+
+    pub(crate) fn latest(&self) -> &Membership {
+        let (_, membership) = self.steps.last().expect("the history has a base");
+        membership
+    }
+
+    pub(crate) fn latest_index(&self) -> units::LogIndex {
+        self.steps.last().map_or(0, |(index, _)| *index)
+    }
+
+    pub(crate) fn at(&self, index: units::LogIndex) -> &Membership {
+        let older = self.steps.iter().rev().find(|(step, _)| *step <= index);
+        older.map_or(&self.steps[0].1, |(_, membership)| membership)
+    }
+
+    pub(crate) fn push(&mut self, index: units::LogIndex, membership: Membership) {
+        self.steps.push((index, membership));
+    }
+
+    pub(crate) fn truncate(&mut self, from: units::LogIndex) {
+        let kept = self.steps.iter().take_while(|(step, _)| *step < from);
+        let kept = kept.count().max(1);
+        self.steps.truncate(kept);
+    }
+
+    pub(crate) fn compact(&mut self, index: units::LogIndex) {
+        let covered = self.steps.iter().take_while(|(step, _)| *step <= index);
+        let dropped = covered.count().saturating_sub(1);
+        self.steps.drain(..dropped);
+    }
+}
--- a/crates/waxwing-quorum/src/node.rs
+++ b/crates/waxwing-quorum/src/node.rs
@@ -1,11 +1,14 @@
 //! The state machine of one member.
 
-use std::time::Duration;
+use std::{collections::BTreeSet, time::Duration};
 
 use bytes::Bytes;
-use waxwing_core::ids;
+use rand::SeedableRng as _;
+use waxwing_core::{ids, units as core_units};
 
-use crate::{errors, members, messages, options, ready, units};
+use crate::{
+    entries, errors, installing, leading, members, messages, options, ready, units, writes,
+};
 
 /// A `NodeStatus` is a view of a node for operators and tests.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -26,18 +29,56 @@
     pub snapshot: units::LogIndex,
     /// The bytes of entries behind the latest snapshot; callers compact by it.
     pub log_bytes: u64,
-    /// The bytes that are proposed and not yet committed.
+    /// The bytes that are proposed and not yet committed; zero unless this node leads.
     pub uncommitted_bytes: u64,
 }
 
+/// A `PeerStatus` is what a leader knows about another member.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct PeerStatus {
+    /// The member.
+    pub identity: members::MemberIdentity,
+    /// The last index known to be synced there.
+    pub matched: units::LogIndex,
+    /// When the member last answered.
+    pub heard: Option<Duration>,
+}
+
 /// A `QuorumNode` is one member of a replicated group. All times are since the start of the
-/// process by a clock that never runs backwards, and are read after the input has arrived.
+/// process by a clock that never runs backwards; the caller reads the clock after an input has
+/// arrived, so that a pause of the process can't make a lease look longer than it is.
 #[derive(Debug)]
 pub struct QuorumNode {
-    identity: members::MemberIdentity,
-    options: options::NodeOptions,
-    members: members::Membership,
-    status: NodeStatus,
+    pub(crate) identity: members::MemberIdentity,
+    pub(crate) options: options::NodeOptions,
+    pub(crate) random: rand_chacha::ChaCha8Rng,
+    pub(crate) now: Duration,
+    pub(crate) term: units::Term,
+    pub(crate) vote: Option<members::MemberIdentity>,
+    pub(crate) role: ready::NodeRole,
+    pub(crate) leader: Option<members::MemberIdentity>,
+    pub(crate) log: entries::EntryLog,
+    pub(crate) history: members::MemberHistory,
+    pub(crate) snapshot: Option<ready::Snapshot>,
+    pub(crate) commit: units::LogIndex,
+    pub(crate) applied: units::LogIndex,
+    pub(crate) writes: writes::WriteQueue,
+    /// When to start an election.
+    pub(crate) election_deadline: Duration,
+    /// When a leader was last heard. It starts as the time of the start, since the former life of
+    /// the process may have promised not to vote just before.
+    pub(crate) contact: Option<Duration>,
+    /// The members that gave their vote, or would give it in a pre-vote.
+    pub(crate) grants: BTreeSet<members::MemberIdentity>,
+    /// The write that makes the own vote durable.
+    pub(crate) own_vote: Option<units::WriteSequence>,
+    pub(crate) leading: Option<leading::LeaderState>,
+    pub(crate) incoming: Option<installing::IncomingSnapshot>,
+    /// A snapshot from the leader and the write that makes it durable.
+    pub(crate) installing: Option<(units::WriteSequence, ready::Snapshot)>,
+    pub(crate) reads: Vec<ready::ConfirmedRead>,
+    pub(crate) failed_reads: Vec<units::ReadToken>,
+    reported: Option<ready::RoleChange>,
 }
 
 impl QuorumNode {
@@ -53,29 +94,59 @@
         seed: u64,
         now: Duration,
     ) -> Result<Self, errors::RestoreError> {
-        let _ = (&recovered, seed, now);
         options.check()?;
-        Ok(Self {
+        let (log, history) = restore_log(&recovered)?;
+        let base = recovered
+            .snapshot
+            .as_ref()
+            .map_or(0, |snapshot| snapshot.index);
+        let term = recovered.hard.term.max(log.last_term());
+        let vote = match &recovered.hard.vote {
+            Some(record) if term == recovered.hard.term => Some(record.try_into()?),
+            _ => None,
+        };
+        let mut node = Self {
             identity,
             options,
-            members: members::Membership::default(),
-            status: NodeStatus {
-                role: ready::NodeRole::Follower,
-                term: 0,
-                leader: None,
-                commit: 0,
-                applied: 0,
-                last: 0,
-                snapshot: 0,
-                log_bytes: 0,
-                uncommitted_bytes: 0,
-            },
-        })
+            random: rand_chacha::ChaCha8Rng::seed_from_u64(seed),
+            now,
+            term,
+            vote,
+            role: ready::NodeRole::Follower,
+            leader: None,
+            writes: writes::WriteQueue::starting_at(log.last_index()),
+            log,
+            history,
+            snapshot: recovered.snapshot,
+            commit: base,
+            applied: base,
+            election_deadline: now,
+            contact: Some(now),
+            grants: BTreeSet::new(),
+            own_vote: None,
+            leading: None,
+            incoming: None,
+            installing: None,
+            reads: Vec::new(),
+            failed_reads: Vec::new(),
+            reported: None,
+        };
+        node.reset_election_deadline();
+        if node.is_only_voter() {
+            // Nobody else can lead, so there is nobody to wait for.
+            node.election_deadline = now;
+        }
+        Ok(node)
     }
 
     /// Moves the time forward: starts elections, sends heartbeats, ends leases.
     pub fn tick(&mut self, now: Duration) {
-        let _ = now;
+        self.now = self.now.max(now);
+        match self.role {
+            ready::NodeRole::Halted => {}
+            ready::NodeRole::Leader => self.tick_leader(),
+            _ => self.tick_follower(),
+        }
     }
 
     /// Takes a message that came over the link of member `from`.
@@ -88,7 +159,75 @@
         from: ids::MemberId,
         message: messages::PeerMessage,
     ) -> Result<(), errors::ReceiveError> {
-        let _ = (now, from, message);
+        if self.role == ready::NodeRole::Halted {
+            return Err(errors::ReceiveError::Halted);
+        }
+        self.now = self.now.max(now);
+        let sender = self.check_addresses(from, message.sender, message.recipient)?;
+        let missing = errors::DecodeError::Missing("the body");
+        let body = message.body.ok_or(missing)?;
+        units::check_range(message.term)?;
+        self.dispatch(sender, message.term, body)
+    }
+
+    fn check_addresses(
+        &self,
+        from: ids::MemberId,
+        sender: Option<messages::IdentityRecord>,
+        recipient: Option<messages::IdentityRecord>,
+    ) -> Result<members::MemberIdentity, errors::ReceiveError> {
+        let sender = sender.ok_or(errors::DecodeError::Missing("the sender"))?;
+        let sender = members::MemberIdentity::try_from(&sender)?;
+        let recipient = recipient.ok_or(errors::DecodeError::Missing("the recipient"))?;
+        let recipient = members::MemberIdentity::try_from(&recipient)?;
+        if sender.member != from {
+            return Err(errors::ReceiveError::Link {
+                link: from,
+                claimed: sender.member,
+            });
+        }
+        if recipient != self.identity {
+            return Err(errors::ReceiveError::Recipient {
+                intended: recipient,
+                actual: self.identity,
+            });
+        }
+        Ok(sender)
+    }
+
+    fn dispatch(
+        &mut self,
+        sender: members::MemberIdentity,
+        term: units::Term,
+        body: messages::PeerBody,
+    ) -> Result<(), errors::ReceiveError> {
+        match body {
+            messages::PeerBody::VoteRequest(request) => {
+                return self.on_vote_request(sender, term, &request);
+            }
+            messages::PeerBody::AppendRequest(request) => {
+                return self.on_append_request(sender, term, request);
+            }
+            messages::PeerBody::SnapshotChunk(chunk) => {
+                return self.on_snapshot_chunk(sender, term, chunk);
+            }
+            _ => {}
+        }
+        // Answers count for a quorum, so they must come from a listed identity.
+        if self.members().kind(sender).is_none() {
+            return Err(errors::ReceiveError::Stranger(sender));
+        }
+        if term > self.term {
+            self.become_follower(term, None);
+        }
+        match body {
+            messages::PeerBody::VoteAnswer(answer) => self.on_vote_answer(sender, &answer),
+            _ if term < self.term => {}
+            messages::PeerBody::AppendAnswer(answer) => self.on_append_answer(sender, &answer),
+            messages::PeerBody::SnapshotAnswer(answer) => self.on_snapshot_answer(sender, &answer),
+            messages::PeerBody::ElectNow(_) => self.on_elect_now(sender),
+            _ => {}
+        }
         Ok(())
     }
 
@@ -98,63 +237,58 @@
     /// # Errors
     /// Tells why the command was not taken; it will then never run.
     pub fn propose(&mut self, command: Bytes) -> Result<units::ProposalId, errors::ProposeError> {
-        let _ = command;
-        Err(errors::ProposeError::NotLeader {
-            leader: self.status.leader,
-        })
+        self.check_proposals()?;
+        let found = core_units::ByteCount(command.len() as u64);
+        if found > self.options.max_command_bytes {
+            return Err(errors::ProposeError::TooLong {
+                found,
+                allowed: self.options.max_command_bytes,
+            });
+        }
+        let waiting = self
+            .leading
+            .as_ref()
+            .map_or(0, |leading| leading.uncommitted_bytes);
+        let waiting = core_units::ByteCount(waiting);
+        let allowed = self.options.max_uncommitted_bytes;
+        if waiting + found > allowed {
+            return Err(errors::ProposeError::Overloaded { waiting, allowed });
+        }
+        Ok(self.append_own(messages::EntryKind::Command, command))
     }
 
-    /// Asks to confirm that this node still leads, so that a read of the state that contains all
-    /// acknowledged commands can be served; `Ready::reads` or `Ready::failed_reads` answers it.
-    ///
-    /// # Errors
-    /// Fails if this node doesn't lead or too many reads wait.
-    pub fn read_index(
-        &mut self,
-        now: Duration,
-        token: units::ReadToken,
-    ) -> Result<(), errors::ReadError> {
-        let _ = (now, token);
-        Err(errors::ReadError::NotLeader {
-            leader: self.status.leader,
+    /// Checks that this node leads and takes proposals.
+    pub(crate) fn check_proposals(&self) -> Result<(), errors::ProposeError> {
+        if self.role == ready::NodeRole::Halted {
+            return Err(errors::ProposeError::Halted);
+        }
+        let leader = self.leader;
+        let Some(leading) = &self.leading else {
+            return Err(errors::ProposeError::NotLeader { leader });
+        };
+        leading.transfer.as_ref().map_or(Ok(()), |transfer| {
+            let target = transfer.target.member;
+            Err(errors::ProposeError::Transferring(target))
         })
     }
 
-    /// Appends a change of one member if this node leads.
-    ///
-    /// # Errors
-    /// Tells why the change was not taken.
-    pub fn change_members(
-        &mut self,
-        change: members::MemberChange,
-    ) -> Result<units::ProposalId, errors::ChangeError> {
-        self.members.with(change)?;
-        Err(errors::ChangeError::Pending)
-    }
-
-    /// Hands leadership to another voter once it has all entries. Proposals are refused meanwhile;
-    /// after an election timeout the transfer is given up.
-    ///
-    /// # Errors
-    /// Fails if this node doesn't lead or the target is not another voter.
-    pub fn transfer_leadership(
-        &mut self,
-        now: Duration,
-        target: ids::MemberId,
-    ) -> Result<(), errors::TransferError> {
-        let _ = (now, target);
-        Err(errors::TransferError::NotLeader)
-    }
-
     /// Takes the report that all write batches up to `sequence` are synced.
     pub fn persisted(&mut self, sequence: units::WriteSequence) {
-        let _ = sequence;
+        if self.role == ready::NodeRole::Halted {
+            return;
+        }
+        self.writes.persisted(sequence);
+        self.count_own_vote();
+        self.advance_commit();
     }
 
     /// Takes the report that a write or sync failed. The node halts: what the disk holds is
     /// unknown, so nothing more may be promised on it.
     pub fn storage_failed(&mut self) {
-        self.status.role = ready::NodeRole::Halted;
+        self.abandon_leadership();
+        self.role = ready::NodeRole::Halted;
+        self.leader = None;
+        self.writes.clear();
     }
 
     /// Takes a snapshot of the caller's state after `index`, so that the log before it may go.
@@ -166,31 +300,165 @@
         index: units::LogIndex,
         data: Bytes,
     ) -> Result<(), errors::CompactError> {
-        let _ = data;
-        Err(errors::CompactError::NotApplied { index, applied: 0 })
+        if self.role == ready::NodeRole::Halted {
+            return Err(errors::CompactError::Halted);
+        }
+        let applied = self.applied;
+        let older = self.snapshot_index();
+        if index <= older {
+            return Err(errors::CompactError::Older(older));
+        }
+        let term = self.log.term_at(index).filter(|_| index <= applied);
+        let term = term.ok_or(errors::CompactError::NotApplied { index, applied })?;
+        let snapshot = ready::Snapshot {
+            index,
+            term,
+            members: self.history.at(index).clone(),
+            data,
+        };
+        self.writes.compact(snapshot.clone());
+        self.snapshot = Some(snapshot);
+        self.history.compact(index);
+        let (count, bytes) = (self.options.retained_entries, self.options.retained_bytes.0);
+        let base = self.log.retained_from(index, count, bytes);
+        self.log.compact(base);
+        Ok(())
     }
 
     /// Returns what the caller has to do since the last call.
     pub fn take_ready(&mut self) -> ready::Ready {
-        let _ = &self.options;
-        ready::Ready::default()
+        self.pump_followers();
+        let writes = self.writes.take_batch(self.log.last_index());
+        let install = self.take_install();
+        ready::Ready {
+            writes,
+            messages: self.writes.take_messages(),
+            install,
+            committed: self.take_committed(),
+            reads: std::mem::take(&mut self.reads),
+            failed_reads: std::mem::take(&mut self.failed_reads),
+            role: self.take_role_change(),
+        }
+    }
+
+    fn take_install(&mut self) -> Option<ready::Snapshot> {
+        let (sequence, _) = self.installing.as_ref()?;
+        if !self.writes.is_persisted(*sequence) {
+            return None;
+        }
+        let (_, snapshot) = self.installing.take()?;
+        self.applied = snapshot.index;
+        Some(snapshot)
+    }
+
+    /// Gives out committed entries that are also synced here, so that a snapshot of the applied
+    /// state never runs ahead of the own log.
+    fn take_committed(&mut self) -> Vec<messages::LogEntry> {
+        if self.installing.is_some() || self.role == ready::NodeRole::Halted {
+            return Vec::new();
+        }
+        let end = self.commit.min(self.writes.durable());
+        if end <= self.applied {
+            return Vec::new();
+        }
+        let entries = self.log.range(self.applied + 1, end).cloned().collect();
+        self.applied = end;
+        entries
+    }
+
+    fn take_role_change(&mut self) -> Option<ready::RoleChange> {
+        let current = Some(ready::RoleChange {
+            role: self.role,
+            term: self.term,
+            leader: self.leader,
+        });
+        if self.reported == current {
+            return None;
+        }
+        self.reported = current;
+        current
+    }
+
+    pub(crate) fn snapshot_index(&self) -> units::LogIndex {
+        self.snapshot.as_ref().map_or(0, |snapshot| snapshot.index)
+    }
+
+    pub(crate) fn is_only_voter(&self) -> bool {
+        self.members().is_voter(self.identity) && self.members().voters().count() == 1
     }
 
     /// Returns the identity of this node.
     #[must_use]
-    pub fn identity(&self) -> members::MemberIdentity {
+    pub const fn identity(&self) -> members::MemberIdentity {
         self.identity
     }
 
     /// Returns the latest membership in the log, committed or not.
     #[must_use]
     pub fn members(&self) -> &members::Membership {
-        &self.members
+        self.history.latest()
+    }
+
+    /// Returns what this node knows about the other members if it leads.
+    #[must_use]
+    pub fn peers(&self) -> Vec<PeerStatus> {
+        let peers = self
+            .leading
+            .iter()
+            .flat_map(|leading| leading.peers.values());
+        let status = |peer: &leading::Progress| PeerStatus {
+            identity: peer.identity,
+            matched: peer.matched,
+            heard: peer.heard,
+        };
+        peers.map(status).collect()
     }
 
     /// Returns a view of the node.
     #[must_use]
     pub fn status(&self) -> NodeStatus {
-        self.status.clone()
+        NodeStatus {
+            role: self.role,
+            term: self.term,
+            leader: self.leader,
+            commit: self.commit,
+            applied: self.applied,
+            last: self.log.last_index(),
+            snapshot: self.snapshot_index(),
+            log_bytes: self.log.bytes_above(self.snapshot_index()),
+            uncommitted_bytes: self
+                .leading
+                .as_ref()
+                .map_or(0, |leading| leading.uncommitted_bytes),
+        }
+    }
+}
+
+fn restore_log(
+    recovered: &ready::RecoveredState,
+) -> Result<(entries::EntryLog, members::MemberHistory), errors::RestoreError> {
+    let (mut log, mut history) = match &recovered.snapshot {
+        None => (
+            entries::EntryLog::default(),
+            members::MemberHistory::starting_at(0, members::Membership::default()),
+        ),
+        Some(snapshot) => (
+            entries::EntryLog::starting_at(snapshot.index, snapshot.term),
+            members::MemberHistory::starting_at(snapshot.index, snapshot.members.clone()),
+        ),
+    };
+    for entry in &recovered.entries {
+        let expected = log.last_index() + 1;
+        if entry.index != expected {
+            return Err(errors::RestoreError::Gap {
+                expected,
+                found: entry.index,
+            });
+        }
+        if entry.kind() == messages::EntryKind::Members {
+            history.push(entry.index, members::Membership::decode(&entry.payload)?);
+        }
+        log.push(entry.clone());
     }
+    Ok((log, history))
 }
--- a/crates/waxwing-quorum/src/options.rs
+++ b/crates/waxwing-quorum/src/options.rs
@@ -41,6 +41,8 @@
     /// The number of entries that stay in memory behind a snapshot, so that a follower that lags a
     /// little needs no snapshot; default 1,024.
     pub retained_entries: u64,
+    /// The most bytes of those entries; default 4 MiB, since each entry may be long.
+    pub retained_bytes: units::ByteCount,
     /// The most entries a learner may lack when it is promoted to voter; default 16.
     pub promotion_lag: u64,
     /// The most reads that wait for confirmation; default 4,096.
@@ -62,6 +64,7 @@
             snapshot_chunk_bytes: units::ByteCount(256 * 1024),
             max_snapshot_bytes: units::ByteCount(64 * 1024 * 1024),
             retained_entries: 1024,
+            retained_bytes: units::ByteCount(4 * 1024 * 1024),
             promotion_lag: 16,
             max_pending_reads: 4096,
         }
--- a/crates/waxwing-quorum/src/units.rs
+++ b/crates/waxwing-quorum/src/units.rs
@@ -1,5 +1,7 @@
 //! Numbers that the replicated log counts by.
 
+use crate::errors;
+
 /// The position of an entry in the log; the first entry has index 1.
 pub type LogIndex = u64;
 
@@ -23,3 +25,12 @@
     /// The index of the entry.
     pub index: LogIndex,
 }
+
+/// Checks a term or index of a message. No log reaches this bound, and below it adding one never
+/// overflows.
+pub(crate) const fn check_range(value: u64) -> Result<(), errors::DecodeError> {
+    if value > u64::MAX / 2 {
+        return Err(errors::DecodeError::Range(value));
+    }
+    Ok(())
+}
