Add the fault matrix as a table in code, with its page

Steps, faults, promises at stake and expected outcomes are data, and docs/FAULTS.md is printed from it; a test compares both and checks that every named test exists.

--- /dev/null
+++ b/crates/waxwing-proof/src/evidence.rs
@@ -0,0 +1,39 @@
+//! Which test brings about which cells of the fault matrix.
+
+use crate::{
+    faults::SystemFault,
+    steps::{StepGroup, WorkStep},
+};
+
+/// A `TestEvidence` names a test and the cells that it brings about.
+#[derive(Debug, PartialEq, Eq)]
+pub struct TestEvidence {
+    /// The file of the test, from the root of the repository.
+    pub file: &'static str,
+    /// The function of the test.
+    pub test: &'static str,
+    /// The groups of work that it covers.
+    pub groups: &'static [StepGroup],
+    /// The steps that it covers; empty for all steps of the groups.
+    pub steps: &'static [WorkStep],
+    /// The faults that it covers.
+    pub faults: &'static [SystemFault],
+}
+
+impl TestEvidence {
+    fn covers(&self, group: StepGroup, step: WorkStep, fault: SystemFault) -> bool {
+        self.groups.contains(&group)
+            && (self.steps.is_empty() || self.steps.contains(&step))
+            && self.faults.contains(&fault)
+    }
+}
+
+/// Every piece of evidence; the first that covers a cell is named in it.
+pub const ALL: &[TestEvidence] = &[];
+
+/// Finds the evidence of a cell.
+#[must_use]
+pub fn find(group: StepGroup, step: WorkStep, fault: SystemFault) -> Option<&'static TestEvidence> {
+    ALL.iter()
+        .find(|evidence| evidence.covers(group, step, fault))
+}
--- a/crates/waxwing-proof/src/lib.rs
+++ b/crates/waxwing-proof/src/lib.rs
@@ -5,3 +5,8 @@
 
 pub mod checkers;
 pub mod events;
+pub mod evidence;
+pub mod faults;
+pub mod matrix;
+pub mod report;
+pub mod steps;
--- /dev/null
+++ b/crates/waxwing-proof/tests/matrix.rs
@@ -0,0 +1,45 @@
+//! The matrix as a document: it must match its page, and the tests that it names must exist.
+
+use std::{fs, path::PathBuf};
+
+use waxwing_proof::{evidence, matrix, report};
+
+fn root() -> PathBuf {
+    PathBuf::from(env!("CARGO_MANIFEST_DIR")).join("../..")
+}
+
+/// Guards against a page that says something else than the table.
+#[test]
+fn page_matches_the_table() {
+    let page = fs::read_to_string(root().join("docs/FAULTS.md")).expect("docs/FAULTS.md");
+    assert!(
+        page == report::render(),
+        "docs/FAULTS.md differs from the table; run the command in its first paragraph",
+    );
+}
+
+/// Guards against a cell that claims a test which was renamed or removed.
+#[test]
+fn named_tests_exist() {
+    for evidence in evidence::ALL {
+        let text = fs::read_to_string(root().join(evidence.file)).expect(evidence.file);
+        let function = format!("fn {}(", evidence.test);
+        assert!(
+            text.contains(&function),
+            "{} has no {function}",
+            evidence.file
+        );
+    }
+}
+
+/// Guards against evidence that covers nothing, which would hide a mistake in its steps.
+#[test]
+fn evidence_covers_cells() {
+    for evidence in evidence::ALL {
+        assert!(
+            !matrix::proved_by(evidence.test).is_empty(),
+            "{}",
+            evidence.test
+        );
+    }
+}
