--- /dev/null
+++ b/crates/waxwing-standin/src/registers.rs
@@ -0,0 +1,144 @@
+//! The stand-in register: it records orders, donations and bookings, and counts how often each
+//! body was recorded, so that a double run is seen.
+
+use std::{
+    collections::BTreeMap,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Duration,
+};
+
+use bytes::Bytes;
+use serde::{Deserialize, Serialize};
+use smol_str::SmolStr;
+use tokio::sync::Semaphore;
+use waxwing_core::clock::Clock;
+
+use crate::{answers, engines, faults, options};
+
+/// The kinds of records, which are also the paths under which they are posted.
+pub const RECORD_KINDS: [&str; 3] = ["orders-book", "donations", "bookings"];
+
+/// `RegisterCounts` tell how often each body was recorded; the answer to `GET /counts`.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RegisterCounts {
+    /// Records in all, repeated ones included.
+    pub recorded: u64,
+    /// How often each body was recorded, by kind and record id.
+    pub bodies: BTreeMap<SmolStr, u64>,
+}
+
+#[derive(Debug, Default)]
+struct RegisterState {
+    counts: RegisterCounts,
+    records: BTreeMap<SmolStr, Bytes>,
+}
+
+/// A `RegisterBook` is what is recorded; several registers can share one.
+#[derive(Debug, Clone, Default)]
+pub struct RegisterBook {
+    state: Arc<Mutex<RegisterState>>,
+}
+
+impl RegisterBook {
+    /// Records a body and counts it.
+    pub fn record(&self, kind: &str, body: Bytes) {
+        let name = record_name(kind, &answers::record_id(&body));
+        let mut state = self.lock();
+        state.counts.recorded += 1;
+        *state.counts.bodies.entry(name.clone()).or_default() += 1;
+        state.records.insert(name, body);
+    }
+
+    /// Finds a recorded body.
+    #[must_use]
+    pub fn find(&self, kind: &str, id: &str) -> Option<Bytes> {
+        self.lock().records.get(&record_name(kind, id)).cloned()
+    }
+
+    /// Returns how often each body was recorded.
+    #[must_use]
+    pub fn counts(&self) -> RegisterCounts {
+        self.lock().counts.clone()
+    }
+
+    fn lock(&self) -> MutexGuard<'_, RegisterState> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Returns the name under which a record is counted.
+#[must_use]
+pub fn record_name(kind: &str, id: &str) -> SmolStr {
+    SmolStr::new(format!("{kind}/{id}"))
+}
+
+/// A `StandinRegister` is one register process; clones share it.
+#[derive(Debug, Clone)]
+pub struct StandinRegister<C> {
+    options: Arc<options::RegisterOptions>,
+    book: RegisterBook,
+    workers: Arc<Semaphore>,
+    faults: faults::FaultSwitch,
+    clock: C,
+    call_length: Duration,
+}
+
+impl<C: Clock> StandinRegister<C> {
+    /// Builds a register that writes to a book.
+    #[must_use]
+    pub fn new(
+        options: options::RegisterOptions,
+        time_scale: f64,
+        book: RegisterBook,
+        faults: faults::FaultSwitch,
+        clock: C,
+    ) -> Self {
+        Self {
+            workers: Arc::new(Semaphore::new(options.workers)),
+            call_length: Duration::from_millis(options.call_millis).div_f64(time_scale),
+            options: Arc::new(options),
+            book,
+            faults,
+            clock,
+        }
+    }
+
+    /// Returns the options.
+    #[must_use]
+    pub fn options(&self) -> &options::RegisterOptions {
+        &self.options
+    }
+
+    /// Returns the faults of the register.
+    #[must_use]
+    pub fn faults(&self) -> &faults::FaultSwitch {
+        &self.faults
+    }
+
+    /// Returns the book.
+    #[must_use]
+    pub fn book(&self) -> &RegisterBook {
+        &self.book
+    }
+
+    /// Returns the calls that run and wait now.
+    #[must_use]
+    pub fn load(&self) -> engines::LoadReport {
+        let idle = self.workers.available_permits();
+        engines::LoadReport {
+            running: self.options.workers.saturating_sub(idle) as u64,
+            waiting: 0,
+            pending_prefill_tokens: 0,
+            cached_tokens: 0,
+            age_ms: 0,
+        }
+    }
+
+    /// Waits for a worker and for the length of one call.
+    pub async fn work(&self) {
+        let _worker = self.workers.acquire().await;
+        self.faults.unstalled().await;
+        let length = self.call_length.mul_f64(self.faults.slow_factor());
+        self.clock.sleep(length).await;
+    }
+}
