--- a/crates/waxwing/src/lib.rs
+++ b/crates/waxwing/src/lib.rs
@@ -1,1 +1,16 @@
-//! Placeholder of the `waxwing` crate; see docs/design.md.
+//! The front of the waxwingmill libraries: every role and every shared part under one name, and the
+//! pages for operators that are printed from the code.
+
+pub use waxwing_agent as agent;
+pub use waxwing_client as client;
+pub use waxwing_control as control;
+pub use waxwing_core as core;
+pub use waxwing_entry as entry;
+pub use waxwing_policy as policy;
+pub use waxwing_quorum as quorum;
+pub use waxwing_settings as settings;
+pub use waxwing_standin as standin;
+pub use waxwing_store as store;
+pub use waxwing_wire as wire;
+
+pub mod pages;
