--- a/crates/waxwing/tests/pages.rs
+++ b/crates/waxwing/tests/pages.rs
@@ -10,7 +10,7 @@
 #[test_case(OperatorPage::Counters)]
 fn page_matches_the_code(page: OperatorPage) {
     let folder = PathBuf::from(env!("CARGO_MANIFEST_DIR")).join("../../docs/operations");
-    let text = fs::read_to_string(folder.join(page.file())).expect(page.file());
+    let text = fs::read_to_string(folder.join(page.file())).expect("the page exists");
     assert!(
         text == page.render(),
         "{} differs; run waxwing-pages",
