Add the operators' interface over HTTP

Operators read settings, history and status and submit changes with a bearer token; digests that an operator doesn't own are hidden in every answer.

--- a/crates/waxwing-control/src/commands.rs
+++ b/crates/waxwing-control/src/commands.rs
@@ -1,7 +1,8 @@
 //! The commands of the replicated log and their results, as the log and the links between control
 //! hosts carry them. Field numbers are fixed for good, since old logs hold them.
 
-use prost::{Message, Oneof};
+use prost::{Enumeration, Message, Oneof};
+use waxwing_settings::operations;
 use waxwing_wire::messages;
 
 /// A `LogCommand` is one entry of the log: an action and the time at which the leader took it.
@@ -25,6 +26,59 @@
     /// What to do.
     #[prost(oneof = "LogAction", tags = "10,11,12,13,14,15,16,17")]
     pub action: Option<LogAction>,
+    /// A change of the members, in place of an action.
+    #[prost(message, optional, tag = "30")]
+    pub member: Option<MemberRequest>,
+}
+
+/// A `MemberActionKind` is what is to be done with a member.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Enumeration)]
+#[repr(i32)]
+pub enum MemberActionKind {
+    /// Not given; never valid.
+    Unspecified = 0,
+    /// An operator adds a host as a learner.
+    Add = 1,
+    /// Make a learner a voter.
+    Promote = 2,
+    /// Remove a host.
+    Remove = 3,
+    /// A host asks to be added, which needs its name in the leader's list of peers.
+    Join = 4,
+}
+
+/// A `MemberRequest` changes the members of the group.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct MemberRequest {
+    /// What is to be done.
+    #[prost(enumeration = "MemberActionKind", tag = "1")]
+    pub kind: i32,
+    /// The host; name and, where it is added, link address and store id.
+    #[prost(message, optional, tag = "2")]
+    pub info: Option<MemberInfo>,
+}
+
+impl MemberRequest {
+    /// Builds the request of an operator.
+    #[must_use]
+    pub fn from_operator(request: &operations::MemberRequest) -> Self {
+        let kind = match request.action {
+            operations::MemberAction::Add => MemberActionKind::Add,
+            operations::MemberAction::Promote => MemberActionKind::Promote,
+            operations::MemberAction::Remove => MemberActionKind::Remove,
+        };
+        let store = request.store.map(|store| store.to_bytes().to_vec());
+        let link = request.link.map(|link| link.to_string());
+        Self {
+            kind: kind as i32,
+            info: Some(MemberInfo {
+                name: request.name.to_string(),
+                link: link.unwrap_or_default(),
+                store: store.unwrap_or_default(),
+                ..MemberInfo::default()
+            }),
+        }
+    }
 }
 
 /// A `LogAction` is what a command does.
--- a/crates/waxwing-control/src/host.rs
+++ b/crates/waxwing-control/src/host.rs
@@ -73,7 +73,27 @@
     ) -> Result<commands::ResultKind, errors::SubmitError> {
         let submission = commands::Submission {
             action: Some(action),
+            member: None,
         };
+        self.run(submission).await
+    }
+
+    /// Changes the members of the group.
+    pub(crate) async fn change_member(
+        &self,
+        member: commands::MemberRequest,
+    ) -> Result<commands::ResultKind, errors::SubmitError> {
+        let submission = commands::Submission {
+            action: None,
+            member: Some(member),
+        };
+        self.run(submission).await
+    }
+
+    async fn run(
+        &self,
+        submission: commands::Submission,
+    ) -> Result<commands::ResultKind, errors::SubmitError> {
         let submission = Bytes::from(submission.encode_to_vec());
         let work = async {
             let (index, result) = self.log.submit(submission).await?;
--- a/crates/waxwing-control/src/lib.rs
+++ b/crates/waxwing-control/src/lib.rs
@@ -12,10 +12,12 @@
 mod local;
 mod log;
 pub mod machine;
+mod operators;
 pub mod options;
 mod processes;
 pub mod roles;
 pub mod snapshots;
+mod status;
 
 pub use options::ControlOptions;
 pub use roles::{BoundControl, bind};
--- a/crates/waxwing-control/src/local.rs
+++ b/crates/waxwing-control/src/local.rs
@@ -40,6 +40,7 @@
             leads: true,
             leader: Some(self.name.clone()),
             term: 1,
+            members: vec![(log::member_id(&self.name).0, true)],
         });
         let mut index = 0;
         loop {
--- a/crates/waxwing-control/src/log.rs
+++ b/crates/waxwing-control/src/log.rs
@@ -5,6 +5,7 @@
 use bytes::Bytes;
 use tokio::sync::{mpsc, oneshot, watch};
 use waxwing_core::ids;
+use xxhash_rust::xxh3;
 
 use crate::{commands, errors, machine};
 
@@ -37,6 +38,14 @@
     pub(crate) leader: Option<String>,
     /// The term.
     pub(crate) term: u64,
+    /// The members, and whether each votes.
+    pub(crate) members: Vec<(u64, bool)>,
+}
+
+/// Derives the member id of a host from its name, so that a host keeps it when its disk is
+/// replaced; the store id tells the two lives apart.
+pub(crate) fn member_id(name: &str) -> ids::MemberId {
+    ids::MemberId(xxh3::xxh3_64(name.as_bytes()))
 }
 
 /// A `LogShared` is the state that the log's task changes and all others read.
--- a/crates/waxwing-control/src/roles.rs
+++ b/crates/waxwing-control/src/roles.rs
@@ -8,7 +8,7 @@
 use waxwing_settings::{checks, files};
 use waxwing_wire::{links, messages, security};
 
-use crate::{commands, errors, host, local, options, processes};
+use crate::{commands, errors, host, local, operators, options, processes};
 
 /// A `BoundControl` is a control host whose sockets are open.
 pub struct BoundControl<C> {
@@ -132,10 +132,10 @@
             control: tokio::sync::watch::Sender::new(control.collect()),
             options: self.options,
         });
-        drop(self.http);
         let (name, incarnation) = (&state.options.name, state.incarnation);
         tracing::info!(%name, %incarnation, "control host started");
         let tasks = TaskTracker::new();
+        tasks.spawn(operators::serve(state.clone(), self.http, shutdown.clone()));
         tasks.spawn(log.run(shutdown.clone()));
         tasks.spawn(sweep_directory(state.clone(), shutdown.clone()));
         tasks.spawn(confirm_settings(state.clone(), shutdown.clone()));
--- a/crates/waxwing-settings/src/lib.rs
+++ b/crates/waxwing-settings/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod credentials;
 pub mod errors;
 pub mod files;
+pub mod operations;
 pub mod ownership;
 pub mod patches;
 mod references;
--- a/crates/waxwing-settings/src/ownership.rs
+++ b/crates/waxwing-settings/src/ownership.rs
@@ -104,3 +104,23 @@
     path.strip_prefix(parent)
         .is_some_and(|rest| rest.is_empty() || rest.starts_with('/'))
 }
+
+/// The text that stands for digests which an operator doesn't own.
+pub const HIDDEN: &str = "hidden";
+
+/// Replaces the digests below `path` that the operator may not change.
+pub fn hide_digests(
+    tree: &view::SettingsTree,
+    scope: &OperatorScope,
+    path: &str,
+    value: &mut serde_json::Value,
+) {
+    let hidden = path.ends_with("/token_digests") && !may_change(tree, scope, path);
+    if hidden && !value.is_null() {
+        *value = serde_json::Value::from(HIDDEN);
+    } else if let Some(map) = value.as_object_mut() {
+        for (name, child) in map {
+            hide_digests(tree, scope, &format!("{path}/{name}"), child);
+        }
+    }
+}
