Run the control role on the replicated log

The driver feeds the quorum node and carries out what it asks for; a thread of its own writes and syncs, so that a slow disk never holds up heartbeats. Hosts pass submissions and read confirmations on to the leader, join as learners, become voters once they caught up, come back with a wiped disk under a new store id, and hand leadership over at shutdown.

--- a/crates/waxwing-control/src/errors.rs
+++ b/crates/waxwing-control/src/errors.rs
@@ -31,6 +31,20 @@
     /// The stored state can't be read.
     #[error("stored state: {0}")]
     Snapshot(#[from] snapshots::SnapshotError),
+    /// The data folder can't be opened, read or written.
+    #[error("data folder: {0}")]
+    Store(#[from] waxwing_store::errors::StoreError),
+    /// The data folder can't be created.
+    #[error("data folder {folder}: {error}")]
+    Folder {
+        /// The folder.
+        folder: String,
+        /// What the operating system said.
+        error: std::io::Error,
+    },
+    /// The log can't go on from the stored state.
+    #[error("replicated log: {0}")]
+    Restore(#[from] waxwing_quorum::errors::RestoreError),
 }
 
 fn list(findings: &[waxwing_settings::checks::SettingFinding]) -> String {
--- a/crates/waxwing-control/src/host.rs
+++ b/crates/waxwing-control/src/host.rs
@@ -11,12 +11,18 @@
 use waxwing_core::{clock::Clock, counters, ids};
 use waxwing_wire::messages;
 
-use crate::{commands, directory, errors, log, options};
+use crate::{commands, directory, errors, log, options, peers};
 
 /// Time for a command or a confirmation, after which the asker is told to try again: above the
 /// longest election, so that most askers needn't.
 pub(crate) const ANSWER_LIMIT: Duration = Duration::from_secs(3);
 
+/// Time for the leader to answer another control host, after which the leader is looked up again.
+const LEADER_LIMIT: Duration = Duration::from_secs(1);
+
+/// Pause before the leader is looked up again.
+const LEADER_PAUSE: Duration = Duration::from_millis(50);
+
 /// Time between confirmations of the settings by a quorum while processes watch them.
 pub(crate) const CONFIRM_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -36,6 +42,7 @@
     pub(crate) started: Instant,
     pub(crate) incarnation: ids::Incarnation,
     pub(crate) log: log::LogHandle,
+    pub(crate) network: Arc<peers::PeerNetwork>,
     pub(crate) directory: Mutex<directory::DirectoryState>,
     /// Counts the changes of the directory that watchers must be told of.
     pub(crate) directory_changes: watch::Sender<u64>,
@@ -96,7 +103,7 @@
     ) -> Result<commands::ResultKind, errors::SubmitError> {
         let submission = Bytes::from(submission.encode_to_vec());
         let work = async {
-            let (index, result) = self.log.submit(submission).await?;
+            let (index, result) = self.submit_anywhere(&submission).await?;
             self.log.wait_applied(index).await?;
             result.kind.ok_or(errors::SubmitError::Unavailable)
         };
@@ -107,12 +114,66 @@
     /// before the call.
     pub(crate) async fn confirm(&self) -> Result<(), errors::SubmitError> {
         let work = async {
-            let index = self.log.confirm().await?;
+            let index = self.confirm_anywhere().await?;
             self.log.wait_applied(index).await
         };
         self.limited(work).await
     }
 
+    /// Runs a submission here or at the leader. Every command is recognised by its ids when it
+    /// comes twice, so it is sent again until the caller's time is over.
+    async fn submit_anywhere(&self, submission: &Bytes) -> log::AppliedResult {
+        loop {
+            match self.log.submit(submission.clone()).await {
+                Err(errors::SubmitError::NotLeader { leader }) => {
+                    let answer = self.ask_leader(leader, submission.clone()).await;
+                    if let Some(submitted) = answer
+                        && let Ok(result) = commands::CommandResult::decode(submitted.result)
+                    {
+                        return Ok((submitted.index, result));
+                    }
+                }
+                Err(errors::SubmitError::Unavailable) => {}
+                other => return other,
+            }
+            self.clock.sleep(LEADER_PAUSE).await;
+        }
+    }
+
+    async fn confirm_anywhere(&self) -> Result<u64, errors::SubmitError> {
+        loop {
+            match self.log.confirm().await {
+                Err(errors::SubmitError::NotLeader { leader }) => {
+                    if let Some(submitted) = self.ask_leader(leader, Bytes::new()).await {
+                        return Ok(submitted.index);
+                    }
+                }
+                Err(errors::SubmitError::Unavailable) => {}
+                other => return other,
+            }
+            self.clock.sleep(LEADER_PAUSE).await;
+        }
+    }
+
+    async fn ask_leader(
+        &self,
+        leader: Option<String>,
+        command: Bytes,
+    ) -> Option<messages::Submitted> {
+        let submit = messages::Body::Submit(messages::Submit { group: 0, command });
+        let leader = leader?;
+        let asked = self.network.ask(&leader, submit);
+        // A leader that is lost doesn't answer; the next attempt asks its successor.
+        let answer = tokio::select! {
+            answer = asked => answer?,
+            () = self.clock.sleep(LEADER_LIMIT) => return None,
+        };
+        match answer {
+            messages::Body::Submitted(submitted) => Some(submitted),
+            _ => None,
+        }
+    }
+
     async fn limited<T>(
         &self,
         work: impl Future<Output = Result<T, errors::SubmitError>>,
--- a/crates/waxwing-control/src/log.rs
+++ b/crates/waxwing-control/src/log.rs
@@ -27,6 +27,8 @@
     Confirm {
         answer: oneshot::Sender<Result<u64, errors::SubmitError>>,
     },
+    /// Take a message of the log that came over the link of a member.
+    Peer { from: ids::MemberId, payload: Bytes },
 }
 
 /// A `LogStatus` is what the log's task publishes about its role.
@@ -40,6 +42,8 @@
     pub(crate) term: u64,
     /// The members, and whether each votes.
     pub(crate) members: Vec<(u64, bool)>,
+    /// Whether this host is a member with its present data folder.
+    pub(crate) listed: bool,
 }
 
 /// Derives the member id of a host from its name, so that a host keeps it when its disk is
--- a/crates/waxwing-control/src/machine.rs
+++ b/crates/waxwing-control/src/machine.rs
@@ -22,6 +22,8 @@
     fencing: u64,
     placement: BTreeMap<String, BTreeSet<String>>,
     members: BTreeMap<String, commands::MemberInfo>,
+    /// Hosts that an operator removed; they don't join again by themselves.
+    barred: BTreeSet<String>,
 }
 
 impl StateMachine {
@@ -78,12 +80,17 @@
                 let known = self.members.contains_key(&info.name);
                 let room = known || self.members.len() < MAX_MEMBERS;
                 if room {
+                    self.barred.remove(&info.name);
                     self.members.insert(info.name.clone(), info);
                 }
                 commands::ResultKind::Done(room)
             }
             Some(commands::LogAction::Forget(forget)) => {
-                commands::ResultKind::Done(self.members.remove(&forget.name).is_some())
+                let known = self.members.remove(&forget.name).is_some();
+                if known {
+                    self.barred.insert(forget.name);
+                }
+                commands::ResultKind::Done(known)
             }
             None => commands::ResultKind::Malformed("the command has no known action".to_owned()),
         }
@@ -155,6 +162,12 @@
         &self.members
     }
 
+    /// Tells whether an operator removed a host, so that it doesn't join again by itself.
+    #[must_use]
+    pub fn is_barred(&self, name: &str) -> bool {
+        self.barred.contains(name)
+    }
+
     /// Encodes the whole state.
     #[must_use]
     pub fn to_snapshot(&self) -> Vec<u8> {
@@ -175,6 +188,7 @@
             placement: placed.collect(),
             members: self.members.values().cloned().collect(),
             applied: self.applied,
+            barred: self.barred.iter().cloned().collect(),
         }
         .encode_to_vec()
     }
@@ -200,6 +214,7 @@
             settings: changes::SettingsState::from_snapshot(settings)?,
             claims: claims::ClaimTable::from_snapshot(snapshot.claims)?,
             fencing: snapshot.fencing,
+            barred: snapshot.barred.into_iter().collect(),
             ..Self::default()
         };
         for place in snapshot.placement {
--- a/crates/waxwing-control/src/processes.rs
+++ b/crates/waxwing-control/src/processes.rs
@@ -126,6 +126,7 @@
         let now = self.host.clock.now();
         self.watch_limit = usize::try_from(announce.watch_limit).unwrap_or(usize::MAX);
         let urgent = announce.leaving;
+        self.pass_on(&announce);
         let changed = self.host.directory().announce(now, announce);
         if changed && urgent {
             self.host.publish_directory();
@@ -137,9 +138,21 @@
         Ok(())
     }
 
+    /// Tells the other control hosts; the process has a link to this one only.
+    fn pass_on(&self, announce: &messages::Announce) {
+        let body = messages::Body::Announce(announce.clone());
+        self.host.network.tell_all(&body);
+    }
+
     fn take_goodbye(&self) {
         let now = self.host.clock.now();
         let peer = &self.peer;
+        // An announcement without a lease is a goodbye.
+        self.pass_on(&messages::Announce {
+            process: Some(peer.clone()),
+            leaving: true,
+            ..messages::Announce::default()
+        });
         let ended = self
             .host
             .directory()
--- a/crates/waxwing-control/src/roles.rs
+++ b/crates/waxwing-control/src/roles.rs
@@ -2,13 +2,14 @@
 
 use std::{net::SocketAddr, sync::Arc};
 
-use tokio::net;
+use tokio::{net, sync::watch};
 use tokio_util::{sync::CancellationToken, task::TaskTracker};
 use waxwing_core::{clock::Clock, counters, ids};
 use waxwing_settings::{checks, files};
+use waxwing_store::{disk, memory};
 use waxwing_wire::{links, messages, security};
 
-use crate::{commands, errors, host, local, operators, options, processes};
+use crate::{commands, driver, errors, host, hosts, operators, options, peers, processes, storage};
 
 /// A `BoundControl` is a control host whose sockets are open.
 pub struct BoundControl<C> {
@@ -16,6 +17,7 @@
     clock: C,
     listener: links::LinkListener<C>,
     http: net::TcpListener,
+    security: security::LinkSecurity,
     link_address: SocketAddr,
     http_address: SocketAddr,
     incarnation: ids::Incarnation,
@@ -38,7 +40,7 @@
         options.link,
         host::hello(&options, incarnation),
         links::LinkOptions::default(),
-        security,
+        security.clone(),
         clock.clone(),
     )
     .await?;
@@ -52,6 +54,7 @@
         clock,
         listener,
         http,
+        security,
         incarnation,
         first_tree,
         counters: counters::CounterSet::new(),
@@ -116,53 +119,107 @@
     /// # Errors
     /// Fails if the stored state can't be read or can't be written any more.
     pub async fn run(self, shutdown: CancellationToken) -> Result<(), errors::ControlError> {
-        let (log, handle) =
-            local::LocalLog::open(self.options.name.to_string(), self.clock.clone());
-        let peers = self.options.peers.iter().map(|peer| peer.link.to_string());
-        let control = std::iter::once(self.link_address.to_string()).chain(peers);
+        let network = Arc::new(peers::PeerNetwork::default());
+        let storage = open_storage(&self.options)?;
+        let store = storage.identity.store;
+        let (driver, handle) = driver::LogDriver::open(
+            &self.options,
+            storage,
+            network.clone(),
+            self.counters.clone(),
+            self.clock.clone(),
+        )?;
+        let own = hosts::describe(&self.options, self.link_address, self.http_address, store);
         let state = Arc::new(host::HostState {
             started: self.clock.now(),
             clock: self.clock.clone(),
             counters: self.counters.clone(),
             incarnation: self.incarnation,
             log: handle,
+            network: network.clone(),
             directory: std::sync::Mutex::default(),
-            directory_changes: tokio::sync::watch::Sender::new(0),
-            confirmations: tokio::sync::watch::Sender::new(0),
-            control: tokio::sync::watch::Sender::new(control.collect()),
+            directory_changes: watch::Sender::new(0),
+            confirmations: watch::Sender::new(0),
+            control: watch::Sender::new(vec![own.link.clone()]),
             options: self.options,
         });
         let (name, incarnation) = (&state.options.name, state.incarnation);
-        tracing::info!(%name, %incarnation, "control host started");
+        tracing::info!(%name, %incarnation, %store, "control host started");
         let tasks = TaskTracker::new();
+        // The log goes on while the links end, so that it can hand over leadership.
+        let (stop_log, stop_links) = (CancellationToken::new(), CancellationToken::new());
+        let mut log_task = tokio::spawn(driver.run(stop_log.clone()));
+        let upkeep = hosts::HostUpkeep {
+            host: state.clone(),
+            network,
+            dialer: peers::PeerDialer {
+                hello: host::hello(&state.options, self.incarnation),
+                security: self.security,
+                clock: self.clock,
+                tasks: tasks.clone(),
+                shutdown: stop_links.clone(),
+            },
+            own,
+        };
+        tasks.spawn(upkeep.run(shutdown.clone()));
         tasks.spawn(operators::serve(state.clone(), self.http, shutdown.clone()));
-        tasks.spawn(log.run(shutdown.clone()));
         tasks.spawn(sweep_directory(state.clone(), shutdown.clone()));
         tasks.spawn(confirm_settings(state.clone(), shutdown.clone()));
         if let Some(tree) = self.first_tree {
             tasks.spawn(bootstrap(state.clone(), tree, shutdown.clone()));
         }
-        accept_links(&state, &self.listener, &tasks, &shutdown).await;
+        tasks.spawn(accept_links(
+            state,
+            self.listener,
+            tasks.clone(),
+            shutdown.clone(),
+            stop_links.clone(),
+        ));
+        let ended = tokio::select! {
+            () = shutdown.cancelled() => {
+                stop_log.cancel();
+                log_task.await
+            }
+            ended = &mut log_task => ended,
+        };
+        shutdown.cancel();
+        stop_links.cancel();
         tasks.close();
         tasks.wait().await;
-        Ok(())
+        ended.unwrap_or_else(|error| std::panic::resume_unwind(error.into_panic()))
     }
 }
 
+fn open_storage(
+    options: &options::ControlOptions,
+) -> Result<storage::OpenedStorage, errors::ControlError> {
+    let Some(folder) = &options.data else {
+        return Ok(storage::open(memory::MemoryDisk::new(), options)?);
+    };
+    let disk = disk::FolderDisk::open(folder).map_err(|error| errors::ControlError::Folder {
+        folder: folder.display().to_string(),
+        error,
+    })?;
+    Ok(storage::open(disk, options)?)
+}
+
 async fn accept_links<C: Clock>(
-    state: &host::HostHandle<C>,
-    listener: &links::LinkListener<C>,
-    tasks: &TaskTracker,
-    shutdown: &CancellationToken,
+    state: host::HostHandle<C>,
+    listener: links::LinkListener<C>,
+    tasks: TaskTracker,
+    shutdown: CancellationToken,
+    stop_links: CancellationToken,
 ) {
     loop {
+        // Other control hosts may connect until the end, since the log needs their answers.
         let accepted = tokio::select! {
-            () = shutdown.cancelled() => return,
+            () = stop_links.cancelled() => return,
             accepted = listener.accept() => accepted,
         };
         match accepted {
             Ok(pending) => {
-                tasks.spawn(open_link(state.clone(), pending, shutdown.clone()));
+                let (shutdown, stop_links) = (shutdown.clone(), stop_links.clone());
+                tasks.spawn(open_link(state.clone(), pending, shutdown, stop_links));
             }
             Err(error) => {
                 // The system is out of some resource; waiting is all that helps.
@@ -177,13 +234,15 @@
     state: host::HostHandle<C>,
     pending: links::PendingLink<C>,
     shutdown: CancellationToken,
+    stop_links: CancellationToken,
 ) {
     let opened = tokio::select! {
-        () = shutdown.cancelled() => return,
+        () = stop_links.cancelled() => return,
         opened = pending.open() => opened,
     };
     match opened {
         Ok(link) => match messages::ProcessKind::try_from(link.peer.kind) {
+            Ok(messages::ProcessKind::Control) => hosts::serve(state, link, stop_links).await,
             Ok(
                 messages::ProcessKind::Entry
                 | messages::ProcessKind::Agent
@@ -245,7 +304,11 @@
     let bootstrap = commands::BootstrapSettings { tree };
     while !shutdown.is_cancelled() {
         let action = commands::LogAction::Bootstrap(bootstrap.clone());
-        match state.submit(action).await {
+        let submitted = tokio::select! {
+            () = shutdown.cancelled() => return,
+            submitted = state.submit(action) => submitted,
+        };
+        match submitted {
             Ok(result) => {
                 tracing::info!(?result, "first settings submitted");
                 return;
--- a/crates/waxwing-control/src/snapshots.rs
+++ b/crates/waxwing-control/src/snapshots.rs
@@ -55,6 +55,9 @@
     /// The last applied index.
     #[prost(uint64, tag = "8")]
     pub applied: u64,
+    /// Hosts that an operator removed.
+    #[prost(string, repeated, tag = "9")]
+    pub barred: Vec<String>,
 }
 
 /// A `SettingsSnapshot` is the settings part of a snapshot.
--- /dev/null
+++ b/crates/waxwing-control/tests/three_hosts.rs
@@ -0,0 +1,330 @@
+//! Three control hosts in one process over loopback, on data folders.
+
+mod support;
+
+use std::{collections::BTreeSet, net::SocketAddr, path, time::Duration};
+
+use http_body_util::{BodyExt as _, Full};
+use tokio::task::JoinHandle;
+use tokio_util::sync::CancellationToken;
+use waxwing_control::{errors, options, roles};
+use waxwing_core::{clock, ids};
+use waxwing_settings::{operations, patches};
+use waxwing_wire::messages::ProcessKind;
+
+/// A `RunningHost` is a host of the test.
+struct RunningHost {
+    link: SocketAddr,
+    http: SocketAddr,
+    shutdown: CancellationToken,
+    task: JoinHandle<Result<(), errors::ControlError>>,
+}
+
+/// A `TestGroup` is a group of three hosts on folders.
+struct TestGroup {
+    folder: tempfile::TempDir,
+    hosts: Vec<Option<RunningHost>>,
+    links: Vec<SocketAddr>,
+}
+
+fn name(number: usize) -> String {
+    format!("control-{number}")
+}
+
+impl TestGroup {
+    async fn start() -> Self {
+        let mut group = Self {
+            folder: tempfile::tempdir().unwrap(),
+            hosts: Vec::new(),
+            links: Vec::new(),
+        };
+        let mut bound = Vec::new();
+        for number in 0..3 {
+            let options = group.options(number, SocketAddr::from(([127, 0, 0, 1], 0)));
+            bound.push(roles::bind(options, clock::SystemClock).await.unwrap());
+        }
+        group.links = bound
+            .iter()
+            .map(roles::BoundControl::link_address)
+            .collect();
+        for (number, mut host) in bound.into_iter().enumerate() {
+            host.set_peers(group.peers(number));
+            if number == 0 {
+                host.set_first_tree(support::tree()).unwrap();
+            }
+            group.hosts.push(Some(run(host)));
+        }
+        group.wait_voters(0, 3).await;
+        group
+    }
+
+    fn folder(&self, number: usize) -> path::PathBuf {
+        self.folder.path().join(name(number))
+    }
+
+    fn options(&self, number: usize, link: SocketAddr) -> options::ControlOptions {
+        options::ControlOptions {
+            link,
+            data: Some(self.folder(number)),
+            found: number == 0,
+            ..support::host_options(&name(number))
+        }
+    }
+
+    fn peers(&self, own: usize) -> Vec<options::PeerOptions> {
+        let others = self.links.iter().enumerate();
+        others
+            .filter(|(number, _)| *number != own)
+            .map(|(number, link)| options::PeerOptions {
+                name: name(number).parse().unwrap(),
+                link: *link,
+            })
+            .collect()
+    }
+
+    async fn stop(&mut self, number: usize) {
+        let host = self.hosts[number].take().unwrap();
+        host.shutdown.cancel();
+        host.task.await.unwrap().unwrap();
+    }
+
+    async fn restart(&mut self, number: usize) {
+        let options = self.options(number, self.links[number]);
+        // The founder's flag stays in its file; a wiped founder must not found a second group.
+        let options = options::ControlOptions {
+            found: false,
+            ..options
+        };
+        let mut host = roles::bind(options, clock::SystemClock).await.unwrap();
+        host.set_peers(self.peers(number));
+        self.hosts[number] = Some(run(host));
+    }
+
+    fn http(&self, number: usize) -> SocketAddr {
+        self.hosts[number].as_ref().unwrap().http
+    }
+
+    async fn status(&self, number: usize) -> operations::StatusAnswer {
+        loop {
+            let answer = request(self.http(number), "GET", "/v1/status", Vec::new()).await;
+            if let Some((200, body)) = answer {
+                return serde_json::from_slice(&body).unwrap();
+            }
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    }
+
+    async fn wait_voters(&self, number: usize, voters: usize) {
+        loop {
+            let status = self.status(number).await;
+            let found = status.members.iter().filter(|member| member.voter).count();
+            let named = status.members.iter().all(|member| !member.http.is_empty());
+            if found == voters && named && status.confirmed {
+                return;
+            }
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    }
+
+    async fn leader(&self) -> usize {
+        loop {
+            for number in 0..3 {
+                if self.hosts[number].is_some()
+                    && let Some(leader) = self.status(number).await.leader
+                    && let Some(found) = (0..3).find(|other| name(*other) == leader)
+                    && self.hosts[found].is_some()
+                {
+                    return found;
+                }
+            }
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    }
+}
+
+fn run(host: roles::BoundControl<clock::SystemClock>) -> RunningHost {
+    let shutdown = CancellationToken::new();
+    RunningHost {
+        link: host.link_address(),
+        http: host.http_address(),
+        task: tokio::spawn(host.run(shutdown.clone())),
+        shutdown,
+    }
+}
+
+async fn request(
+    host: SocketAddr,
+    method: &str,
+    path: &str,
+    body: Vec<u8>,
+) -> Option<(u16, bytes::Bytes)> {
+    let stream = tokio::net::TcpStream::connect(host).await.ok()?;
+    let io = hyper_util::rt::TokioIo::new(stream);
+    let (mut sender, connection) = hyper::client::conn::http1::handshake(io).await.ok()?;
+    tokio::spawn(connection);
+    let request = hyper::Request::builder()
+        .method(method)
+        .uri(path)
+        .header("host", host.to_string())
+        .header("authorization", format!("Bearer {}", support::ROOT_TOKEN))
+        .body(Full::new(bytes::Bytes::from(body)))
+        .unwrap();
+    let response = sender.send_request(request).await.ok()?;
+    let status = response.status().as_u16();
+    let body = response.into_body().collect().await.ok()?.to_bytes();
+    Some((status, body))
+}
+
+fn change(base: u64, path: &str, value: serde_json::Value) -> operations::ChangeRequest {
+    operations::ChangeRequest {
+        id: ids::ChangeId::random(),
+        base: ids::SettingsVersion(base),
+        patch: patches::SettingsPatch::from_entries([(path.into(), value)]).unwrap(),
+        dry_run: false,
+    }
+}
+
+/// Sends a change to host after host, with the same id, until some answer comes.
+async fn submit(
+    hosts: &[SocketAddr],
+    change: &operations::ChangeRequest,
+) -> operations::ChangeAnswer {
+    let body = serde_json::to_vec(change).unwrap();
+    for host in hosts.iter().cycle() {
+        let answer = request(*host, "POST", "/v1/settings/changes", body.clone()).await;
+        match answer {
+            Some((503, _)) | None => tokio::time::sleep(Duration::from_millis(20)).await,
+            Some((_, body)) => return serde_json::from_slice(&body).unwrap(),
+        }
+    }
+    unreachable!()
+}
+
+async fn history(host: SocketAddr) -> operations::HistoryAnswer {
+    loop {
+        let answer = request(host, "GET", "/v1/settings/changes", Vec::new()).await;
+        if let Some((200, body)) = answer {
+            return serde_json::from_slice(&body).unwrap();
+        }
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+}
+
+/// Guards against accepted changes that are lost, doubled, reordered or reverted when the leader
+/// stops while operators race and resend, and against a resend that gets another answer.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn keeps_accepted_changes_when_the_leader_stops() {
+    let mut group = TestGroup::start().await;
+    let hosts: Vec<_> = (0..3).map(|number| group.http(number)).collect();
+    let mut accepted: Vec<(ids::ChangeId, u64)> = Vec::new();
+    let mut conflicts = 0;
+    for round in 0..30u64 {
+        if round == 10 {
+            let leader = group.leader().await;
+            group.stop(leader).await;
+        }
+        let live: Vec<_> = (0..3)
+            .filter(|number| group.hosts[*number].is_some())
+            .collect();
+        let base = history(hosts[live[0]]).await.version.0;
+        let path = "/policy/first_token_target_ms";
+        let (one, two) = (
+            change(base, path, (500 + round).into()),
+            change(base, path, (900 + round).into()),
+        );
+        let (first, second) = tokio::join!(submit(&hosts, &one), submit(&hosts, &two));
+        for (change, answer) in [(&one, &first), (&two, &second)] {
+            assert_eq!(
+                answer,
+                &submit(&hosts, change).await,
+                "a resend gets the first answer"
+            );
+            match answer {
+                operations::ChangeAnswer::Changed { version } => {
+                    accepted.push((change.id, version.0));
+                }
+                operations::ChangeAnswer::Conflict { winner, .. } => {
+                    conflicts += 1;
+                    let winner = winner.as_ref().unwrap().id;
+                    assert!(winner == one.id || winner == two.id);
+                }
+                other => panic!("unexpected answer {other:?}"),
+            }
+        }
+    }
+    assert_eq!(
+        (accepted.len(), conflicts),
+        (30, 30),
+        "of two racing changes one wins"
+    );
+    for number in (0..3).filter(|number| group.hosts[*number].is_some()) {
+        let found = history(group.http(number)).await;
+        let found: Vec<_> = found
+            .changes
+            .iter()
+            .map(|change| (change.id, change.version.0))
+            .collect();
+        assert_eq!(found, accepted);
+    }
+    let stopped = (0..3)
+        .find(|number| group.hosts[*number].is_none())
+        .unwrap();
+    group.restart(stopped).await;
+    let found = history(group.http(stopped)).await;
+    let found: BTreeSet<_> = found.changes.iter().map(|change| change.id).collect();
+    assert_eq!(
+        found.len(),
+        30,
+        "a restarted host has every accepted change"
+    );
+}
+
+/// Guards against a host that votes with a wiped disk under its former identity, and against one
+/// that never comes back.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn takes_a_host_with_a_wiped_disk_back() {
+    let mut group = TestGroup::start().await;
+    let lost = (group.leader().await + 1) % 3;
+    let other = (lost + 1) % 3;
+    group.stop(lost).await;
+    std::fs::remove_dir_all(group.folder(lost)).unwrap();
+    group.restart(lost).await;
+    group.wait_voters(lost, 3).await;
+    let store = |status: &operations::StatusAnswer| status.members.len();
+    assert_eq!(store(&group.status(lost).await), 3);
+    // With the repaired host, the group survives the loss of another one.
+    group.stop(other).await;
+    let base = history(group.http(lost)).await.version.0;
+    let hosts = [group.http(lost)];
+    let answer = submit(&hosts, &change(base, "/policy/offers", 3.into())).await;
+    assert!(matches!(answer, operations::ChangeAnswer::Changed { .. }));
+}
+
+/// Guards against a process that goes back to an older version when its control host is lost, and
+/// against claims that are lost with a host.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn clients_fail_over_with_their_settings_and_claims() {
+    let mut group = TestGroup::start().await;
+    let shutdown = CancellationToken::new();
+    let links: Vec<_> = (0..3)
+        .map(|number| group.hosts[number].as_ref().unwrap().link)
+        .collect();
+    let entry = support::start_client(ProcessKind::Entry, "entry-1", &links, &shutdown);
+    entry.wait_confirmed().await.unwrap();
+    let first = entry.claim(support::claim("k", 1)).await.unwrap();
+    assert!(first.granted);
+    let before = entry.settings().version;
+    // The client's first host is the first in its list.
+    group.stop(0).await;
+    let hosts = [group.http(1), group.http(2)];
+    let answer = submit(&hosts, &change(before.0, "/policy/offers", 3.into())).await;
+    let operations::ChangeAnswer::Changed { version } = answer else {
+        panic!("unexpected answer {answer:?}");
+    };
+    let mut versions = entry.watch_version();
+    versions.wait_for(|found| *found >= version).await.unwrap();
+    assert_eq!(entry.settings().tree.policy.offers, 3);
+    let second = entry.claim(support::claim("k", 2)).await.unwrap();
+    assert_eq!((second.granted, second.record), (false, first.record));
+    shutdown.cancel();
+}
