Add the entry role: HTTP edge, request state machine, agent and control links

Cause: callers need one place that authenticates them, holds their requests while they wait and streams the answers.

Links to agents follow the directory; claims go through control.

--- /dev/null
+++ b/crates/waxwing-entry/src/agent_links.rs
@@ -0,0 +1,218 @@
+//! The task that keeps the link to one agent and passes its messages on.
+
+use std::{
+    sync::{Arc, Weak, atomic::Ordering},
+    time::Duration,
+};
+
+use waxwing_core::{clock, counters, ids, units};
+use waxwing_policy::{budget, choice};
+use waxwing_wire::{errors, links, messages};
+
+use crate::{agents, request_core, routes};
+
+/// Attempts to reach an agent that the directory doesn't list, before it is forgotten. With the
+/// backoff they take about 10 s, the time for which a request waits for a settlement.
+const UNLISTED_ATTEMPTS: u32 = 14;
+
+/// A `LinkKeeper` connects to one agent again and again until the agent is forgotten.
+pub(crate) struct LinkKeeper<C> {
+    context: agents::LinkContext<C>,
+    handle: Arc<agents::AgentHandle>,
+    table: Weak<agents::AgentTable<C>>,
+    attempts: u32,
+    known: ids::Incarnation,
+}
+
+impl<C: clock::Clock> LinkKeeper<C> {
+    pub(crate) fn new(
+        context: agents::LinkContext<C>,
+        handle: Arc<agents::AgentHandle>,
+        table: Weak<agents::AgentTable<C>>,
+    ) -> Self {
+        Self {
+            context,
+            handle,
+            table,
+            attempts: 0,
+            known: ids::Incarnation::default(),
+        }
+    }
+
+    pub(crate) async fn run(mut self) {
+        let ended = self.handle.ended.clone();
+        ended.run_until_cancelled(self.keep()).await;
+        self.close();
+    }
+
+    async fn keep(&mut self) {
+        loop {
+            if let Some(link) = self.connect().await {
+                self.serve(link).await;
+                self.attempts = 0;
+            }
+            if self.attempts >= UNLISTED_ATTEMPTS && !self.handle.info.load().listed {
+                if let Some(table) = self.table.upgrade() {
+                    table.forget(&self.handle);
+                }
+                return;
+            }
+            let delay = budget::BackoffPolicy::default().delay(self.attempts, &mut rand::rng());
+            self.attempts += 1;
+            self.context.clock.sleep(delay).await;
+        }
+    }
+
+    async fn connect(&self) -> Option<links::Link> {
+        let address = self.handle.info.load().address;
+        let link = links::connect(
+            address,
+            self.context.hello.clone(),
+            links::LinkOptions::default(),
+            self.context.security.clone(),
+            self.context.clock.clone(),
+        );
+        // Another agent may have taken over the address; its link must not carry this one's work.
+        link.await
+            .ok()
+            .filter(|link| link.peer.name == self.handle.name)
+    }
+
+    async fn serve(&mut self, mut link: links::Link) {
+        let incarnation = ids::Incarnation(link.peer.incarnation);
+        self.open(&link, incarnation).await;
+        let error = loop {
+            match link.receiver.recv().await {
+                Ok(envelope) => self.receive(envelope, &link.sender),
+                Err(error) => break error,
+            }
+        };
+        if matches!(error, errors::LinkError::Silent) {
+            self.context
+                .counters
+                .count(counters::CounterEvent::LinksSilent);
+        }
+        tracing::info!(agent = %self.handle.name, %error, "link to the agent was lost");
+        self.close();
+    }
+
+    async fn open(&mut self, link: &links::Link, incarnation: ids::Incarnation) {
+        self.context
+            .counters
+            .count(counters::CounterEvent::LinksOpened);
+        let owed = self.handle.take_owed();
+        if incarnation == self.known {
+            for body in owed {
+                // A failure means that this link is lost too; the agent then ends the work itself.
+                let _ = link.sender.send(0, body).await;
+            }
+        } else {
+            // A new process begins with an empty cache and takes new work.
+            routes::lock(&self.context.prefixes).forget(self.handle.id);
+            self.handle.refuses.store(false, Ordering::Relaxed);
+        }
+        self.known = incarnation;
+        self.handle.link.store(Some(Arc::new(agents::LiveLink {
+            sender: link.sender.clone(),
+            incarnation,
+        })));
+        self.handle.update_closed();
+        let agent = self.handle.id;
+        let event = request_core::CoreEvent::LinkUp { agent, incarnation };
+        self.context.routes.broadcast(&event);
+    }
+
+    fn close(&self) {
+        if let Some(link) = self.handle.link.swap(None) {
+            link.sender.close();
+            self.handle.update_closed();
+            let agent = self.handle.id;
+            let event = request_core::CoreEvent::LinkDown { agent };
+            self.context.routes.broadcast(&event);
+        }
+    }
+
+    fn receive(&self, envelope: messages::Envelope, sender: &links::LinkSender) {
+        match envelope.body {
+            Some(messages::Body::Report(report)) => self.take_report(&report),
+            Some(messages::Body::Leaving(_)) => self.set_refuses(true),
+            Some(body) => self.route(envelope.correlation, body, sender),
+            None => {}
+        }
+    }
+
+    fn set_refuses(&self, refuses: bool) {
+        self.handle.refuses.store(refuses, Ordering::Relaxed);
+        self.handle.update_closed();
+    }
+
+    fn route(&self, correlation: u64, body: messages::Body, sender: &links::LinkSender) {
+        let Some(request) = request_of(&body) else {
+            return;
+        };
+        let unused = match &body {
+            messages::Body::Grant(grant) => Some(messages::Decline {
+                request: grant.request.clone(),
+                grant: grant.grant,
+            }),
+            _ => None,
+        };
+        let event = request_core::CoreEvent::Message {
+            agent: self.handle.id,
+            correlation,
+            body,
+        };
+        let routed = self.context.routes.send(request, event);
+        if let (false, Some(decline)) = (routed, unused) {
+            // The request has ended, so the slot is given back at once.
+            let _ = sender.try_send(decline.grant, messages::Body::Decline(decline));
+            self.context
+                .counters
+                .count(counters::CounterEvent::GrantsDeclined);
+        }
+    }
+
+    fn take_report(&self, report: &messages::Report) {
+        let waiting = report.ranks.iter().map(|load| {
+            let rank = u8::try_from(load.rank).unwrap_or(u8::MAX);
+            (ids::TierRank(rank), units::TokenCount(load.waiting_tokens))
+        });
+        self.handle.load.update(&choice::LoadSample {
+            prefill_rate: units::TokenRate(report.prefill_rate),
+            speed_factor: report.speed_factor,
+            pending_prefill: units::TokenCount(report.pending_prefill_tokens),
+            waiting: waiting.collect(),
+            reported_requests: report.reported_requests,
+        });
+        self.set_refuses(report.draining);
+        if let Some(table) = self.table.upgrade() {
+            table.set_models(&self.handle, &report.models);
+        }
+        let mut prefixes = routes::lock(&self.context.prefixes);
+        for hash in &report.cached {
+            prefixes.insert(*hash, self.handle.id);
+        }
+        for hash in &report.evicted {
+            prefixes.remove(*hash, self.handle.id);
+        }
+    }
+}
+
+/// Returns the request that a message of an agent concerns.
+fn request_of(body: &messages::Body) -> Option<ids::RequestId> {
+    let bytes = match body {
+        messages::Body::OfferRefused(message) => &message.request,
+        messages::Body::Grant(message) => &message.request,
+        messages::Body::HandoverAck(message) => &message.request,
+        messages::Body::Settled(message) => &message.request,
+        messages::Body::AnswerHead(message) => &message.request,
+        messages::Body::AnswerChunk(message) => &message.request,
+        _ => return None,
+    };
+    ids::RequestId::from_slice(bytes).ok()
+}
+
+/// Returns how long a control link waits before the next attempt.
+pub(crate) fn reconnect_delay(attempts: u32) -> Duration {
+    budget::BackoffPolicy::default().delay(attempts, &mut rand::rng())
+}
--- /dev/null
+++ b/crates/waxwing-entry/src/headers.rs
@@ -0,0 +1,147 @@
+//! Headers between callers, the entry and endpoints.
+
+use std::time::Duration;
+
+use hyper::{
+    HeaderMap,
+    header::{self, HeaderName, HeaderValue},
+};
+use waxwing_core::{ids, reasons};
+use waxwing_wire::messages;
+
+use crate::problems;
+
+/// The header that names the tier.
+pub const TIER_HEADER: &str = "x-tier";
+/// The header that gives the deadline in milliseconds.
+pub const DEADLINE_HEADER: &str = "x-deadline-ms";
+/// The header that names the idempotency key.
+pub const KEY_HEADER: &str = "idempotency-key";
+
+/// The longest deadline in milliseconds, an hour; as for the default of a tier.
+const MAX_DEADLINE_MS: u64 = 3_600_000;
+
+/// The longest idempotency key in bytes; it is stored in the control log.
+const MAX_KEY_BYTES: usize = 255;
+
+/// Headers that concern one connection, or that the entry uses or writes itself.
+const OWN_HEADERS: [&str; 15] = [
+    "connection",
+    "keep-alive",
+    "proxy-authenticate",
+    "proxy-authorization",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+    "content-length",
+    "authorization",
+    "expect",
+    "host",
+    TIER_HEADER,
+    DEADLINE_HEADER,
+    problems::REQUEST_ID_HEADER,
+];
+
+fn is_own(name: &HeaderName) -> bool {
+    OWN_HEADERS.contains(&name.as_str())
+}
+
+/// Lists the headers of a caller that the endpoint gets.
+#[must_use]
+pub fn request_headers(headers: &HeaderMap, request: ids::RequestId) -> Vec<messages::HeaderField> {
+    let passed = headers.iter().filter(|(name, _)| !is_own(name));
+    let fields = passed.map(|(name, value)| messages::HeaderField {
+        name: name.as_str().to_owned(),
+        value: value.as_bytes().to_vec(),
+    });
+    let id = messages::HeaderField {
+        name: problems::REQUEST_ID_HEADER.to_owned(),
+        value: request.to_string().into_bytes(),
+    };
+    fields.chain([id]).collect()
+}
+
+/// Reads the headers of an endpoint that the caller gets. The length isn't passed on, so that an
+/// answer that breaks off is never as long as the endpoint announced.
+#[must_use]
+pub fn answer_headers(fields: &[messages::HeaderField]) -> HeaderMap {
+    let mut headers = HeaderMap::new();
+    for field in fields {
+        let name = HeaderName::from_bytes(field.name.as_bytes());
+        let value = HeaderValue::from_bytes(&field.value);
+        if let (Ok(name), Ok(value)) = (name, value)
+            && !is_own(&name)
+        {
+            headers.append(name, value);
+        }
+    }
+    headers
+}
+
+/// Returns the bearer token.
+#[must_use]
+pub fn bearer_token(headers: &HeaderMap) -> Option<&str> {
+    let value = headers.get(header::AUTHORIZATION)?.to_str().ok()?;
+    let (scheme, token) = value.split_once(' ')?;
+    scheme
+        .eq_ignore_ascii_case("bearer")
+        .then_some(token.trim())
+}
+
+fn malformed(detail: &str) -> problems::ProblemBody {
+    problems::ProblemBody::new(reasons::RefusalReason::Malformed).with_detail(detail)
+}
+
+/// `CallerHeaders` are the headers of a request that steer its way.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct CallerHeaders {
+    /// The tier.
+    pub tier: Option<ids::TierName>,
+    /// The time until the deadline.
+    pub deadline: Option<Duration>,
+    /// The idempotency key.
+    pub key: Option<String>,
+}
+
+impl CallerHeaders {
+    /// Reads the headers.
+    ///
+    /// # Errors
+    /// Fails if one of them isn't valid, with what is allowed.
+    pub fn read(headers: &HeaderMap) -> Result<Self, problems::ProblemBody> {
+        Ok(Self {
+            tier: headers.get(TIER_HEADER).map(read_tier).transpose()?,
+            deadline: headers
+                .get(DEADLINE_HEADER)
+                .map(read_deadline)
+                .transpose()?,
+            key: headers.get(KEY_HEADER).map(read_key).transpose()?,
+        })
+    }
+}
+
+fn read_tier(value: &HeaderValue) -> Result<ids::TierName, problems::ProblemBody> {
+    let text = String::from_utf8_lossy(value.as_bytes());
+    text.parse()
+        .map_err(|error: waxwing_core::errors::ParseError| {
+            problems::ProblemBody::new(reasons::RefusalReason::UnknownTier)
+                .with_detail(&error.to_string())
+        })
+}
+
+fn read_deadline(value: &HeaderValue) -> Result<Duration, problems::ProblemBody> {
+    let millis = value.to_str().ok().and_then(|text| text.parse().ok());
+    millis
+        .filter(|millis| (1..=MAX_DEADLINE_MS).contains(millis))
+        .map(Duration::from_millis)
+        .ok_or_else(|| malformed("X-Deadline-Ms is not valid; allowed: 1 to 3600000"))
+}
+
+fn read_key(value: &HeaderValue) -> Result<String, problems::ProblemBody> {
+    let text = value.to_str().ok();
+    let valid = text.filter(|text| !text.is_empty() && text.len() <= MAX_KEY_BYTES);
+    valid.map(str::to_owned).ok_or_else(|| {
+        malformed("Idempotency-Key is not valid; allowed: 1 to 255 visible ASCII characters")
+    })
+}
--- /dev/null
+++ b/crates/waxwing-entry/src/intake.rs
@@ -0,0 +1,465 @@
+//! From an HTTP request to a plan: authentication, tier, deadline, body, limits.
+
+use std::{
+    pin::pin,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use bytes::{Bytes, BytesMut};
+use http_body_util::BodyExt as _;
+use hyper::{Method, StatusCode, body, http::request};
+use sha2::{Digest as _, Sha256};
+use waxwing_core::{clock, ids, prompts, reasons, units};
+use waxwing_policy::{accounts, prefixes};
+use waxwing_settings::view;
+use waxwing_wire::messages;
+
+use crate::{
+    formats::{self, CallerFormat},
+    headers, problems,
+    request_core::plan,
+    routes, settings_state, state,
+};
+
+/// Time for which the body of a request is awaited; 30 s.
+const BODY_LIMIT: Duration = Duration::from_secs(30);
+
+/// Room that a request takes besides its body, so that many empty ones are bounded too.
+const REQUEST_BYTES: u64 = 1_024;
+
+type Refused<T> = Result<T, problems::ProblemBody>;
+
+fn refused(reason: reasons::RefusalReason) -> problems::ProblemBody {
+    problems::ProblemBody::new(reason)
+}
+
+/// A `CallTarget` is what a caller addresses.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum CallTarget {
+    /// A model, which the body names.
+    Model,
+    /// A plain service.
+    Plain {
+        /// The service.
+        service: ids::ServiceName,
+        /// The path and query, as the endpoint sees them.
+        path: String,
+    },
+}
+
+/// An `AcceptedCall` is a request with all that it holds while it lives.
+pub struct AcceptedCall<C: clock::Clock> {
+    /// The settings under which it was accepted.
+    pub view: Arc<view::SettingsView>,
+    /// The plan.
+    pub plan: plan::RequestPlan,
+    /// Its room; given back when the call is dropped.
+    pub room: state::BodyRoom<C>,
+    /// Its place among the requests of the account.
+    pub slot: state::AccountSlot<C>,
+}
+
+/// A `CallIntake` reads one request.
+pub struct CallIntake<'a, C: clock::Clock> {
+    shared: &'a Arc<state::EntryShared<C>>,
+    view: Arc<view::SettingsView>,
+    request: ids::RequestId,
+    accepted: Instant,
+}
+
+/// What is known of a request besides its body.
+struct CallParts<'a> {
+    head: &'a request::Parts,
+    target: CallTarget,
+    account: view::AccountEntry,
+    steering: headers::CallerHeaders,
+}
+
+/// What a body is found to ask for.
+struct CallDemand {
+    service: ids::ServiceName,
+    settings: view::ServiceSettings,
+    model: Option<ids::ModelName>,
+    prompt: units::TokenCount,
+    output: units::TokenCount,
+    prefixes: Vec<prefixes::PrefixHash>,
+    stream: bool,
+    path: String,
+}
+
+/// Finds the account of a request.
+///
+/// # Errors
+/// Fails if there is no valid bearer token.
+pub fn authenticate(
+    view: &view::SettingsView,
+    head: &hyper::HeaderMap,
+) -> Refused<view::AccountEntry> {
+    headers::bearer_token(head)
+        .and_then(|token| view.account(token))
+        .cloned()
+        .ok_or_else(|| refused(reasons::RefusalReason::Unauthorized))
+}
+
+impl<'a, C: clock::Clock> CallIntake<'a, C> {
+    /// Begins a request under the settings in force.
+    ///
+    /// # Errors
+    /// Fails if there are no settings, or too old ones.
+    pub fn begin(shared: &'a Arc<state::EntryShared<C>>, request: ids::RequestId) -> Refused<Self> {
+        let accepted = shared.clock.now();
+        let usable = match shared.settings.freshness(accepted) {
+            settings_state::Freshness::Current | settings_state::Freshness::Stale => {
+                shared.settings.view()
+            }
+            settings_state::Freshness::Absent | settings_state::Freshness::Expired => None,
+        };
+        let view = usable.ok_or_else(|| {
+            refused(reasons::RefusalReason::StaleSettings)
+                .with_retry_after(Some(Duration::from_secs(2)))
+        })?;
+        Ok(Self {
+            shared,
+            view,
+            request,
+            accepted,
+        })
+    }
+
+    /// Reads a request up to its plan.
+    ///
+    /// # Errors
+    /// Fails with the refusal for the caller; nothing ran.
+    pub async fn accept<B>(
+        self,
+        head: &request::Parts,
+        target: CallTarget,
+        body: B,
+    ) -> Refused<AcceptedCall<C>>
+    where
+        B: body::Body<Data = Bytes>,
+    {
+        let parts = CallParts {
+            account: authenticate(&self.view, &head.headers)?,
+            steering: headers::CallerHeaders::read(&head.headers)?,
+            head,
+            target,
+        };
+        let (rank, limit) = self.first_bounds(&parts)?;
+        let room = state::BodyRoom {
+            shared: self.shared.clone(),
+            request: self.request,
+        };
+        let body = self.read_body(rank, limit, body).await?;
+        let demand = self.demand(&parts, &body)?;
+        let plan = self.plan(&parts, demand, body)?;
+        let bytes = units::ByteCount(plan.body.len() as u64 + REQUEST_BYTES);
+        self.shared.admit_body(self.request, plan.rank, bytes)?;
+        let slot = self.admit(&parts.account, &plan)?;
+        Ok(AcceptedCall {
+            view: self.view,
+            plan,
+            room,
+            slot,
+        })
+    }
+
+    /// Returns the rank and the longest body, as far as they are known before the body is read. A
+    /// model request without a tier counts as the most urgent that it may turn out to be.
+    fn first_bounds(&self, parts: &CallParts<'_>) -> Refused<(ids::TierRank, units::ByteCount)> {
+        if let CallTarget::Plain { service, .. } = &parts.target {
+            let settings = self.plain_service(service, &parts.account)?;
+            let tier = self.tier(parts, settings)?;
+            return Ok((tier.rank, settings.max_body_bytes));
+        }
+        let usable = self.view.services.iter().filter(|(name, settings)| {
+            settings.kind == view::ServiceKind::Model && may_use(&parts.account, name)
+        });
+        let mut bounds = None;
+        for (_, settings) in usable {
+            let rank = self.tier(parts, settings)?.rank;
+            let limit = settings.max_body_bytes;
+            let (first_rank, first_limit) = bounds.unwrap_or((rank, limit));
+            bounds = Some((rank.min(first_rank), limit.max(first_limit)));
+        }
+        bounds.ok_or_else(|| refused(reasons::RefusalReason::Forbidden))
+    }
+
+    fn plain_service(
+        &self,
+        name: &ids::ServiceName,
+        account: &view::AccountEntry,
+    ) -> Refused<&view::ServiceSettings> {
+        let settings = self.view.services.get(name);
+        let plain = settings.filter(|settings| settings.kind == view::ServiceKind::Plain);
+        let Some(settings) = plain else {
+            return Err(refused(reasons::RefusalReason::UnknownService));
+        };
+        if may_use(account, name) {
+            Ok(settings)
+        } else {
+            Err(refused(reasons::RefusalReason::Forbidden))
+        }
+    }
+
+    fn tier(
+        &self,
+        parts: &CallParts<'_>,
+        service: &view::ServiceSettings,
+    ) -> Refused<&view::TierSettings> {
+        let name = parts.steering.tier.as_ref();
+        let name = name.unwrap_or(&service.default_tier);
+        let allowed = &parts.account.settings.tiers;
+        let Some(tier) = self.view.tree.tiers.get(name) else {
+            return Err(refused(reasons::RefusalReason::UnknownTier));
+        };
+        if allowed.is_empty() || allowed.contains(name) {
+            Ok(tier)
+        } else {
+            Err(refused(reasons::RefusalReason::Forbidden))
+        }
+    }
+
+    /// Reads the body within its limit and within the room for bodies.
+    async fn read_body<B>(
+        &self,
+        rank: ids::TierRank,
+        limit: units::ByteCount,
+        body: B,
+    ) -> Refused<Bytes>
+    where
+        B: body::Body<Data = Bytes>,
+    {
+        let mut body = pin!(body);
+        let expected = body::Body::size_hint(&body).exact();
+        let expected = units::ByteCount(expected.unwrap_or(limit.0));
+        if expected > limit {
+            return Err(refused(reasons::RefusalReason::BodyTooLarge));
+        }
+        let room = expected + units::ByteCount(REQUEST_BYTES);
+        self.shared.admit_body(self.request, rank, room)?;
+        let mut bytes = BytesMut::new();
+        let mut timer = pin!(self.shared.clock.sleep(BODY_LIMIT));
+        loop {
+            let frame = tokio::select! {
+                biased;
+                frame = body.frame() => frame,
+                () = &mut timer => return Err(slow_body()),
+            };
+            let Some(frame) = frame else {
+                return Ok(bytes.freeze());
+            };
+            let Ok(frame) = frame else {
+                return Err(refused(reasons::RefusalReason::Malformed)
+                    .with_detail("the body could not be read to its end"));
+            };
+            let data = frame.into_data().unwrap_or_default();
+            if bytes.len() + data.len() > usize::try_from(limit.0).unwrap_or(usize::MAX) {
+                return Err(refused(reasons::RefusalReason::BodyTooLarge));
+            }
+            if !routes::lock(&self.shared.room).contains(self.request) {
+                return Err(refused(reasons::RefusalReason::Evicted)
+                    .with_retry_after(Some(Duration::from_secs(1))));
+            }
+            bytes.extend_from_slice(&data);
+        }
+    }
+
+    fn demand(&self, parts: &CallParts<'_>, body: &Bytes) -> Refused<CallDemand> {
+        match &parts.target {
+            CallTarget::Model => self.model_demand(&parts.account, body),
+            CallTarget::Plain { service, path } => {
+                let settings = self.plain_service(service, &parts.account)?;
+                Ok(CallDemand {
+                    service: service.clone(),
+                    settings: settings.clone(),
+                    model: None,
+                    // Plain calls count as one token, so that fairness still sees each of them.
+                    prompt: units::TokenCount(1),
+                    output: units::TokenCount::ZERO,
+                    prefixes: Vec::new(),
+                    stream: wants_stream(&parts.head.headers),
+                    path: path.clone(),
+                })
+            }
+        }
+    }
+
+    fn model_demand(&self, account: &view::AccountEntry, body: &Bytes) -> Refused<CallDemand> {
+        let call = formats::OpenAiFormat::parse_model_call(body).map_err(|error| {
+            refused(reasons::RefusalReason::Malformed).with_detail(&error.to_string())
+        })?;
+        let found = self.view.model_service(&call.model, &account.settings);
+        let Some((service, settings)) = found else {
+            let mut services = self.view.services.values();
+            let offered = services.any(|service| service.models.contains(&call.model));
+            return Err(refused(if offered {
+                reasons::RefusalReason::Forbidden
+            } else {
+                reasons::RefusalReason::UnknownModel
+            }));
+        };
+        let model = self.view.tree.models.get(&call.model);
+        let expected = model.map_or(units::TokenCount(256), |model| model.expected_output_tokens);
+        let prompt = prompts::estimate_tokens(&call.prompt);
+        let context = model.map(|model| model.context_tokens);
+        if context.is_some_and(|context| prompt > context) {
+            return Err(refused(reasons::RefusalReason::BodyTooLarge)
+                .with_detail("the prompt is longer than the context of the model"));
+        }
+        Ok(CallDemand {
+            service: service.clone(),
+            settings: settings.clone(),
+            prompt,
+            output: call
+                .max_tokens
+                .map_or(expected, |limit| limit.min(expected)),
+            prefixes: prefixes::sample_hashes(&prompts::block_hashes(&call.prompt)),
+            model: Some(call.model),
+            stream: call.stream,
+            path: formats::OpenAiFormat::MODEL_PATH.to_owned(),
+        })
+    }
+
+    fn plan(
+        &self,
+        parts: &CallParts<'_>,
+        demand: CallDemand,
+        body: Bytes,
+    ) -> Refused<plan::RequestPlan> {
+        if body.len() as u64 > demand.settings.max_body_bytes.0 {
+            return Err(refused(reasons::RefusalReason::BodyTooLarge));
+        }
+        let tier = self.tier(parts, &demand.settings)?;
+        let default = Duration::from_millis(tier.default_deadline_ms);
+        let deadline = self.accepted + parts.steering.deadline.unwrap_or(default);
+        let claim = self.claim(parts, &demand, &body)?;
+        Ok(plan::RequestPlan {
+            request: self.request,
+            account: parts.account.name.clone(),
+            weight_millis: parts.account.settings.weight_millis,
+            rank: tier.rank,
+            idempotent: is_idempotent(&demand, &parts.head.method),
+            model: demand.model,
+            service: demand.service,
+            prompt: demand.prompt,
+            output: demand.output,
+            prefixes: demand.prefixes,
+            stream: demand.stream,
+            accepted: self.accepted,
+            deadline,
+            method: parts.head.method.to_string(),
+            path: demand.path,
+            headers: headers::request_headers(&parts.head.headers, self.request),
+            body,
+            claim,
+            offers: offer_limits(&self.view.tree.policy),
+        })
+    }
+
+    /// Plans the claim of a keyed request. Stale settings may name the wrong group, so no claim is
+    /// made under them.
+    fn claim(
+        &self,
+        parts: &CallParts<'_>,
+        demand: &CallDemand,
+        body: &Bytes,
+    ) -> Refused<Option<plan::ClaimPlan>> {
+        let Some(key) = &parts.steering.key else {
+            return Ok(None);
+        };
+        let freshness = self.shared.settings.freshness(self.shared.clock.now());
+        if freshness != settings_state::Freshness::Current {
+            return Err(refused(reasons::RefusalReason::ClaimUnavailable)
+                .with_retry_after(Some(Duration::from_secs(2))));
+        }
+        let name = messages::ClaimName {
+            account: parts.account.name.to_string(),
+            service: demand.service.to_string(),
+            key: key.clone(),
+        };
+        Ok(Some(plan::ClaimPlan {
+            name,
+            digest: digest(&parts.head.method, &demand.path, body),
+            group: ids::GroupId(0),
+        }))
+    }
+
+    fn admit(
+        &self,
+        account: &view::AccountEntry,
+        plan: &plan::RequestPlan,
+    ) -> Refused<state::AccountSlot<C>> {
+        let limits = accounts::AccountLimits {
+            requests_per_second: account.settings.requests_per_second,
+            concurrent_requests: account.settings.concurrent_requests,
+            tokens_per_second: account.settings.tokens_per_second,
+        };
+        let tokens = plan.prompt + plan.output;
+        let now = self.shared.clock.now();
+        let mut table = routes::lock(&self.shared.accounts);
+        table
+            .admit(&account.name, &limits, tokens, now)
+            .map_err(|refusal| refused(refusal.reason).with_retry_after(refusal.retry_after))?;
+        Ok(state::AccountSlot {
+            shared: self.shared.clone(),
+            account: account.name.clone(),
+        })
+    }
+}
+
+fn slow_body() -> problems::ProblemBody {
+    refused(reasons::RefusalReason::Malformed)
+        .with_status(StatusCode::REQUEST_TIMEOUT)
+        .with_detail("the body did not arrive within 30 s")
+}
+
+fn may_use(account: &view::AccountEntry, service: &ids::ServiceName) -> bool {
+    account.settings.services.is_empty() || account.settings.services.contains(service)
+}
+
+fn wants_stream(headers: &hyper::HeaderMap) -> bool {
+    let accept = headers.get(hyper::header::ACCEPT);
+    let accept = accept.and_then(|value| value.to_str().ok());
+    accept.is_some_and(|accept| accept.contains("text/event-stream"))
+}
+
+/// Model requests may run twice; so may plain calls of the methods that the service lists.
+fn is_idempotent(demand: &CallDemand, method: &Method) -> bool {
+    if demand.model.is_some() {
+        return true;
+    }
+    match &demand.settings.idempotent_methods {
+        Some(methods) => methods.contains(method.as_str()),
+        None => method.is_idempotent() && method != Method::TRACE,
+    }
+}
+
+fn offer_limits(policy: &view::PolicySettings) -> plan::OfferLimits {
+    if policy.routing != view::RoutingPolicy::LateBinding {
+        return plan::OfferLimits {
+            first: 1,
+            most: 1,
+            immediate: true,
+        };
+    }
+    let first = usize::try_from(policy.offers).unwrap_or(1).clamp(1, 8);
+    let most = usize::try_from(policy.offers_max).unwrap_or(1);
+    plan::OfferLimits {
+        first,
+        most: most.clamp(first, 16),
+        immediate: false,
+    }
+}
+
+/// Computes the digest by which a resend of a key is told from another request. Lengths come first,
+/// so that no two different requests are hashed as the same bytes.
+fn digest(method: &Method, path: &str, body: &[u8]) -> Vec<u8> {
+    let mut hasher = Sha256::new();
+    for part in [method.as_str().as_bytes(), path.as_bytes(), body] {
+        hasher.update((part.len() as u64).to_be_bytes());
+        hasher.update(part);
+    }
+    hasher.finalize().to_vec()
+}
--- a/crates/waxwing-policy/src/waiting.rs
+++ b/crates/waxwing-policy/src/waiting.rs
@@ -76,6 +76,12 @@
         self.entries.is_empty()
     }
 
+    /// Tells whether a request is in the room; one that was evicted is not.
+    #[must_use]
+    pub fn contains(&self, request: ids::RequestId) -> bool {
+        self.entries.contains_key(&request)
+    }
+
     /// Takes a request in, or changes the rank and size of one that is there, and returns the
     /// requests that were evicted for it, in order.
     ///
