Add the agent role with its offer queue and admission limit

The agent accepts links from entries, orders offers by tier and account, grants slots under an adaptive token limit, calls the endpoint, and streams answers with offsets and a checksum. All decisions are in AgentCore, which performs no I/O; the driver connects it to links, endpoint and control.

--- /dev/null
+++ b/crates/waxwing-agent/src/driver.rs
@@ -0,0 +1,367 @@
+//! The I/O around the core: links of entries, the endpoint, control hosts and the clock.
+
+use std::{collections::HashMap, net::SocketAddr, time::Duration};
+
+use tokio::sync::{mpsc, watch};
+use tokio_util::{sync::CancellationToken, task::AbortOnDropHandle};
+use waxwing_core::{clock::Clock, counters, ids};
+use waxwing_wire::{links, messages};
+
+use crate::{announcer, endpoint, errors, events, options, pollers, state};
+
+/// Inputs that may wait for the core; a full queue holds links and endpoint calls back.
+const INPUT_QUEUE: usize = 4_096;
+
+/// Messages that may wait for a control host; open completions are sent again by the core.
+const CONTROL_QUEUE: usize = 256;
+
+/// The pause after the operating system refused to accept a connection.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
+
+/// The time in which a last announcement may reach control.
+const GOODBYE_PAUSE: Duration = Duration::from_millis(100);
+
+/// A `BoundAgent` is an agent whose socket is open and that does not run yet.
+#[derive(Debug)]
+pub struct BoundAgent<C> {
+    options: options::AgentOptions,
+    endpoint: SocketAddr,
+    listener: links::LinkListener<C>,
+    address: SocketAddr,
+    hello: messages::Hello,
+    incarnation: ids::Incarnation,
+    counters: counters::CounterSet,
+    clock: C,
+}
+
+/// Opens the socket of an agent.
+///
+/// # Errors
+/// Fails if the address can't be bound or the endpoint URL is not valid.
+pub async fn bind<C: Clock>(
+    options: options::AgentOptions,
+    clock: C,
+) -> Result<BoundAgent<C>, errors::AgentError> {
+    let endpoint = options.endpoint_address()?;
+    let incarnation = new_incarnation(&clock);
+    let hello = messages::Hello {
+        kind: messages::ProcessKind::Agent as i32,
+        name: options.name.to_string(),
+        incarnation: incarnation.0,
+        data_centre: options.data_centre.to_string(),
+    };
+    let bound = links::LinkListener::bind(
+        options.link_address,
+        hello.clone(),
+        links::LinkOptions::default(),
+        options.security.clone(),
+        clock.clone(),
+    );
+    let failure = |error| errors::AgentError::Bind {
+        address: options.link_address,
+        error,
+    };
+    let listener = bound.await.map_err(failure)?;
+    let address = listener.local_addr().map_err(failure)?;
+    Ok(BoundAgent {
+        options,
+        endpoint,
+        listener,
+        address,
+        hello,
+        incarnation,
+        counters: counters::CounterSet::new(),
+        clock,
+    })
+}
+
+/// Returns a number that grows from start to start. The lowest bits are random, so that two
+/// processes that start under one name in the same millisecond differ.
+fn new_incarnation<C: Clock>(clock: &C) -> ids::Incarnation {
+    let noise: u64 = rand::random::<u64>() & 0xFFFF;
+    ids::Incarnation((clock.wall_millis() << 16) | noise)
+}
+
+impl<C: Clock> BoundAgent<C> {
+    /// Returns the address on which entries open links.
+    #[must_use]
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Returns the incarnation of this start.
+    #[must_use]
+    pub fn incarnation(&self) -> ids::Incarnation {
+        self.incarnation
+    }
+
+    /// Returns the counters, which stay readable while the agent runs.
+    #[must_use]
+    pub fn counters(&self) -> counters::CounterSet {
+        self.counters.clone()
+    }
+
+    /// Serves until `shutdown`, then refuses offers, finishes what runs and returns.
+    ///
+    /// # Errors
+    /// Fails if the agent can't go on serving.
+    pub async fn run(self, shutdown: CancellationToken) -> Result<(), errors::AgentError> {
+        let (input_sender, inputs) = mpsc::channel(INPUT_QUEUE);
+        let (link_sender, opened) = mpsc::channel(INPUT_QUEUE);
+        let (control_sender, outgoing) = mpsc::channel(CONTROL_QUEUE);
+        let (state_sender, state) = watch::channel(announcer::AnnouncedState::default());
+        let ended = CancellationToken::new();
+        let client = endpoint::EndpointClient::new(self.endpoint, self.clock.clone());
+        let announce = announcer::AnnounceTask {
+            hosts: self.options.control.clone(),
+            hello: self.hello.clone(),
+            region: self.options.region.to_string(),
+            address: self.options.announced_address.unwrap_or(self.address),
+            security: self.options.security.clone(),
+            state,
+            outgoing,
+            report: input_sender.clone(),
+            ended: ended.clone(),
+            clock: self.clock.clone(),
+        };
+        let poll = pollers::PollTask {
+            client: client.clone(),
+            role: self.options.role.to_string(),
+            report: input_sender.clone(),
+            clock: self.clock.clone(),
+        };
+        let accept = AcceptTask {
+            listener: self.listener,
+            opened: link_sender,
+            report: input_sender.clone(),
+            clock: self.clock.clone(),
+        };
+        let _tasks = [
+            AbortOnDropHandle::new(tokio::spawn(announce.run())),
+            AbortOnDropHandle::new(tokio::spawn(poll.run())),
+            AbortOnDropHandle::new(tokio::spawn(accept.run())),
+        ];
+        let limits = self.options.limits.clone();
+        let now = self.clock.now();
+        let core = state::AgentCore::new(self.incarnation, limits, self.counters, now);
+        let mut driver = AgentDriver {
+            core,
+            inputs,
+            input_sender,
+            opened,
+            links: HashMap::new(),
+            runs: HashMap::new(),
+            client,
+            control: control_sender,
+            announced: state_sender,
+            clock: self.clock,
+        };
+        driver.serve(shutdown).await;
+        driver.clock.sleep(GOODBYE_PAUSE).await;
+        ended.cancel();
+        Ok(())
+    }
+}
+
+/// An `AcceptTask` accepts links; each is read by its own task.
+struct AcceptTask<C> {
+    listener: links::LinkListener<C>,
+    opened: mpsc::Sender<(events::LinkId, links::LinkSender)>,
+    report: mpsc::Sender<events::AgentInput>,
+    clock: C,
+}
+
+impl<C: Clock> AcceptTask<C> {
+    async fn run(self) {
+        let mut next = 1;
+        loop {
+            let Ok(pending) = self.listener.accept().await else {
+                self.clock.sleep(ACCEPT_PAUSE).await;
+                continue;
+            };
+            let link = events::LinkId(next);
+            next += 1;
+            let (opened, report) = (self.opened.clone(), self.report.clone());
+            tokio::spawn(async move {
+                match pending.open().await {
+                    Ok(open) => read_link(link, open, opened, report).await,
+                    Err(error) => tracing::debug!(%error, "link was not opened"),
+                }
+            });
+        }
+    }
+}
+
+async fn read_link(
+    link: events::LinkId,
+    open: links::Link,
+    opened: mpsc::Sender<(events::LinkId, links::LinkSender)>,
+    report: mpsc::Sender<events::AgentInput>,
+) {
+    let links::Link {
+        sender,
+        mut receiver,
+        peer,
+        ..
+    } = open;
+    if opened.send((link, sender.clone())).await.is_err() {
+        return;
+    }
+    tracing::debug!(peer = %peer.name, "link opened");
+    let mut alive = report
+        .send(events::AgentInput::LinkOpened { link })
+        .await
+        .is_ok();
+    while alive {
+        let Ok(envelope) = receiver.recv().await else {
+            break;
+        };
+        let correlation = envelope.correlation;
+        alive = match envelope.body {
+            None | Some(messages::Body::Heartbeat(_)) => true,
+            Some(body) => {
+                let input = events::AgentInput::Message {
+                    link,
+                    correlation,
+                    body,
+                };
+                report.send(input).await.is_ok()
+            }
+        };
+    }
+    sender.close();
+    // A closed queue means that the process ends.
+    let _ = report.send(events::AgentInput::LinkClosed { link }).await;
+}
+
+/// An `AgentDriver` carries out what the core decides.
+struct AgentDriver<C> {
+    core: state::AgentCore,
+    inputs: mpsc::Receiver<events::AgentInput>,
+    input_sender: mpsc::Sender<events::AgentInput>,
+    opened: mpsc::Receiver<(events::LinkId, links::LinkSender)>,
+    links: HashMap<events::LinkId, links::LinkSender>,
+    runs: HashMap<events::RunId, endpoint::RunControl>,
+    client: endpoint::EndpointClient<C>,
+    control: mpsc::Sender<announcer::ControlMessage>,
+    announced: watch::Sender<announcer::AnnouncedState>,
+    clock: C,
+}
+
+impl<C: Clock> AgentDriver<C> {
+    async fn serve(&mut self, shutdown: CancellationToken) {
+        let mut leaving = false;
+        let mut ticked = self.clock.now();
+        while !(leaving && self.core.is_drained()) {
+            let input = tokio::select! {
+                biased;
+                () = shutdown.cancelled(), if !leaving => {
+                    leaving = true;
+                    events::AgentInput::Drain
+                }
+                Some((link, sender)) = self.opened.recv() => {
+                    self.links.insert(link, sender);
+                    continue;
+                }
+                Some(input) = self.inputs.recv() => input,
+                () = self.clock.sleep(self.core.tick_interval()) => events::AgentInput::Tick,
+            };
+            self.step(input);
+            let now = self.clock.now();
+            if now.saturating_duration_since(ticked) >= self.core.tick_interval() {
+                ticked = now;
+                self.step(events::AgentInput::Tick);
+            }
+            self.announce(leaving);
+        }
+    }
+
+    fn step(&mut self, input: events::AgentInput) {
+        if let events::AgentInput::LinkClosed { link } = &input {
+            self.links.remove(link);
+        }
+        for output in self.core.handle(self.clock.now(), input) {
+            self.perform(output);
+        }
+    }
+
+    /// Passes a change of the endpoint's description on to the announcements.
+    fn announce(&self, leaving: bool) {
+        let info = self.core.info();
+        let known = info.kind != messages::EndpointKind::Unspecified as i32;
+        let leaving = leaving || self.core.is_draining();
+        self.announced.send_if_modified(|state| {
+            let same = state.leaving == leaving && state.info.as_ref() == known.then_some(info);
+            if !same {
+                *state = announcer::AnnouncedState {
+                    info: known.then(|| info.clone()),
+                    leaving,
+                };
+            }
+            !same
+        });
+    }
+
+    fn perform(&mut self, output: events::AgentOutput) {
+        match output {
+            events::AgentOutput::Send {
+                link,
+                correlation,
+                body,
+            } => self.send(link, correlation, body),
+            events::AgentOutput::Control { correlation, body } => {
+                // The core repeats what must arrive; a full queue means no control host is there.
+                let _ = self.control.try_send((correlation, body));
+            }
+            events::AgentOutput::Start { run, call } => {
+                self.forget_ended_runs();
+                let control = self.client.start(run, call, self.input_sender.clone());
+                self.runs.insert(run, control);
+            }
+            events::AgentOutput::Stop { run, name } => {
+                if let Some(control) = self.runs.remove(&run) {
+                    control.stop();
+                }
+                tokio::spawn(pollers::cancel_call(self.client.clone(), name));
+            }
+            events::AgentOutput::Pause(run) => self.pause(run, true),
+            events::AgentOutput::Proceed(run) => self.pause(run, false),
+            events::AgentOutput::Order(order) => self.order(order),
+        }
+    }
+
+    fn send(&mut self, link: events::LinkId, correlation: u64, body: messages::Body) {
+        let Some(sender) = self.links.get(&link) else {
+            return;
+        };
+        // A link whose queue is full has lost a message; the entry resumes over another one.
+        if sender.try_send(correlation, body).is_err() {
+            sender.close();
+        }
+    }
+
+    fn pause(&self, run: events::RunId, paused: bool) {
+        if let Some(control) = self.runs.get(&run) {
+            control.pause(paused);
+        }
+    }
+
+    fn order(&self, order: messages::Order) {
+        let client = self.client.clone();
+        let report = self.input_sender.clone();
+        tokio::spawn(async move {
+            let number = order.order;
+            let outcome = pollers::give_order(client, order).await;
+            let ended = events::AgentInput::OrderEnded {
+                order: number,
+                outcome,
+            };
+            // A closed queue means that the process ends.
+            let _ = report.send(ended).await;
+        });
+    }
+
+    fn forget_ended_runs(&mut self) {
+        self.runs.retain(|_, control| !control.is_ended());
+    }
+}
--- /dev/null
+++ b/crates/waxwing-agent/src/endpoint.rs
@@ -0,0 +1,267 @@
+//! Calls to the endpoint over HTTP/1.1. Each call has its own connection: closing it cancels the
+//! call, and a failed connect proves that the endpoint has received nothing.
+
+use std::{future::Future, net::SocketAddr, time::Duration};
+
+use bytes::Bytes;
+use http_body_util::{BodyExt as _, Full, Limited};
+use hyper::{
+    Method, Request, Response,
+    body::{Body as _, Incoming},
+    client::conn::http1,
+    header,
+};
+use hyper_util::rt::TokioIo;
+use serde_json::Value;
+use tokio::{
+    net,
+    sync::{mpsc, watch},
+};
+use tokio_util::{sync::CancellationToken, task::AbortOnDropHandle};
+use waxwing_core::clock::Clock;
+use waxwing_wire::messages;
+
+use crate::{errors, events};
+
+/// The time allowed for a connection to the endpoint, which is on the same host.
+const CONNECT_LIMIT: Duration = Duration::from_secs(1);
+
+/// The time allowed for a short call.
+const SHORT_LIMIT: Duration = Duration::from_secs(2);
+
+/// The longest answer of a short call in bytes.
+const SHORT_BYTES: usize = 4 * 1024 * 1024;
+
+/// Headers that belong to one connection and are not passed on.
+const CONNECTION_HEADERS: [&str; 8] = [
+    "connection",
+    "content-length",
+    "host",
+    "keep-alive",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+];
+
+type Sender = http1::SendRequest<Full<Bytes>>;
+
+/// An `EndpointClient` calls one endpoint.
+#[derive(Debug, Clone)]
+pub(crate) struct EndpointClient<C> {
+    address: SocketAddr,
+    clock: C,
+}
+
+/// A `RunControl` steers a call that runs.
+#[derive(Debug)]
+pub(crate) struct RunControl {
+    stop: CancellationToken,
+    pause: watch::Sender<bool>,
+}
+
+impl RunControl {
+    pub(crate) fn stop(&self) {
+        self.stop.cancel();
+    }
+
+    /// Tells whether the task of the call has ended.
+    pub(crate) fn is_ended(&self) -> bool {
+        self.pause.is_closed()
+    }
+
+    pub(crate) fn pause(&self, paused: bool) {
+        self.pause.send_replace(paused);
+    }
+}
+
+fn is_connection_header(name: &str) -> bool {
+    CONNECTION_HEADERS.contains(&name)
+}
+
+async fn limited<C: Clock, F: Future>(
+    clock: &C,
+    limit: Duration,
+    work: F,
+) -> Result<F::Output, errors::CallError> {
+    tokio::select! {
+        output = work => Ok(output),
+        () = clock.sleep(limit) => Err(errors::CallError::Timeout),
+    }
+}
+
+impl<C: Clock> EndpointClient<C> {
+    pub(crate) fn new(address: SocketAddr, clock: C) -> Self {
+        Self { address, clock }
+    }
+
+    async fn connect(&self) -> Result<(Sender, AbortOnDropHandle<()>), errors::CallError> {
+        let connecting = net::TcpStream::connect(self.address);
+        let stream = limited(&self.clock, CONNECT_LIMIT, connecting).await?;
+        let stream = stream.map_err(errors::CallError::Connect)?;
+        stream
+            .set_nodelay(true)
+            .map_err(errors::CallError::Connect)?;
+        let (sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
+        let task = tokio::spawn(async move {
+            // Failures of the connection reach the call as failures of its request or body.
+            let _ = connection.await;
+        });
+        Ok((sender, AbortOnDropHandle::new(task)))
+    }
+
+    /// Makes a short call and reads its answer as JSON.
+    pub(crate) async fn short(
+        &self,
+        method: Method,
+        path: &str,
+        body: Option<Value>,
+    ) -> Result<Value, errors::CallError> {
+        let work = self.short_unlimited(method, path, body);
+        limited(&self.clock, SHORT_LIMIT, work).await?
+    }
+
+    async fn short_unlimited(
+        &self,
+        method: Method,
+        path: &str,
+        body: Option<Value>,
+    ) -> Result<Value, errors::CallError> {
+        let (mut sender, _connection) = self.connect().await?;
+        let content = body.map_or_else(Bytes::new, |body| Bytes::from(body.to_string()));
+        let request = Request::builder()
+            .method(method)
+            .uri(path)
+            .header(header::HOST, self.address.to_string())
+            .header(header::CONTENT_TYPE, "application/json")
+            .body(Full::new(content))?;
+        let response = sender.send_request(request).await?;
+        let status = response.status();
+        let limited = Limited::new(response.into_body(), SHORT_BYTES);
+        let collected = limited.collect().await;
+        let content = collected.map_err(|_| errors::CallError::TooLong(SHORT_BYTES))?;
+        if !status.is_success() {
+            return Err(errors::CallError::Status(status.as_u16()));
+        }
+        let content = content.to_bytes();
+        match content.is_empty() {
+            true => Ok(Value::Null),
+            false => Ok(serde_json::from_slice(&content)?),
+        }
+    }
+
+    /// Starts a call; its events go to `report` until it ends or is stopped.
+    pub(crate) fn start(
+        &self,
+        run: events::RunId,
+        call: events::EndpointCall,
+        report: mpsc::Sender<events::AgentInput>,
+    ) -> RunControl {
+        let (pause, paused) = watch::channel(false);
+        let stop = CancellationToken::new();
+        let control = RunControl {
+            stop: stop.clone(),
+            pause,
+        };
+        let task = RunTask {
+            client: self.clone(),
+            run,
+            report,
+            paused,
+        };
+        tokio::spawn(async move {
+            tokio::select! {
+                () = stop.cancelled() => {}
+                () = task.work(call) => {}
+            }
+        });
+        control
+    }
+}
+
+/// A `RunTask` is the task of one call.
+struct RunTask<C> {
+    client: EndpointClient<C>,
+    run: events::RunId,
+    report: mpsc::Sender<events::AgentInput>,
+    paused: watch::Receiver<bool>,
+}
+
+impl<C: Clock> RunTask<C> {
+    async fn tell(&self, event: events::EndpointEvent) {
+        let run = self.run;
+        let input = events::AgentInput::Endpoint { run, event };
+        // The core outlives its runs; a closed queue means that the process ends.
+        let _ = self.report.send(input).await;
+    }
+
+    async fn work(mut self, call: events::EndpointCall) {
+        let last = self.exchange(call).await;
+        self.tell(last).await;
+    }
+
+    async fn exchange(&mut self, call: events::EndpointCall) -> events::EndpointEvent {
+        let Ok(request) = build(&self.client, call) else {
+            return events::EndpointEvent::NotSent;
+        };
+        let Ok((mut sender, _connection)) = self.client.connect().await else {
+            return events::EndpointEvent::NotSent;
+        };
+        match sender.send_request(request).await {
+            Ok(response) => self.read(response).await,
+            Err(_) => events::EndpointEvent::Failed,
+        }
+    }
+
+    async fn read(&mut self, response: Response<Incoming>) -> events::EndpointEvent {
+        let status = response.status().as_u16();
+        let chunked = response.headers().contains_key(header::TRANSFER_ENCODING);
+        let headers = fields(response.headers());
+        self.tell(events::EndpointEvent::Head { status, headers })
+            .await;
+        let mut body = response.into_body();
+        // Without a length or chunks the end of a body can't be told from a lost connection.
+        let framed = chunked || body.size_hint().exact().is_some();
+        loop {
+            let proceed = self.paused.wait_for(|paused| !*paused).await.is_ok();
+            match body.frame().await.filter(|_| proceed) {
+                Some(Ok(frame)) => {
+                    if let Ok(data) = frame.into_data() {
+                        self.tell(events::EndpointEvent::Data(data)).await;
+                    }
+                }
+                Some(Err(_)) => return events::EndpointEvent::Failed,
+                None if framed => return events::EndpointEvent::Ended,
+                None => return events::EndpointEvent::Failed,
+            }
+        }
+    }
+}
+
+fn build<C>(
+    client: &EndpointClient<C>,
+    call: events::EndpointCall,
+) -> Result<Request<Full<Bytes>>, errors::CallError> {
+    let mut builder = Request::builder()
+        .method(call.method.as_str())
+        .uri(call.path.as_str())
+        .header(header::HOST, client.address.to_string())
+        .header("x-request-id", call.name);
+    for field in &call.headers {
+        if !is_connection_header(&field.name) && field.name != "x-request-id" {
+            builder = builder.header(field.name.as_str(), field.value.as_slice());
+        }
+    }
+    Ok(builder.body(Full::new(call.body))?)
+}
+
+fn fields(headers: &header::HeaderMap) -> Vec<messages::HeaderField> {
+    let kept = headers
+        .iter()
+        .filter(|(name, _)| !is_connection_header(name.as_str()));
+    kept.map(|(name, value)| messages::HeaderField {
+        name: name.as_str().to_owned(),
+        value: value.as_bytes().to_vec(),
+    })
+    .collect()
+}
--- /dev/null
+++ b/crates/waxwing-agent/src/state/handovers.rs
@@ -0,0 +1,194 @@
+//! Hand-overs and their settlement: the grant is the fence that keeps a request from running
+//! twice; see `docs/design.md`, section 5.
+
+use waxwing_core::{counters, ids, reasons, units};
+use waxwing_wire::messages;
+
+use crate::{answers, events, formats, jobs, state};
+
+impl state::AgentCore {
+    pub(super) fn handover(
+        &mut self,
+        link: events::LinkId,
+        correlation: u64,
+        handover: messages::Handover,
+    ) {
+        let Some(request) = events::request_id(&handover.request) else {
+            return;
+        };
+        // A doubled message must not be told that nothing ran.
+        if self.jobs.contains_key(&request) || self.tombstones.contains(request) {
+            self.acknowledge_handover(link, correlation, request, None);
+            return;
+        }
+        let live = self.grants.get(&request);
+        let valid = live.is_some_and(|live| live.grant.0 == handover.grant && live.ends > self.now);
+        let live = match valid {
+            true => self.grants.remove(&request),
+            false => None,
+        };
+        let Some(live) = live else {
+            let reason = reasons::RefusalReason::GrantExpired;
+            self.counters.refuse(reason);
+            self.acknowledge_handover(link, correlation, request, Some(reason));
+            return;
+        };
+        self.acknowledge_handover(link, correlation, request, None);
+        self.begin(link, request, live, handover);
+    }
+
+    fn acknowledge_handover(
+        &mut self,
+        link: events::LinkId,
+        correlation: u64,
+        request: ids::RequestId,
+        refused: Option<reasons::RefusalReason>,
+    ) {
+        let ack = messages::HandoverAck {
+            request: request.to_bytes().to_vec(),
+            taken: refused.is_none(),
+            reason: refused.map_or("", |reason| reason.as_str()).to_owned(),
+        };
+        self.send(link, correlation, messages::Body::HandoverAck(ack));
+    }
+
+    fn begin(
+        &mut self,
+        link: events::LinkId,
+        request: ids::RequestId,
+        live: jobs::LiveGrant,
+        handover: messages::Handover,
+    ) {
+        let format = formats::CallFormat::of(&handover);
+        let reader = match &format {
+            formats::CallFormat::Chat(chat) => Some(formats::ChatReader::new(chat.streams())),
+            formats::CallFormat::Plain(_) => None,
+        };
+        let deadline = self.deadline_after(handover.deadline_millis);
+        let keep_all = handover.claim.is_some();
+        let job = jobs::Job {
+            link: Some(link),
+            detached: None,
+            grant: live.grant,
+            terms: live.terms,
+            note: live.note,
+            claim: handover.claim,
+            share: Some(live.share),
+            cached: live.cached,
+            call: Some(jobs::JobCall {
+                method: handover.method,
+                path: handover.path,
+                headers: handover.headers,
+                format,
+            }),
+            reader,
+            stage: jobs::JobStage::Suspended(self.now),
+            answer: answers::AnswerBuffer::new(keep_all),
+            runs: 0,
+            tokens: 0,
+            progress: jobs::RunProgress::idle(self.now),
+            tally: jobs::PrefillTally::default(),
+            paused: false,
+            deadline,
+        };
+        self.jobs.insert(request, job);
+        self.start_run(request);
+    }
+
+    pub(super) fn settle(
+        &mut self,
+        link: events::LinkId,
+        correlation: u64,
+        settle: &messages::Settle,
+    ) {
+        let Some(request) = events::request_id(&settle.request) else {
+            return;
+        };
+        let state = self.settlement(request, settle);
+        let settled = messages::Settled {
+            request: request.to_bytes().to_vec(),
+            state: state as i32,
+        };
+        self.send(link, correlation, messages::Body::Settled(settled));
+    }
+
+    fn settlement(
+        &mut self,
+        request: ids::RequestId,
+        settle: &messages::Settle,
+    ) -> messages::SettledState {
+        if settle.incarnation != self.incarnation.0 {
+            return messages::SettledState::OtherIncarnation;
+        }
+        if let Some(job) = self.jobs.get(&request) {
+            return match job.stage {
+                _ if !job.answer.is_complete_from_start() => messages::SettledState::Forgotten,
+                jobs::JobStage::Ended(_) => messages::SettledState::Finished,
+                _ => messages::SettledState::Running,
+            };
+        }
+        let grant = ids::GrantId(settle.grant);
+        if self.tombstones.contains(request) || !self.tombstones.proves_absence(grant) {
+            return messages::SettledState::Forgotten;
+        }
+        // From here on no hand-over of an earlier grant is taken, so the request may go elsewhere.
+        self.queue.remove(request);
+        self.revoke(request);
+        messages::SettledState::NeverReceived
+    }
+
+    pub(super) fn cancel(&mut self, cancel: &messages::Cancel) {
+        let Some(request) = events::request_id(&cancel.request) else {
+            return;
+        };
+        self.queue.remove(request);
+        self.revoke(request);
+        let Some(job) = self.jobs.get(&request) else {
+            return;
+        };
+        // A call that must not run twice goes on to its end, so that its result is known.
+        if job.note.idempotent {
+            self.abandon(request, reasons::RefusalReason::CallerGone);
+        }
+    }
+
+    /// Ends a request before its answer is complete: cancels the call, counts the prefill as
+    /// wasted by cause, and tells the entry if it is still there.
+    pub(super) fn abandon(&mut self, request: ids::RequestId, reason: reasons::RefusalReason) {
+        if self.jobs.get(&request).is_none_or(jobs::Job::is_ended) {
+            return;
+        }
+        self.stop_run(request);
+        let wasted = self.jobs.get(&request).map_or(0, |job| job.tally.computed);
+        let cause = match reason {
+            reasons::RefusalReason::CallerGone => counters::CounterEvent::WastedPrefillCaller,
+            reasons::RefusalReason::DeadlinePassed => counters::CounterEvent::WastedPrefillDeadline,
+            _ => counters::CounterEvent::WastedPrefillLost,
+        };
+        self.counters.add(cause, wasted);
+        self.counters.refuse(reason);
+        self.end_broken(request, reason, reasons::Outcome::Unknown);
+        if reason == reasons::RefusalReason::CallerGone
+            && let Some(job) = self.jobs.get_mut(&request)
+        {
+            job.answer.free_all();
+        }
+    }
+
+    /// Returns the prompt tokens of a job that its next run is expected to compute.
+    pub(super) fn expected_prefill(&self, job: &jobs::Job) -> units::TokenCount {
+        let context = job.terms.prompt_tokens + units::TokenCount(job.tokens);
+        let cached = match job.runs {
+            0 => job.cached,
+            _ => self.cache.expected_tokens(Self::block_hashes(job)),
+        };
+        context.saturating_sub(cached)
+    }
+
+    pub(super) fn block_hashes(job: &jobs::Job) -> &[u64] {
+        match job.call.as_ref().map(|call| &call.format) {
+            Some(formats::CallFormat::Chat(chat)) => chat.hashes(),
+            _ => &[],
+        }
+    }
+}
--- /dev/null
+++ b/crates/waxwing-agent/src/state/offers.rs
@@ -0,0 +1,375 @@
+//! Offers and grants: which waiting request gets the next room of the endpoint.
+
+use std::time::{Duration, Instant};
+
+use smol_str::SmolStr;
+use waxwing_core::{counters, ids, reasons, units};
+use waxwing_policy::{admission, queue, suspension};
+use waxwing_wire::messages;
+
+use crate::{events, jobs, state};
+
+/// The longest time that counts for a deadline or for waiting; it bounds sums with the clock.
+const LONGEST: Duration = Duration::from_secs(86_400);
+
+/// The most prefix hashes of an offer that are looked at.
+const MAX_PREFIXES: usize = 32;
+
+/// A `NextTurn` is what gets the next room.
+enum NextTurn {
+    Resume(ids::RequestId, ids::TierRank),
+    Grant(ids::TierRank),
+}
+
+fn bounded(millis: u64) -> Duration {
+    Duration::from_millis(millis).min(LONGEST)
+}
+
+fn rank_of(rank: u32) -> ids::TierRank {
+    ids::TierRank(u8::try_from(rank).unwrap_or(u8::MAX))
+}
+
+impl state::AgentCore {
+    pub(super) fn offer(&mut self, link: events::LinkId, offer: messages::Offer) {
+        let Some(request) = events::request_id(&offer.request) else {
+            return;
+        };
+        // A refusal would say that nothing ran, which is not true of a request that was taken.
+        if self.jobs.contains_key(&request) || self.tombstones.contains(request) {
+            return;
+        }
+        // A second offer of a request replaces the first: its link was replaced.
+        self.queue.remove(request);
+        self.revoke(request);
+        let terms = self.terms(&offer);
+        if let Some(reason) = self.refusal(&offer, &terms) {
+            self.refuse_offer(link, request, reason);
+            return;
+        }
+        let mut prefixes = offer.prefix_hashes;
+        prefixes.truncate(MAX_PREFIXES);
+        let note = jobs::OfferNote {
+            link,
+            idempotent: offer.idempotent,
+            prefixes,
+        };
+        match offer.immediate {
+            true => self.grant(request, terms, note, false),
+            false => self.enqueue(request, terms, note),
+        }
+        self.reports.mark();
+    }
+
+    fn terms(&self, offer: &messages::Offer) -> queue::OfferTerms {
+        let waited = bounded(offer.waited_millis);
+        queue::OfferTerms {
+            rank: rank_of(offer.rank),
+            account: SmolStr::new(&offer.account),
+            weight_millis: offer.weight_millis,
+            prompt_tokens: units::TokenCount(offer.prompt_tokens),
+            output_tokens: units::TokenCount(offer.output_tokens),
+            deadline: self.now + bounded(offer.deadline_millis),
+            waiting_since: self.now.checked_sub(waited).unwrap_or(self.now),
+        }
+    }
+
+    fn refusal(
+        &self,
+        offer: &messages::Offer,
+        terms: &queue::OfferTerms,
+    ) -> Option<reasons::RefusalReason> {
+        if self.draining {
+            return Some(reasons::RefusalReason::Draining);
+        }
+        if !self.takes_offers() {
+            return Some(reasons::RefusalReason::EndpointFailed);
+        }
+        if !self.serves(offer) {
+            return Some(reasons::RefusalReason::NoEndpoint);
+        }
+        if offer.immediate {
+            return None;
+        }
+        let cached = self.cache.expected_tokens(&offer.prefix_hashes);
+        self.deadline_refusal(terms, cached, self.lowest_work())
+    }
+
+    fn serves(&self, offer: &messages::Offer) -> bool {
+        let (names, wanted) = match offer.model.is_empty() {
+            true => (&self.info.services, &offer.service),
+            false => (&self.info.models, &offer.model),
+        };
+        names.iter().any(|name| name == wanted)
+    }
+
+    /// Refuses what can't end by its deadline. The queue ahead counts only where no lower tier
+    /// waits or could be suspended, since a higher tier is never shed before a lower one.
+    pub(super) fn deadline_refusal(
+        &self,
+        terms: &queue::OfferTerms,
+        cached: units::TokenCount,
+        lowest: Option<ids::TierRank>,
+    ) -> Option<reasons::RefusalReason> {
+        if terms.deadline <= self.now {
+            return Some(reasons::RefusalReason::DeadlinePassed);
+        }
+        let ahead = match lowest.is_some_and(|lowest| lowest > terms.rank) {
+            true => units::TokenCount::ZERO,
+            false => self.queue.tokens_above(terms.rank),
+        };
+        let prefill = ahead + terms.prompt_tokens.saturating_sub(cached);
+        let end = self.now + self.service_time(prefill, terms.output_tokens);
+        (end > terms.deadline).then_some(reasons::RefusalReason::DeadlineUnreachable)
+    }
+
+    pub(super) fn service_time(
+        &self,
+        prefill: units::TokenCount,
+        output: units::TokenCount,
+    ) -> Duration {
+        if !self.is_engine() {
+            return Duration::ZERO;
+        }
+        self.pace.prefill_time(prefill) + self.pace.generation_time(output)
+    }
+
+    /// Returns the lowest tier of which an offer waits or a generation could be suspended.
+    fn lowest_work(&self) -> Option<ids::TierRank> {
+        let waiting = self.queue.loads().map(|(rank, _)| rank).last();
+        let jobs = self.jobs.values();
+        let open = jobs.filter(|job| !job.is_ended() && job.can_resume());
+        waiting.max(open.map(|job| job.terms.rank).max())
+    }
+
+    fn enqueue(
+        &mut self,
+        request: ids::RequestId,
+        terms: queue::OfferTerms,
+        note: jobs::OfferNote,
+    ) {
+        match self.queue.push(request, terms, note) {
+            queue::PushResult::Queued => {}
+            queue::PushResult::Evicted(offer)
+            | queue::PushResult::Full(offer)
+            | queue::PushResult::Duplicate(offer) => {
+                let reason = reasons::RefusalReason::Evicted;
+                self.refuse_offer(offer.payload.link, offer.request, reason);
+            }
+        }
+    }
+
+    /// Gives room away as long as there is some: strictly by tier, and inside a tier to suspended
+    /// generations before waiting offers, since their callers have seen the beginning.
+    pub(super) fn schedule(&mut self) {
+        while self.schedule_next() {}
+    }
+
+    fn schedule_next(&mut self) -> bool {
+        if self.health != state::EndpointHealth::Up || self.is_held_back() {
+            return false;
+        }
+        match self.next_turn() {
+            Some(NextTurn::Resume(request, rank)) => self.try_resume(request, rank),
+            Some(NextTurn::Grant(rank)) => self.try_grant(rank),
+            None => false,
+        }
+    }
+
+    fn next_turn(&self) -> Option<NextTurn> {
+        let waiting = self.queue.head().map(|offer| offer.terms.rank);
+        let suspended = self.next_suspended();
+        match (suspended, waiting) {
+            (Some((request, rank)), Some(head)) if rank <= head => {
+                Some(NextTurn::Resume(request, rank))
+            }
+            (_, Some(head)) => Some(NextTurn::Grant(head)),
+            (Some((request, rank)), None) => Some(NextTurn::Resume(request, rank)),
+            (None, None) => None,
+        }
+    }
+
+    fn try_resume(&mut self, request: ids::RequestId, rank: ids::TierRank) -> bool {
+        let Some(job) = self.jobs.get(&request) else {
+            return false;
+        };
+        let share = self.resume_share(job);
+        let waited = self.now.saturating_duration_since(job.terms.waiting_since);
+        match self.admission.verdict(share, self.pace.rate()) {
+            admission::FitVerdict::Fits => {
+                self.resume_run(request, share);
+                true
+            }
+            lacking => self.make_room(rank, lacking, share, waited),
+        }
+    }
+
+    fn try_grant(&mut self, rank: ids::TierRank) -> bool {
+        let Some(head) = self.queue.head() else {
+            return false;
+        };
+        let cached = self.cache.expected_tokens(&head.payload.prefixes);
+        if let Some(reason) = self.deadline_refusal(&head.terms, cached, self.lowest_work()) {
+            let (link, request) = (head.payload.link, head.request);
+            self.queue.remove(request);
+            self.refuse_offer(link, request, reason);
+            return true;
+        }
+        let share = self.share(&head.terms, cached);
+        let waited = self.now.saturating_duration_since(head.terms.waiting_since);
+        match self.admission.verdict(share, self.pace.rate()) {
+            admission::FitVerdict::Fits => {
+                if let Some(offer) = self.queue.take_head() {
+                    self.grant(offer.request, offer.terms, offer.payload, true);
+                }
+                true
+            }
+            lacking => self.make_room(rank, lacking, share, waited),
+        }
+    }
+
+    pub(super) fn share(
+        &self,
+        terms: &queue::OfferTerms,
+        cached: units::TokenCount,
+    ) -> admission::Reservation {
+        if !self.is_engine() {
+            return admission::Reservation::default();
+        }
+        admission::Reservation {
+            context: terms.context_tokens(),
+            prefill: terms.prompt_tokens.saturating_sub(cached),
+        }
+    }
+
+    /// Suspends lower-tier generations for a request that would otherwise miss its first-token
+    /// target. Returns whether room was made.
+    fn make_room(
+        &mut self,
+        rank: ids::TierRank,
+        lacking: admission::FitVerdict,
+        share: admission::Reservation,
+        waited: Duration,
+    ) -> bool {
+        let target = self.admission.first_token_target();
+        let prefill = self.pace.prefill_time(share.prefill);
+        if !suspension::is_due(waited, self.next_release(), prefill, target) {
+            return false;
+        }
+        let wanted = match lacking {
+            admission::FitVerdict::Fits => return true,
+            admission::FitVerdict::LacksTokens(tokens) => suspension::RoomWanted::Tokens(tokens),
+            admission::FitVerdict::LacksSlot => suspension::RoomWanted::Slot,
+            admission::FitVerdict::LacksPrefill => {
+                let burst = self.pace.rate().0 * target.as_secs_f64();
+                let pending = self.admission.pending() + share.prefill;
+                let excess = pending.saturating_sub(units::TokenCount(burst as u64));
+                suspension::RoomWanted::Prefill(excess.min(self.admission.pending()))
+            }
+        };
+        let jobs = self.jobs.iter();
+        let running = jobs.filter_map(|(request, job)| job.running_work(*request));
+        let victims = suspension::choose_victims(running, rank, wanted);
+        victims.iter().for_each(|victim| self.suspend(*victim));
+        !victims.is_empty()
+    }
+
+    /// Returns the time until the first running request is expected to end by itself.
+    fn next_release(&self) -> Duration {
+        let running = self.jobs.values().filter(|job| job.run().is_some());
+        let remaining = running.map(|job| self.pace.generation_time(job.remaining_output()));
+        remaining.min().unwrap_or_default()
+    }
+
+    fn grant(
+        &mut self,
+        request: ids::RequestId,
+        terms: queue::OfferTerms,
+        note: jobs::OfferNote,
+        charged: bool,
+    ) {
+        let cached = self.cache.expected_tokens(&note.prefixes);
+        let share = self.share(&terms, cached);
+        self.admission.admit(share);
+        let grant = ids::GrantId(self.next_grant);
+        self.next_grant += 1;
+        let message = messages::Grant {
+            request: request.to_bytes().to_vec(),
+            grant: grant.0,
+            incarnation: self.incarnation.0,
+            lease_millis: self.limits.grant_ms,
+            cached_tokens: cached.0,
+        };
+        self.send(note.link, 0, messages::Body::Grant(message));
+        let live = jobs::LiveGrant {
+            grant,
+            ends: self.now + self.limits.grant(),
+            terms,
+            note,
+            cached,
+            share,
+            charged,
+        };
+        self.grants.insert(request, live);
+        self.reports.mark();
+    }
+
+    /// Ends a grant that was not used; its room and the account's charge are given back.
+    pub(super) fn revoke(&mut self, request: ids::RequestId) -> bool {
+        let Some(live) = self.grants.remove(&request) else {
+            return false;
+        };
+        self.admission.release(live.share);
+        if live.charged {
+            self.queue.refund(&live.terms);
+        }
+        self.reports.mark();
+        true
+    }
+
+    pub(super) fn withdraw(&mut self, withdraw: &messages::Withdraw) {
+        if let Some(request) = events::request_id(&withdraw.request) {
+            self.queue.remove(request);
+            self.revoke(request);
+            self.reports.mark();
+        }
+    }
+
+    pub(super) fn decline(&mut self, decline: &messages::Decline) {
+        let Some(request) = events::request_id(&decline.request) else {
+            return;
+        };
+        let live = self.grants.get(&request);
+        if live.is_some_and(|live| live.grant.0 == decline.grant) {
+            self.revoke(request);
+        }
+    }
+
+    pub(super) fn expire_grants(&mut self) {
+        let now = self.now;
+        let ended = self.grants.iter().filter(|(_, live)| live.ends <= now);
+        let ended: Vec<_> = ended.map(|(request, _)| *request).collect();
+        for request in ended {
+            self.revoke(request);
+            self.counters.count(counters::CounterEvent::GrantsExpired);
+        }
+    }
+
+    /// Refuses waiting offers whose deadline can't be met any more.
+    pub(super) fn refuse_unreachable(&mut self) {
+        let lowest = self.lowest_work();
+        let check = |offer: &queue::WaitingOffer<jobs::OfferNote>| {
+            let cached = self.cache.expected_tokens(&offer.payload.prefixes);
+            let reason = self.deadline_refusal(&offer.terms, cached, lowest)?;
+            Some((offer.payload.link, offer.request, reason))
+        };
+        let refused: Vec<_> = self.queue.iter().filter_map(check).collect();
+        for (link, request, reason) in refused {
+            self.queue.remove(request);
+            self.refuse_offer(link, request, reason);
+        }
+    }
+
+    pub(super) fn deadline_after(&self, millis: u64) -> Instant {
+        self.now + bounded(millis)
+    }
+}
--- /dev/null
+++ b/crates/waxwing-agent/src/state/sweeps.rs
@@ -0,0 +1,120 @@
+//! What time alone brings about: ended grants, missed deadlines, lost entries and endpoints
+//! without progress.
+
+use std::time::Duration;
+
+use waxwing_core::{ids, reasons};
+
+use crate::{jobs, state};
+
+/// The time between looks at every waiting and running request.
+const SWEEP_INTERVAL: Duration = Duration::from_millis(100);
+
+/// The time for which a call that must not run twice may go on after its deadline.
+const OVERRUN: Duration = Duration::from_secs(60);
+
+/// The first time without new work after a stall; it doubles with each further stall.
+const STALL_PAUSE: Duration = Duration::from_secs(2);
+
+/// The longest time without new work after stalls.
+const LONGEST_STALL_PAUSE: Duration = Duration::from_secs(60);
+
+impl state::AgentCore {
+    pub(super) fn sweep(&mut self) {
+        self.expire_grants();
+        if self.admission.adjust(self.now) {
+            self.reports.mark();
+        }
+        self.retry_claims();
+        if self.now.saturating_duration_since(self.last_sweep) < SWEEP_INTERVAL {
+            return;
+        }
+        self.last_sweep = self.now;
+        self.refuse_unreachable();
+        self.end_overdue();
+        self.end_detached();
+        self.detect_stall();
+        self.forget_ended();
+        self.bound_kept_bytes();
+    }
+
+    fn select(&self, chosen: impl Fn(&jobs::Job) -> bool) -> Vec<ids::RequestId> {
+        let open = self.jobs.iter().filter(|(_, job)| !job.is_ended());
+        let open = open.filter(|(_, job)| chosen(job));
+        open.map(|(request, _)| *request).collect()
+    }
+
+    fn end_overdue(&mut self) {
+        let now = self.now;
+        let overdue = self.select(|job| match job.note.idempotent {
+            true => job.deadline <= now,
+            false => job.deadline + OVERRUN <= now,
+        });
+        for request in overdue {
+            self.abandon(request, reasons::RefusalReason::DeadlinePassed);
+        }
+    }
+
+    /// Cancels idempotent work whose entry has been gone for too long. Other work goes on, and
+    /// its answer is kept for a resend.
+    fn end_detached(&mut self) {
+        let limit = self.limits.entry_loss();
+        let now = self.now;
+        let lost = self.select(|job| {
+            let gone = job
+                .detached
+                .map(|since| now.saturating_duration_since(since));
+            job.note.idempotent && job.claim.is_none() && gone.is_some_and(|gone| gone >= limit)
+        });
+        for request in lost {
+            self.abandon(request, reasons::RefusalReason::CallerGone);
+        }
+    }
+
+    /// Ends the runs of an engine that makes no progress, and pauses before it gets new work.
+    fn detect_stall(&mut self) {
+        let Some(due) = self.event_due() else {
+            return;
+        };
+        let limit = self.limits.progress_limit().max(due * 5);
+        if self.pace.quiet(self.now) < limit {
+            return;
+        }
+        let stalls = self.stall.stalls.min(8);
+        let pause = (STALL_PAUSE * 2_u32.pow(stalls)).min(LONGEST_STALL_PAUSE);
+        self.stall = state::StallGuard {
+            until: Some(self.now + pause),
+            stalls: self.stall.stalls + 1,
+        };
+        let reading = |job: &jobs::Job| job.run().is_some() && job.reader.is_some();
+        for request in self.select(reading) {
+            self.abandon(request, reasons::RefusalReason::EndpointFailed);
+        }
+        self.refuse_waiting(reasons::RefusalReason::EndpointFailed);
+    }
+
+    /// Tells whether the endpoint can be expected to serve new work.
+    pub(super) fn takes_offers(&self) -> bool {
+        let paused = self.stall.until.is_some_and(|until| self.now < until);
+        self.health != state::EndpointHealth::Down && !paused
+    }
+
+    /// Tells whether an endpoint that stalled gets no work now: none during the pause, and after
+    /// it one request at a time until a token arrives.
+    pub(super) fn is_held_back(&self) -> bool {
+        let Some(until) = self.stall.until else {
+            return false;
+        };
+        self.now < until || !self.runs.is_empty() || !self.grants.is_empty()
+    }
+
+    /// Returns the time until the next input of time alone is useful.
+    #[must_use]
+    pub fn tick_interval(&self) -> Duration {
+        let idle = self.queue.is_empty() && self.grants.is_empty() && self.runs.is_empty();
+        match idle {
+            true => SWEEP_INTERVAL,
+            false => Duration::from_millis(20),
+        }
+    }
+}
--- a/crates/waxwing-core/src/counters.rs
+++ b/crates/waxwing-core/src/counters.rs
@@ -87,6 +87,8 @@
     OrdersFenced = "orders_fenced",
     /// Engine orders carried out.
     OrdersDone = "orders_done",
+    /// Engine orders that failed.
+    OrdersFailed = "orders_failed",
     /// Cache event gaps.
     CacheEventGaps = "cache_event_gaps",
     /// Bytes sent between processes for control work.
