--- a/crates/waxwing-standin/src/callers.rs
+++ b/crates/waxwing-standin/src/callers.rs
@@ -45,8 +45,31 @@
     pub first_byte: Option<Duration>,
     /// Time from the call to its end.
     pub total: Duration,
-    /// Times from the call to the arrival of each part of the body.
-    pub parts: Vec<Duration>,
+    /// The arrival of each part of the body.
+    pub parts: Vec<AnswerPart>,
+}
+
+/// An `AnswerPart` is a part of the body that arrived at one time.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct AnswerPart {
+    /// Time from the call to the arrival.
+    pub at: Duration,
+    /// Where the part ends in the body.
+    pub end: usize,
+}
+
+impl CallAnswer {
+    /// Returns the time to the first part that holds output text, for a streamed chat.
+    #[must_use]
+    pub fn first_token(&self) -> Option<Duration> {
+        const MARK: &[u8] = b"\"content\":\"";
+        let found = self
+            .body
+            .windows(MARK.len())
+            .position(|text| text == MARK)?;
+        let part = self.parts.iter().find(|part| part.end > found)?;
+        Some(part.at)
+    }
 }
 
 /// Makes one call and returns what came, whole or not.
@@ -132,8 +155,9 @@
         };
         let since = clock.now().saturating_duration_since(started);
         answer.first_byte.get_or_insert(since);
-        answer.parts.push(since);
         answer.body.extend_from_slice(&data);
+        let end = answer.body.len();
+        answer.parts.push(AnswerPart { at: since, end });
         if let Some(watcher) = &watcher {
             let _ = watcher.send(data);
         }
--- a/crates/waxwing-standin/src/engines.rs
+++ b/crates/waxwing-standin/src/engines.rs
@@ -2,7 +2,7 @@
 //! late cache events, lagging load reports and engine orders.
 
 use std::{
-    collections::{BTreeSet, HashMap, VecDeque},
+    collections::{BTreeMap, BTreeSet, HashMap, VecDeque},
     sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::{Duration, Instant},
 };
@@ -189,6 +189,12 @@
         self.lock().batch.counts()
     }
 
+    /// Returns how often each request id was submitted.
+    #[must_use]
+    pub fn runs(&self) -> BTreeMap<SmolStr, simulation::RunCount> {
+        self.lock().batch.runs().clone()
+    }
+
     /// Submits a request for a model.
     ///
     /// # Errors
--- a/crates/waxwing-standin/src/servers.rs
+++ b/crates/waxwing-standin/src/servers.rs
@@ -328,6 +328,7 @@
         "/info" => replies::json(StatusCode::OK, &engine_info(engine)),
         "/load" => replies::json(StatusCode::OK, &engine.load()),
         "/counts" => replies::json(StatusCode::OK, &engine.counts()),
+        "/runs" => replies::json(StatusCode::OK, &engine.runs()),
         "/events" => {
             let after = query.and_then(|query| query.strip_prefix("after="));
             let after = after.and_then(|after| after.parse().ok()).unwrap_or(0);
--- a/crates/waxwing-standin/src/simulation.rs
+++ b/crates/waxwing-standin/src/simulation.rs
@@ -13,6 +13,9 @@
 
 use crate::{answers, caches, options};
 
+/// Request ids of which the submissions are counted; a load run stays far below it.
+const COUNTED_RUNS: usize = 262_144;
+
 /// Cancelled requests that are remembered, so that a resumption is told from new work.
 const REMEMBERED_CANCELS: usize = 4_096;
 
@@ -84,6 +87,15 @@
     }
 }
 
+/// A `RunCount` tells how often an engine was given one request id.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RunCount {
+    /// Submissions that do not continue an earlier one at this engine.
+    pub fresh: u64,
+    /// Submissions that continue a cancelled one at this engine.
+    pub resumed: u64,
+}
+
 #[derive(Debug)]
 struct Sequence {
     spec: SequenceSpec,
@@ -121,6 +133,7 @@
     cancels: HashMap<SmolStr, u64>,
     cancel_order: VecDeque<SmolStr>,
     counts: PrefillCounts,
+    runs: BTreeMap<SmolStr, RunCount>,
     next_key: u64,
 }
 
@@ -138,6 +151,7 @@
             cancels: HashMap::new(),
             cancel_order: VecDeque::new(),
             counts: PrefillCounts::default(),
+            runs: BTreeMap::new(),
             next_key: 0,
         }
     }
@@ -148,6 +162,12 @@
         self.counts
     }
 
+    /// Returns how often each request id was submitted, so that a double dispatch is seen.
+    #[must_use]
+    pub fn runs(&self) -> &BTreeMap<SmolStr, RunCount> {
+        &self.runs
+    }
+
     /// Returns the cache memory.
     pub fn cache(&mut self) -> &mut caches::PrefixCache {
         &mut self.cache
@@ -185,6 +205,7 @@
         let mut context = spec.prompt.clone();
         context.push_str(&answers::token_range(spec.seed, 0, spec.resume));
         let resumed = self.forget_cancel(&spec.id);
+        self.count_run(&spec.id, resumed);
         let sequence = Sequence {
             resumed,
             context_tokens: prompts::estimate_tokens(&context).0,
@@ -373,6 +394,18 @@
         self.cache.release(pinned, sequence.private);
     }
 
+    fn count_run(&mut self, id: &SmolStr, resumed: bool) {
+        if id.is_empty() || self.runs.len() >= COUNTED_RUNS {
+            return;
+        }
+        let run = self.runs.entry(id.clone()).or_default();
+        if resumed {
+            run.resumed += 1;
+        } else {
+            run.fresh += 1;
+        }
+    }
+
     fn remember_cancel(&mut self, id: SmolStr, computed: u64) {
         if self.cancels.insert(id.clone(), computed).is_none() {
             self.cancel_order.push_back(id);
--- a/crates/waxwing-standin/tests/simulation.rs
+++ b/crates/waxwing-standin/tests/simulation.rs
@@ -178,3 +178,28 @@
     assert!(counts.wasted_repeated <= 16, "{counts:?}");
     assert_eq!(counts.finished, 1);
 }
+
+/// Guards against a double dispatch that nobody sees, and against a suspended request that is
+/// taken for one.
+#[test]
+fn submissions_are_counted_by_request_id() {
+    let mut engine = engine(65_536, 32);
+    let first = engine.submit(spec("a", "one", 20, 0));
+    engine.cancel(first);
+    engine.submit(spec("a", "one", 20, 1));
+    assert_eq!(
+        engine.runs()["a"],
+        simulation::RunCount {
+            fresh: 1,
+            resumed: 1
+        }
+    );
+    engine.submit(spec("a", "one", 20, 0));
+    assert_eq!(
+        engine.runs()["a"],
+        simulation::RunCount {
+            fresh: 2,
+            resumed: 1
+        }
+    );
+}
