--- a/crates/waxwing-entry/src/agent_links.rs
+++ b/crates/waxwing-entry/src/agent_links.rs
@@ -1,9 +1,6 @@
 //! The task that keeps the link to one agent and passes its messages on.
 
-use std::{
-    sync::{Arc, Weak, atomic::Ordering},
-    time::Duration,
-};
+use std::sync::{Arc, Weak, atomic::Ordering};
 
 use waxwing_core::{clock, counters, ids, units};
 use waxwing_policy::{budget, choice};
@@ -211,8 +208,3 @@
     };
     ids::RequestId::from_slice(bytes).ok()
 }
-
-/// Returns how long a control link waits before the next attempt.
-pub(crate) fn reconnect_delay(attempts: u32) -> Duration {
-    budget::BackoffPolicy::default().delay(attempts, &mut rand::rng())
-}
--- a/crates/waxwing-entry/src/agents.rs
+++ b/crates/waxwing-entry/src/agents.rs
@@ -12,6 +12,7 @@
 
 use arc_swap::{ArcSwap, ArcSwapOption};
 use tokio_util::{sync::CancellationToken, task::TaskTracker};
+use waxwing_client::directory;
 use waxwing_core::{clock, counters, ids, units};
 use waxwing_policy::{choice, prefixes};
 use waxwing_wire::{links, messages, security};
@@ -162,17 +163,13 @@
         self.snapshot.load()
     }
 
-    /// Takes a change of the directory in.
-    pub fn apply(self: &Arc<Self>, directory: &messages::Directory) {
-        let mut seen = Vec::new();
-        for member in &directory.members {
-            if let Some(name) = self.announce(member) {
-                seen.push(name);
-            }
+    /// Takes a view of the directory in.
+    pub fn apply(self: &Arc<Self>, directory: &directory::DirectoryView) {
+        for member in directory.members.values() {
+            self.announce(member);
         }
         for (name, handle) in routes::lock(&self.by_name).iter() {
-            let dropped = directory.whole && !seen.contains(name);
-            if dropped || directory.gone.contains(name) {
+            if !directory.members.contains_key(name) {
                 unlist(handle);
             }
         }
@@ -197,7 +194,7 @@
         Some(handle)
     }
 
-    fn announce(self: &Arc<Self>, member: &messages::Announce) -> Option<String> {
+    fn announce(self: &Arc<Self>, member: &messages::Announce) -> Option<()> {
         let process = member.process.as_ref()?;
         let endpoint = member.endpoint.as_ref()?;
         if process.kind() != messages::ProcessKind::Agent {
@@ -222,7 +219,7 @@
                 self.insert(&process.name, info, distance, nominal);
             }
         }
-        Some(process.name.clone())
+        Some(())
     }
 
     fn distance(&self, data_centre: &str, region: &str) -> Duration {
--- a/crates/waxwing-entry/src/caller_tls.rs
+++ b/crates/waxwing-entry/src/caller_tls.rs
@@ -10,7 +10,9 @@
 ///
 /// # Errors
 /// Fails if a file can't be read or holds nothing usable.
-pub(crate) fn load(tls: &options::CallerTls) -> Result<tokio_rustls::TlsAcceptor, errors::EntryError> {
+pub(crate) fn load(
+    tls: &options::CallerTls,
+) -> Result<tokio_rustls::TlsAcceptor, errors::EntryError> {
     let chain = CertificateDer::pem_file_iter(&tls.certificate_file)
         .and_then(Iterator::collect::<Result<Vec<_>, _>>)
         .map_err(|error| unusable(&tls.certificate_file, &error))?;
--- a/crates/waxwing-entry/src/driver.rs
+++ b/crates/waxwing-entry/src/driver.rs
@@ -4,14 +4,17 @@
 
 use bytes::Bytes;
 use hyper::{HeaderMap, StatusCode, header};
-use tokio::sync::{mpsc, oneshot};
+use tokio::{
+    sync::{mpsc, oneshot},
+    task::JoinHandle,
+};
 use waxwing_core::{clock, counters, ids, reasons};
 use waxwing_policy::choice;
 use waxwing_settings::view;
 use waxwing_wire::messages;
 
 use crate::{
-    caller,
+    caller, control,
     formats::{self, CallerFormat, gate},
     headers, problems, records, request_core, routes, state,
 };
@@ -66,14 +69,16 @@
 }
 
 /// A `RequestDriver` runs one request.
-pub struct RequestDriver<C: clock::Clock> {
-    shared: Arc<state::EntryShared<C>>,
+pub struct RequestDriver<C, P> {
+    shared: Arc<state::EntryShared<C, P>>,
     view: Arc<view::SettingsView>,
     core: request_core::RequestCore,
     events: routes::EventSender,
     inbox: mpsc::UnboundedReceiver<request_core::CoreEvent>,
     followed: Option<routes::RouteGuard>,
     caller: CallerSide,
+    /// The last question to control.
+    question: Option<(messages::ClaimKey, JoinHandle<()>)>,
     gate: Option<gate::StreamGate>,
     copy: records::AnswerCopy,
     status: StatusCode,
@@ -81,9 +86,9 @@
 }
 
 /// A `DriverStart` is what a driver begins with.
-pub struct DriverStart<C: clock::Clock> {
+pub struct DriverStart<C, P> {
     /// The state of the process.
-    pub shared: Arc<state::EntryShared<C>>,
+    pub shared: Arc<state::EntryShared<C, P>>,
     /// The settings under which the request was accepted.
     pub view: Arc<view::SettingsView>,
     /// The state machine.
@@ -94,10 +99,10 @@
     pub inbox: mpsc::UnboundedReceiver<request_core::CoreEvent>,
 }
 
-impl<C: clock::Clock> RequestDriver<C> {
+impl<C: clock::Clock, P: control::ControlPort> RequestDriver<C, P> {
     /// Builds a driver and the channel on which the caller's side gets its answer.
     #[must_use]
-    pub fn new(start: DriverStart<C>) -> (Self, oneshot::Receiver<CallerReply>) {
+    pub fn new(start: DriverStart<C, P>) -> (Self, oneshot::Receiver<CallerReply>) {
         let (reply, receiver) = oneshot::channel();
         let driver = Self {
             shared: start.shared,
@@ -107,6 +112,7 @@
             inbox: start.inbox,
             followed: None,
             caller: CallerSide::Silent(reply),
+            question: None,
             gate: None,
             copy: records::AnswerCopy::default(),
             status: StatusCode::OK,
@@ -172,9 +178,7 @@
                 correlation,
                 body,
             } => self.send(agent, correlation, body).await,
-            request_core::CoreAction::Claim(key) => {
-                self.shared.control.claim(key, self.events.clone()).await;
-            }
+            request_core::CoreAction::Claim(key) => self.claim(key),
             request_core::CoreAction::Head { status, headers } => self.pass_head(status, &headers),
             request_core::CoreAction::Data(data) => self.pass_data(data),
             request_core::CoreAction::Finish => self.finish(),
@@ -185,6 +189,26 @@
         }
     }
 
+    /// Asks control, which asks again by itself; a question that is still open isn't repeated.
+    fn claim(&mut self, key: messages::ClaimKey) {
+        if let Some((asked, task)) = &self.question {
+            if *asked == key && !task.is_finished() {
+                return;
+            }
+            task.abort();
+        }
+        let control = self.shared.control.clone();
+        let events = self.events.clone();
+        let question = key.clone();
+        let task = tokio::spawn(async move {
+            if let Some(result) = control.claim(question).await {
+                // A closed queue belongs to a request that has ended meanwhile.
+                let _ = events.send(request_core::CoreEvent::Claimed(result));
+            }
+        });
+        self.question = Some((key, task));
+    }
+
     async fn send(&mut self, agent: choice::EndpointId, correlation: u64, body: messages::Body) {
         let handle = self.shared.agents.snapshot().by_id.get(&agent).cloned();
         let link = handle.as_ref().and_then(|handle| handle.link.load_full());
--- a/crates/waxwing-entry/src/edge.rs
+++ b/crates/waxwing-entry/src/edge.rs
@@ -9,7 +9,7 @@
 use waxwing_core::{clock, counters, ids, reasons};
 
 use crate::{
-    caller, driver,
+    caller, control, driver,
     formats::{self, CallerFormat},
     intake, problems, records, request_core, routes, state,
 };
@@ -25,11 +25,11 @@
 
 /// An `HttpEdge` answers the HTTP requests of callers.
 #[derive(Debug)]
-pub struct HttpEdge<C> {
-    shared: Arc<state::EntryShared<C>>,
+pub struct HttpEdge<C, P> {
+    shared: Arc<state::EntryShared<C, P>>,
 }
 
-impl<C> Clone for HttpEdge<C> {
+impl<C, P> Clone for HttpEdge<C, P> {
     fn clone(&self) -> Self {
         Self {
             shared: self.shared.clone(),
@@ -54,10 +54,10 @@
     answer: Option<&'a str>,
 }
 
-impl<C: clock::Clock> HttpEdge<C> {
+impl<C: clock::Clock, P: control::ControlPort> HttpEdge<C, P> {
     /// Builds the edge.
     #[must_use]
-    pub fn new(shared: Arc<state::EntryShared<C>>) -> Self {
+    pub fn new(shared: Arc<state::EntryShared<C, P>>) -> Self {
         Self { shared }
     }
 
@@ -184,11 +184,7 @@
         headers: &HeaderMap,
     ) -> Result<Response<EdgeBody>, problems::ProblemBody> {
         let unknown = || problems::ProblemBody::new(reasons::RefusalReason::UnknownRequest);
-        let Some(view) = self.shared.settings.view() else {
-            return Err(problems::ProblemBody::new(
-                reasons::RefusalReason::StaleSettings,
-            ));
-        };
+        let view = self.shared.control.settings();
         let account = intake::authenticate(&view, headers)?;
         let request = id.parse().map_err(|_| unknown())?;
         let records = routes::lock(&self.shared.records);
--- a/crates/waxwing-entry/src/intake.rs
+++ b/crates/waxwing-entry/src/intake.rs
@@ -16,10 +16,11 @@
 use waxwing_wire::messages;
 
 use crate::{
+    control,
     formats::{self, CallerFormat},
     headers, problems,
     request_core::plan,
-    routes, settings_state, state,
+    routes, state,
 };
 
 /// Time for which the body of a request is awaited; 30 s.
@@ -49,20 +50,20 @@
 }
 
 /// An `AcceptedCall` is a request with all that it holds while it lives.
-pub struct AcceptedCall<C: clock::Clock> {
+pub struct AcceptedCall {
     /// The settings under which it was accepted.
     pub view: Arc<view::SettingsView>,
     /// The plan.
     pub plan: plan::RequestPlan,
     /// Its room; given back when the call is dropped.
-    pub room: state::BodyRoom<C>,
+    pub room: state::BodyRoom,
     /// Its place among the requests of the account.
-    pub slot: state::AccountSlot<C>,
+    pub slot: state::AccountSlot,
 }
 
 /// A `CallIntake` reads one request.
-pub struct CallIntake<'a, C: clock::Clock> {
-    shared: &'a Arc<state::EntryShared<C>>,
+pub struct CallIntake<'a, C, P> {
+    shared: &'a Arc<state::EntryShared<C, P>>,
     view: Arc<view::SettingsView>,
     request: ids::RequestId,
     accepted: Instant,
@@ -102,26 +103,20 @@
         .ok_or_else(|| refused(reasons::RefusalReason::Unauthorized))
 }
 
-impl<'a, C: clock::Clock> CallIntake<'a, C> {
+impl<'a, C: clock::Clock, P: control::ControlPort> CallIntake<'a, C, P> {
     /// Begins a request under the settings in force.
     ///
     /// # Errors
     /// Fails if there are no settings, or too old ones.
-    pub fn begin(shared: &'a Arc<state::EntryShared<C>>, request: ids::RequestId) -> Refused<Self> {
+    pub fn begin(shared: &'a Arc<state::EntryShared<C, P>>, request: ids::RequestId) -> Refused<Self> {
         let accepted = shared.clock.now();
-        let usable = match shared.settings.freshness(accepted) {
-            settings_state::Freshness::Current | settings_state::Freshness::Stale => {
-                shared.settings.view()
-            }
-            settings_state::Freshness::Absent | settings_state::Freshness::Expired => None,
-        };
-        let view = usable.ok_or_else(|| {
-            refused(reasons::RefusalReason::StaleSettings)
-                .with_retry_after(Some(Duration::from_secs(2)))
-        })?;
+        if !shared.control.freshness().is_ready() {
+            return Err(refused(reasons::RefusalReason::StaleSettings)
+                .with_retry_after(Some(Duration::from_secs(2))));
+        }
         Ok(Self {
             shared,
-            view,
+            view: shared.control.settings(),
             request,
             accepted,
         })
@@ -136,7 +131,7 @@
         head: &request::Parts,
         target: CallTarget,
         body: B,
-    ) -> Refused<AcceptedCall<C>>
+    ) -> Refused<AcceptedCall>
     where
         B: body::Body<Data = Bytes>,
     {
@@ -148,7 +143,7 @@
         };
         let (rank, limit) = self.first_bounds(&parts)?;
         let room = state::BodyRoom {
-            shared: self.shared.clone(),
+            room: self.shared.room.clone(),
             request: self.request,
         };
         let body = self.read_body(rank, limit, body).await?;
@@ -369,8 +364,7 @@
         let Some(key) = &parts.steering.key else {
             return Ok(None);
         };
-        let freshness = self.shared.settings.freshness(self.shared.clock.now());
-        if freshness != settings_state::Freshness::Current {
+        if !self.shared.control.freshness().allows_claims() {
             return Err(refused(reasons::RefusalReason::ClaimUnavailable)
                 .with_retry_after(Some(Duration::from_secs(2))));
         }
@@ -390,7 +384,7 @@
         &self,
         account: &view::AccountEntry,
         plan: &plan::RequestPlan,
-    ) -> Refused<state::AccountSlot<C>> {
+    ) -> Refused<state::AccountSlot> {
         let limits = accounts::AccountLimits {
             requests_per_second: account.settings.requests_per_second,
             concurrent_requests: account.settings.concurrent_requests,
@@ -403,7 +397,7 @@
             .admit(&account.name, &limits, tokens, now)
             .map_err(|refusal| refused(refusal.reason).with_retry_after(refusal.retry_after))?;
         Ok(state::AccountSlot {
-            shared: self.shared.clone(),
+            accounts: self.shared.accounts.clone(),
             account: account.name.clone(),
         })
     }
--- a/crates/waxwing-entry/src/lib.rs
+++ b/crates/waxwing-entry/src/lib.rs
@@ -21,7 +21,6 @@
 pub mod request_core;
 pub mod routes;
 pub mod server;
-pub mod settings_state;
 pub mod state;
 
 pub use options::EntryOptions;
--- a/crates/waxwing-entry/src/request_core.rs
+++ b/crates/waxwing-entry/src/request_core.rs
@@ -140,6 +140,9 @@
     /// Finds the agent of a claim and keeps a link to it; [`CoreEvent::LinkUp`] follows.
     fn reach(&mut self, name: &str, address: &str) -> Option<choice::EndpointId>;
 
+    /// Tells whether a request of this entry has this id.
+    fn is_local(&self, request: ids::RequestId) -> bool;
+
     /// Keeps the body from eviction; tells whether it is still there.
     fn pin(&mut self) -> bool;
 
@@ -358,7 +361,7 @@
                 self.on_settled(now, agent, correlation, &settled, host);
             }
             messages::Body::AnswerHead(head) => self.on_head(agent, head, host),
-            messages::Body::AnswerChunk(chunk) => self.on_chunk(agent, chunk, host),
+            messages::Body::AnswerChunk(chunk) => self.on_chunk(now, agent, chunk, host),
             _ => {}
         }
     }
--- a/crates/waxwing-entry/src/request_core/attaching.rs
+++ b/crates/waxwing-entry/src/request_core/attaching.rs
@@ -63,8 +63,6 @@
             let retry_after = Some(Duration::from_secs(1));
             self.refuse_not_run(reasons::RefusalReason::ClaimUnavailable, retry_after, host);
         } else if now >= *ask_at {
-            let reason = reasons::RetryReason::ClaimTimeout;
-            self.actions.push(CoreAction::Retry(reason));
             self.ask_claim(now);
         }
     }
@@ -78,6 +76,7 @@
         match &self.phase {
             CorePhase::Claiming { .. } => self.on_claim_answer(now, result, host),
             CorePhase::Recalling { .. } => self.on_recalled(result.record, host),
+            CorePhase::Bound(run) if run.followed => self.on_followed(result.record, host),
             _ => {}
         }
     }
@@ -180,17 +179,16 @@
         self.phase = CorePhase::Recalling {
             run,
             ends: now + self.timing.claim_limit,
-            ask_at: now,
+            ask_at: now + self.timing.claim_interval,
         };
-        self.ask_result(now);
+        self.ask_result();
     }
 
-    fn ask_result(&mut self, now: Instant) {
-        let (CorePhase::Recalling { ask_at, .. }, Some(plan)) = (&mut self.phase, &self.plan.claim)
-        else {
+    /// Looks the claim up.
+    pub(super) fn ask_result(&mut self) {
+        let Some(plan) = &self.plan.claim else {
             return;
         };
-        *ask_at = now + self.timing.claim_interval;
         self.actions.push(CoreAction::Claim(messages::ClaimKey {
             name: Some(plan.name.clone()),
             record: None,
@@ -201,14 +199,34 @@
     }
 
     pub(super) fn on_recalling_timer<H: CoreHost>(&mut self, now: Instant, host: &mut H) {
-        let CorePhase::Recalling { run, ends, ask_at } = &self.phase else {
+        let CorePhase::Recalling { run, ends, ask_at } = &mut self.phase else {
             return;
         };
         if now >= *ends {
             let reason = run.lost_reason();
             self.refuse_unknown(reason, host);
         } else if now >= *ask_at {
-            self.ask_result(now);
+            *ask_at = now + self.timing.claim_interval;
+            self.ask_result();
+        }
+    }
+
+    /// Takes the looked-up claim of a followed run in. Without a result the run is settled again by
+    /// its timer. A result that was too long to be stored is read at the agent.
+    fn on_followed<H: CoreHost>(&mut self, record: Option<messages::ClaimRecord>, host: &mut H) {
+        let CorePhase::Bound(run) = &self.phase else {
+            return;
+        };
+        let (wanted, finished) = (run.request.to_bytes(), run.finished);
+        let record = record.filter(|record| record.request == wanted);
+        let Some(result) = record.and_then(|record| record.result) else {
+            return;
+        };
+        if !result.whole || result.body.is_some() {
+            self.deliver_stored(result, reasons::RefusalReason::KeyUnknown, host);
+        } else if finished {
+            self.take_run(host);
+            self.resume();
         }
     }
 
--- a/crates/waxwing-entry/src/request_core/binding.rs
+++ b/crates/waxwing-entry/src/request_core/binding.rs
@@ -29,6 +29,8 @@
     settling: bool,
     /// Whether the answer was asked for again and nothing of it has come.
     resuming: bool,
+    /// Whether the followed run has ended, by its agent.
+    pub(super) finished: bool,
     settle_at: Option<Instant>,
     give_up_at: Option<Instant>,
     acked: u64,
@@ -45,6 +47,7 @@
             taken: false,
             settling: false,
             resuming: false,
+            finished: false,
             settle_at: Some(settle_at),
             give_up_at: None,
             acked: 0,
@@ -67,6 +70,7 @@
             taken: false,
             settling: false,
             resuming: false,
+            finished: false,
             settle_at: None,
             give_up_at: Some(give_up_at),
             acked: 0,
@@ -174,8 +178,19 @@
         self.send(agent, grant, body);
     }
 
+    /// Waits for the stored result of a run that another entry reads. An agent sends an answer to
+    /// the reader that asked last, so asking for it now would take it from the first caller.
+    fn wait_for_result(&mut self, now: Instant, finished: bool) {
+        let CorePhase::Bound(run) = &mut self.phase else {
+            return;
+        };
+        run.finished = finished;
+        run.give_up_at = Some(now + self.timing.settle_limit);
+        self.ask_result();
+    }
+
     /// Asks for the rest of the answer.
-    fn resume(&mut self) {
+    pub(super) fn resume(&mut self) {
         let offset = if self.answer.has_head() {
             self.answer.received()
         } else {
@@ -195,7 +210,7 @@
     }
 
     /// Notes that the agent has the request, so that the body isn't needed any more.
-    fn take_run<H: CoreHost>(&mut self, host: &mut H) {
+    pub(super) fn take_run<H: CoreHost>(&mut self, host: &mut H) {
         let CorePhase::Bound(run) = &mut self.phase else {
             return;
         };
@@ -273,8 +288,14 @@
             }
             messages::SettledState::Running | messages::SettledState::Finished => {
                 self.count(counters::CounterEvent::HandoversSettled);
-                self.take_run(host);
-                self.resume();
+                let finished = settled.state() == messages::SettledState::Finished;
+                let shared = !run.followed || host.is_local(run.request);
+                if shared {
+                    self.take_run(host);
+                    self.resume();
+                } else {
+                    self.wait_for_result(now, finished);
+                }
             }
             messages::SettledState::Forgotten | messages::SettledState::OtherIncarnation => {
                 self.lose_run(now, host);
@@ -304,6 +325,7 @@
 
     pub(super) fn on_chunk<H: CoreHost>(
         &mut self,
+        now: Instant,
         agent: choice::EndpointId,
         chunk: messages::AnswerChunk,
         host: &mut H,
@@ -314,7 +336,12 @@
         self.take_run(host);
         // An agent that has nothing of the answer ends it without a head.
         if let Some(end) = chunk.end.as_ref().filter(|end| !end.whole) {
-            self.fail_answer(end, host);
+            let not_kept = end.reason == reasons::RefusalReason::UnknownRequest.as_str();
+            if not_kept && self.plan.claim.is_some() {
+                self.lose_run(now, host);
+            } else {
+                self.fail_answer(end, host);
+            }
             return;
         }
         if !self.answer.has_head() {
--- a/crates/waxwing-entry/src/routes.rs
+++ b/crates/waxwing-entry/src/routes.rs
@@ -84,6 +84,12 @@
         last.send(event).is_ok()
     }
 
+    /// Tells whether a request has a route.
+    #[must_use]
+    pub fn contains(&self, request: ids::RequestId) -> bool {
+        self.state.shard(request).contains_key(&request)
+    }
+
     /// Passes an event to every request.
     pub fn broadcast(&self, event: &request_core::CoreEvent) {
         for shard in &self.state.shards {
--- a/crates/waxwing-entry/src/server.rs
+++ b/crates/waxwing-entry/src/server.rs
@@ -12,7 +12,8 @@
     net,
 };
 use tokio_util::sync::CancellationToken;
-use waxwing_core::clock;
+use waxwing_client::{clients, options as client_options};
+use waxwing_core::{clock, counters};
 use waxwing_wire::{messages, security};
 
 use crate::{caller_tls, control, edge, errors, options, state};
@@ -78,16 +79,25 @@
     /// readiness delay, and those in progress end before this returns.
     pub async fn run(self, shutdown: CancellationToken) {
         let links_ended = CancellationToken::new();
+        let counters = counters::CounterSet::new();
+        let client = clients::ControlClient::start(
+            self.client_options(),
+            self.clock.clone(),
+            counters.clone(),
+            links_ended.clone(),
+        );
         let shared = state::EntryShared::new(
             self.options.clone(),
             self.security.clone(),
             self.clock.clone(),
+            counters,
+            client.clone(),
             links_ended.clone(),
         );
-        let control = self.control_task(&shared);
-        let control_ended = links_ended.clone();
+        let follower = control::follow_directory(client, shared.agents.clone());
+        let follower_ended = links_ended.clone();
         shared.tasks.spawn(async move {
-            control_ended.run_until_cancelled(control.run()).await;
+            follower_ended.run_until_cancelled(follower).await;
         });
         tracing::info!(address = %self.address, "entry serves callers");
         let delay = shared.options.readiness_delay();
@@ -102,7 +112,7 @@
         shared.tasks.wait().await;
     }
 
-    fn control_task(&self, shared: &Arc<state::EntryShared<C>>) -> control::ControlTask<C> {
+    fn client_options(&self) -> client_options::ClientOptions {
         let announce = messages::Announce {
             process: Some(state::hello(&self.options, &self.clock)),
             address: self.address.to_string(),
@@ -110,24 +120,19 @@
             watch_limit: self.options.watch_limit,
             ..messages::Announce::default()
         };
-        control::ControlTask {
-            announce,
-            hosts: self.options.control_hosts.clone(),
-            link: shared.control.clone(),
-            settings: shared.settings.clone(),
-            agents: shared.agents.clone(),
-            security: self.security.clone(),
-            clock: self.clock.clone(),
-        }
+        let mut options =
+            client_options::ClientOptions::new(announce, self.options.control_hosts.clone());
+        options.security = self.security.clone();
+        options
     }
 
     /// Waits for the shutdown and the readiness delay after it.
-    fn stop_accepting(
+    fn stop_accepting<P: control::ControlPort>(
         &self,
-        shared: Arc<state::EntryShared<C>>,
+        shared: Arc<state::EntryShared<C, P>>,
         shutdown: CancellationToken,
         delay: Duration,
-    ) -> impl Future<Output = ()> + Send + use<C> {
+    ) -> impl Future<Output = ()> + Send + use<C, P> {
         async move {
             shutdown.cancelled().await;
             shared.drain();
@@ -136,9 +141,9 @@
         }
     }
 
-    async fn accept(
+    async fn accept<P: control::ControlPort>(
         &self,
-        shared: &Arc<state::EntryShared<C>>,
+        shared: &Arc<state::EntryShared<C, P>>,
         connections: &graceful::GracefulShutdown,
         stop: impl Future<Output = ()>,
     ) {
@@ -177,10 +182,11 @@
     }
 }
 
-async fn serve<S, C>(stream: S, edge: edge::HttpEdge<C>, watcher: graceful::Watcher)
+async fn serve<S, C, P>(stream: S, edge: edge::HttpEdge<C, P>, watcher: graceful::Watcher)
 where
     S: AsyncRead + AsyncWrite + Send + Unpin + 'static,
     C: clock::Clock,
+    P: control::ControlPort,
 {
     let service = service::service_fn(move |http| {
         let edge = edge.clone();
--- a/crates/waxwing-entry/src/state.rs
+++ b/crates/waxwing-entry/src/state.rs
@@ -9,14 +9,13 @@
 };
 
 use tokio_util::{sync::CancellationToken, task::TaskTracker};
-use waxwing_core::{clock, counters, ids, reasons};
+use waxwing_core::{clock, counters, ids, reasons, units};
 use waxwing_policy::{accounts, budget, choice, prefixes, waiting};
 use waxwing_settings::view;
 use waxwing_wire::{messages, security};
 
 use crate::{
     agents, control, options, problems, records, request_core, request_core::plan, routes,
-    settings_state,
 };
 
 /// Prefixes that an entry remembers; with four endpoints each they take about 10 MB.
@@ -24,29 +23,27 @@
 
 /// An `EntryShared` holds the state of an entry process.
 #[derive(Debug)]
-pub struct EntryShared<C> {
+pub struct EntryShared<C, P> {
     /// The settings of the process.
     pub options: options::EntryOptions,
     /// The clock.
     pub clock: C,
     /// The counters.
     pub counters: counters::CounterSet,
-    /// The agreed settings.
-    pub settings: Arc<settings_state::SettingsState>,
     /// The agents.
     pub agents: Arc<agents::AgentTable<C>>,
-    /// The link to control.
-    pub control: Arc<control::ControlLink>,
+    /// The way to the control hosts.
+    pub control: P,
     /// Routes from messages to requests.
     pub routes: routes::RouteTable,
     /// Which endpoint has which prefix.
     pub prefixes: Arc<Mutex<prefixes::PrefixMap>>,
     /// Limits of accounts.
-    pub accounts: Mutex<accounts::AccountTable>,
+    pub accounts: Arc<Mutex<accounts::AccountTable>>,
     /// Retry budgets.
     pub budgets: Mutex<budget::RetryBudget>,
     /// Memory for bodies.
-    pub room: Mutex<waiting::WaitingRoom>,
+    pub room: Arc<Mutex<waiting::WaitingRoom>>,
     /// What became of requests.
     pub records: Mutex<records::RecordTable>,
     /// The routing policies.
@@ -58,16 +55,17 @@
     draining: AtomicBool,
 }
 
-impl<C: clock::Clock> EntryShared<C> {
+impl<C: clock::Clock, P: control::ControlPort> EntryShared<C, P> {
     /// Builds the state of a process that knows no settings and no agents.
     #[must_use]
     pub fn new(
         options: options::EntryOptions,
         security: security::LinkSecurity,
         clock: C,
+        counters: counters::CounterSet,
+        control: P,
         links_ended: CancellationToken,
     ) -> Arc<Self> {
-        let counters = counters::CounterSet::new();
         let routes = routes::RouteTable::default();
         let prefixes = Arc::new(Mutex::new(prefixes::PrefixMap::new(PREFIX_CAPACITY)));
         let tasks = TaskTracker::new();
@@ -83,14 +81,15 @@
             ended: links_ended,
         });
         Arc::new(Self {
-            settings: Arc::new(settings_state::SettingsState::new(counters.clone())),
             agents,
-            control: Arc::default(),
+            control,
             routes,
             prefixes,
-            accounts: Mutex::default(),
+            accounts: Arc::default(),
             budgets: Mutex::default(),
-            room: Mutex::new(waiting::WaitingRoom::new(options.body_memory_bytes)),
+            room: Arc::new(Mutex::new(waiting::WaitingRoom::new(
+                options.body_memory_bytes,
+            ))),
             records: Mutex::default(),
             policies: choice::PolicyTable::default(),
             timing: request_core::CoreTiming::default(),
@@ -114,12 +113,8 @@
         if self.draining.load(Ordering::Relaxed) {
             return Some(reasons::RefusalReason::ShuttingDown);
         }
-        match self.settings.freshness(self.clock.now()) {
-            settings_state::Freshness::Absent | settings_state::Freshness::Expired => {
-                Some(reasons::RefusalReason::StaleSettings)
-            }
-            settings_state::Freshness::Current | settings_state::Freshness::Stale => None,
-        }
+        let ready = self.control.freshness().is_ready();
+        (!ready).then_some(reasons::RefusalReason::StaleSettings)
     }
 
     /// Takes room for a body and tells the requests that were evicted for it.
@@ -130,7 +125,7 @@
         &self,
         request: ids::RequestId,
         rank: ids::TierRank,
-        bytes: waxwing_core::units::ByteCount,
+        bytes: units::ByteCount,
     ) -> Result<(), problems::ProblemBody> {
         let admitted = routes::lock(&self.room).admit(request, rank, bytes);
         match admitted {
@@ -163,34 +158,34 @@
 
 /// A `BodyRoom` holds room for a body until it is dropped.
 #[derive(Debug)]
-pub struct BodyRoom<C: clock::Clock> {
-    pub(crate) shared: Arc<EntryShared<C>>,
+pub struct BodyRoom {
+    pub(crate) room: Arc<Mutex<waiting::WaitingRoom>>,
     pub(crate) request: ids::RequestId,
 }
 
-impl<C: clock::Clock> Drop for BodyRoom<C> {
+impl Drop for BodyRoom {
     fn drop(&mut self) {
-        routes::lock(&self.shared.room).remove(self.request);
+        routes::lock(&self.room).remove(self.request);
     }
 }
 
 /// An `AccountSlot` is one admitted request of an account; dropping it ends the request.
 #[derive(Debug)]
-pub struct AccountSlot<C: clock::Clock> {
-    pub(crate) shared: Arc<EntryShared<C>>,
+pub struct AccountSlot {
+    pub(crate) accounts: Arc<Mutex<accounts::AccountTable>>,
     pub(crate) account: ids::AccountName,
 }
 
-impl<C: clock::Clock> Drop for AccountSlot<C> {
+impl Drop for AccountSlot {
     fn drop(&mut self) {
-        routes::lock(&self.shared.accounts).release(&self.account);
+        routes::lock(&self.accounts).release(&self.account);
     }
 }
 
 /// A `RequestHost` answers the questions of one request.
-pub struct RequestHost<'a, C: clock::Clock> {
+pub struct RequestHost<'a, C, P> {
     /// The state of the process.
-    pub shared: &'a Arc<EntryShared<C>>,
+    pub shared: &'a Arc<EntryShared<C, P>>,
     /// The settings under which the request was accepted.
     pub view: &'a view::SettingsView,
     /// The request.
@@ -199,10 +194,10 @@
     pub events: &'a routes::EventSender,
 }
 
-impl<C: clock::Clock> RequestHost<'_, C> {
-    fn pick<P: choice::EndpointPolicy>(
+impl<C: clock::Clock, P> RequestHost<'_, C, P> {
+    fn pick<E: choice::EndpointPolicy>(
         &self,
-        policy: &P,
+        policy: &E,
         plan: &plan::RequestPlan,
         excluded: &[choice::EndpointId],
         count: usize,
@@ -214,7 +209,7 @@
             None => snapshot.services(plan.service.as_str()),
         };
         let mut affinity = Vec::new();
-        if !P::IMMEDIATE && !plan.prefixes.is_empty() {
+        if !E::IMMEDIATE && !plan.prefixes.is_empty() {
             routes::lock(&self.shared.prefixes).affinities(&plan.prefixes, &mut affinity);
         }
         let demand = plan.demand(&affinity, excluded, count);
@@ -230,7 +225,7 @@
     }
 }
 
-impl<C: clock::Clock> request_core::CoreHost for RequestHost<'_, C> {
+impl<C: clock::Clock, P> request_core::CoreHost for RequestHost<'_, C, P> {
     fn choose(
         &mut self,
         plan: &plan::RequestPlan,
@@ -288,6 +283,10 @@
         Some(handle.id)
     }
 
+    fn is_local(&self, request: ids::RequestId) -> bool {
+        self.shared.routes.contains(request)
+    }
+
     fn pin(&mut self) -> bool {
         routes::lock(&self.shared.room).pin(self.request)
     }
