--- a/crates/waxwing-agent/src/announcer.rs
+++ b/crates/waxwing-agent/src/announcer.rs
@@ -132,7 +132,7 @@
             settings_version: 0,
             leaving: state.leaving,
             lease_millis: LEASE_MILLIS,
-            watch_limit: 0,
+            ..messages::Announce::default()
         })
     }
 }
--- a/crates/waxwing-core/src/guidance.rs
+++ b/crates/waxwing-core/src/guidance.rs
@@ -196,6 +196,9 @@
                 "Orders refused for an old fencing number. An old decider was still at work."
             }
             Self::OrdersDone => "Engine orders carried out.",
+            Self::OrdersFailed => {
+                "Engine orders that the engine could not carry out. See the engine's own logs."
+            }
             Self::CacheEventGaps => "Gaps in cache events. Many gaps make prefix affinity weaker.",
             Self::ControlBytesSent => "Bytes sent for control work; the limit is 25 KB/s a node.",
             Self::ControlBytesReceived => {
