--- a/crates/waxwing-quorum/src/changes.rs
+++ b/crates/waxwing-quorum/src/changes.rs
@@ -30,6 +30,10 @@
             }
             _ => {}
         }
+        let (heard, needed) = (self.voters_heard(&next), next.quorum());
+        if heard < needed {
+            return Err(errors::ChangeError::NoQuorum { heard, needed });
+        }
         let id = self.append_own(messages::EntryKind::Members, next.encode());
         self.history.push(id.index, next);
         let (own, heard) = (self.identity, Some(self.now));
--- a/crates/waxwing-quorum/src/election.rs
+++ b/crates/waxwing-quorum/src/election.rs
@@ -245,18 +245,23 @@
 
     /// Steps down if no quorum has answered within the election timeout.
     pub(crate) fn check_quorum(&mut self) {
-        let Some(leading) = &self.leading else {
-            return;
-        };
-        let oldest = self.now.saturating_sub(self.options.election_timeout_min);
+        let members = self.members();
+        if self.voters_heard(members) < members.quorum() {
+            self.become_follower(self.term, None);
+        }
+    }
+
+    /// Returns how many voters were heard within the election timeout, with this node.
+    pub(crate) fn voters_heard(&self, members: &members::Membership) -> usize {
+        let timeout = self.options.election_timeout_min;
+        let oldest = self.now.saturating_sub(timeout);
         let heard = |voter: &members::MemberIdentity| {
-            let peer = leading.peers.get(&voter.member);
+            let peers = self.leading.as_ref().map(|leading| &leading.peers);
+            let peer = peers.and_then(|peers| peers.get(&voter.member));
+            let peer = peer.filter(|peer| peer.identity == *voter);
             *voter == self.identity
                 || peer.is_some_and(|peer| peer.heard.is_some_and(|heard| heard >= oldest))
         };
-        let members = self.members();
-        if members.voters().filter(heard).count() < members.quorum() {
-            self.become_follower(self.term, None);
-        }
+        members.voters().filter(heard).count()
     }
 }
--- a/crates/waxwing-quorum/src/errors.rs
+++ b/crates/waxwing-quorum/src/errors.rs
@@ -187,6 +187,15 @@
         /// The number it may lack.
         allowed: u64,
     },
+    /// The change would leave voters of which too few were heard within the election timeout, so
+    /// that nothing could be committed after it.
+    #[error("only {heard} voters of the new membership were heard lately; {needed} are needed")]
+    NoQuorum {
+        /// The voters heard, with the leader.
+        heard: usize,
+        /// The quorum of the new membership.
+        needed: usize,
+    },
     /// The leader would remove itself; leadership must be transferred first.
     #[error("the leader can't remove itself; transfer leadership first")]
     RemovesLeader,
