Explain the counter of failed engine orders, and build against main

The merge of the agent left the guide of CounterEvent::OrdersFailed and the field Announce::uptime_millis without a value, so the workspace did not build.

Run: cargo test -p waxwing-agent -p waxwing-policy -p waxwing.

--- a/crates/waxwing-agent/src/announcer.rs
+++ b/crates/waxwing-agent/src/announcer.rs
@@ -133,6 +133,7 @@
             leaving: state.leaving,
             lease_millis: LEASE_MILLIS,
             watch_limit: 0,
+            uptime_millis: 0,
         })
     }
 }
--- a/crates/waxwing-core/src/guidance.rs
+++ b/crates/waxwing-core/src/guidance.rs
@@ -195,6 +195,9 @@
             Self::OrdersFenced => {
                 "Orders refused for an old fencing number. An old decider was still at work."
             }
+            Self::OrdersFailed => {
+                "Engine orders that the engine did not carry out. The agent's result names the reason."
+            }
             Self::OrdersDone => "Engine orders carried out.",
             Self::CacheEventGaps => "Gaps in cache events. Many gaps make prefix affinity weaker.",
             Self::ControlBytesSent => "Bytes sent for control work; the limit is 25 KB/s a node.",
