--- a/crates/waxwing-agent/src/announcer.rs
+++ b/crates/waxwing-agent/src/announcer.rs
@@ -132,7 +132,8 @@
             settings_version: 0,
             leaving: state.leaving,
             lease_millis: LEASE_MILLIS,
-            ..messages::Announce::default()
+            watch_limit: 0,
+            uptime_millis: 0,
         })
     }
 }
