--- a/crates/waxwing-entry/src/intake.rs
+++ b/crates/waxwing-entry/src/intake.rs
@@ -108,7 +108,10 @@
     ///
     /// # Errors
     /// Fails if there are no settings, or too old ones.
-    pub fn begin(shared: &'a Arc<state::EntryShared<C, P>>, request: ids::RequestId) -> Refused<Self> {
+    pub fn begin(
+        shared: &'a Arc<state::EntryShared<C, P>>,
+        request: ids::RequestId,
+    ) -> Refused<Self> {
         let accepted = shared.clock.now();
         if !shared.control.freshness().is_ready() {
             return Err(refused(reasons::RefusalReason::StaleSettings)
--- a/crates/waxwing-entry/src/request_core/binding.rs
+++ b/crates/waxwing-entry/src/request_core/binding.rs
@@ -287,9 +287,9 @@
                 self.offer_again(now, reasons::RetryReason::NeverReceived, host);
             }
             messages::SettledState::Running | messages::SettledState::Finished => {
-                self.count(counters::CounterEvent::HandoversSettled);
                 let finished = settled.state() == messages::SettledState::Finished;
                 let shared = !run.followed || host.is_local(run.request);
+                self.count(counters::CounterEvent::HandoversSettled);
                 if shared {
                     self.take_run(host);
                     self.resume();
