--- a/crates/waxwing-control/src/host.rs
+++ b/crates/waxwing-control/src/host.rs
@@ -73,7 +73,8 @@
         self.clock.now().saturating_duration_since(self.started) >= WARM_UP
     }
 
-    /// Runs an action and waits until this host has applied it as well.
+    /// Runs an action. The result comes from the leader; this host may apply the command later,
+    /// which every read allows for by [`Self::confirm`].
     pub(crate) async fn submit(
         &self,
         action: commands::LogAction,
@@ -103,8 +104,7 @@
     ) -> Result<commands::ResultKind, errors::SubmitError> {
         let submission = Bytes::from(submission.encode_to_vec());
         let work = async {
-            let (index, result) = self.submit_anywhere(&submission).await?;
-            self.log.wait_applied(index).await?;
+            let (_, result) = self.submit_anywhere(&submission).await?;
             result.kind.ok_or(errors::SubmitError::Unavailable)
         };
         self.limited(work).await
--- a/crates/waxwing-control/src/operators.rs
+++ b/crates/waxwing-control/src/operators.rs
@@ -319,7 +319,13 @@
         let change = commands::MemberRequest::from_operator(&request);
         let submitted = self.host.change_member(change).await;
         let kind = submitted.map_err(|_| OperatorError::unavailable())?;
-        let answer = change_answer(kind, false)?;
+        // The log answers an accepted change of the members with a plain mark.
+        let answer = match kind {
+            commands::ResultKind::Done(_) => operations::ChangeAnswer::Changed {
+                version: self.host.log.shared.read().settings().version(),
+            },
+            other => change_answer(other, false)?,
+        };
         let status = match answer {
             operations::ChangeAnswer::Changed { .. } => StatusCode::OK,
             _ => StatusCode::CONFLICT,
--- /dev/null
+++ b/crates/waxwingctl/src/main.rs
@@ -0,0 +1,35 @@
+//! The operators' tool.
+
+use std::process::ExitCode;
+
+use clap::Parser as _;
+use waxwing_core::clock;
+use waxwing_settings::errors;
+use waxwingctl::{arguments, calls, commands};
+
+/// The exit code for a file that was refused.
+const BAD_SETTINGS: u8 = 2;
+
+fn main() -> ExitCode {
+    let arguments = arguments::ToolArguments::parse();
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build();
+    let outcome = runtime
+        .map_err(anyhow::Error::from)
+        .and_then(|runtime| runtime.block_on(run(&arguments)));
+    match outcome {
+        Ok(code) => ExitCode::from(code),
+        Err(error) => {
+            eprintln!("{error:#}");
+            let refused = error.downcast_ref::<errors::SettingsError>().is_some();
+            ExitCode::from(if refused { BAD_SETTINGS } else { 1 })
+        }
+    }
+}
+
+async fn run(arguments: &arguments::ToolArguments) -> anyhow::Result<u8> {
+    let caller = calls::ControlCaller::from_arguments(&arguments.connection, clock::SystemClock)?;
+    let runner = commands::CommandRunner::new(caller, arguments.json);
+    runner.run(&arguments.command).await
+}
