--- a/crates/waxwing-control/tests/support/mod.rs
+++ b/crates/waxwing-control/tests/support/mod.rs
@@ -2,12 +2,14 @@
 
 #![allow(dead_code)]
 
-use std::net::SocketAddr;
+use std::{net::SocketAddr, time::Duration};
 
+use http_body_util::{BodyExt as _, Full};
 use tokio_util::sync::CancellationToken;
 use waxwing_client::{clients, options as client_options};
 use waxwing_control::options;
-use waxwing_core::{clock, counters};
+use waxwing_core::{clock, counters, ids};
+use waxwing_settings::{operations, patches};
 use waxwing_wire::messages;
 
 /// The token of the root operator in [`TREE`].
@@ -94,3 +96,64 @@
         ..messages::ClaimKey::default()
     }
 }
+
+/// Sends a request of the root operator; `None` if there is no answer.
+pub(crate) async fn request(
+    host: SocketAddr,
+    method: &str,
+    path: &str,
+    body: Vec<u8>,
+) -> Option<(u16, bytes::Bytes)> {
+    let stream = tokio::net::TcpStream::connect(host).await.ok()?;
+    let io = hyper_util::rt::TokioIo::new(stream);
+    let (mut sender, connection) = hyper::client::conn::http1::handshake(io).await.ok()?;
+    tokio::spawn(connection);
+    let request = hyper::Request::builder()
+        .method(method)
+        .uri(path)
+        .header("host", host.to_string())
+        .header("authorization", format!("Bearer {}", ROOT_TOKEN))
+        .body(Full::new(bytes::Bytes::from(body)))
+        .unwrap();
+    let response = sender.send_request(request).await.ok()?;
+    let status = response.status().as_u16();
+    let body = response.into_body().collect().await.ok()?.to_bytes();
+    Some((status, body))
+}
+
+/// Builds a change of one path.
+pub(crate) fn change(base: u64, path: &str, value: serde_json::Value) -> operations::ChangeRequest {
+    operations::ChangeRequest {
+        id: ids::ChangeId::random(),
+        base: ids::SettingsVersion(base),
+        patch: patches::SettingsPatch::from_entries([(path.into(), value)]).unwrap(),
+        dry_run: false,
+    }
+}
+
+/// Sends a change to host after host, with the same id, until some answer comes.
+pub(crate) async fn submit(
+    hosts: &[SocketAddr],
+    change: &operations::ChangeRequest,
+) -> operations::ChangeAnswer {
+    let body = serde_json::to_vec(change).unwrap();
+    for host in hosts.iter().cycle() {
+        let answer = request(*host, "POST", "/v1/settings/changes", body.clone()).await;
+        match answer {
+            Some((503, _)) | None => tokio::time::sleep(Duration::from_millis(20)).await,
+            Some((_, body)) => return serde_json::from_slice(&body).unwrap(),
+        }
+    }
+    unreachable!()
+}
+
+/// Reads the accepted changes.
+pub(crate) async fn history(host: SocketAddr) -> operations::HistoryAnswer {
+    loop {
+        let answer = request(host, "GET", "/v1/settings/changes", Vec::new()).await;
+        if let Some((200, body)) = answer {
+            return serde_json::from_slice(&body).unwrap();
+        }
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+}
