--- /dev/null
+++ b/crates/waxwing-control/tests/directory.rs
@@ -0,0 +1,175 @@
+//! The directory: leases, equal names, late announcements, and subsets.
+
+use std::{
+    collections::BTreeSet,
+    time::{Duration, Instant},
+};
+
+use waxwing_control::directory;
+use waxwing_wire::messages;
+
+/// A `TestDirectory` is a directory with a clock that a test steps.
+struct TestDirectory {
+    state: directory::DirectoryState,
+    start: Instant,
+}
+
+fn announce(name: &str, incarnation: u64, uptime_millis: u64) -> messages::Announce {
+    messages::Announce {
+        process: Some(messages::Hello {
+            kind: messages::ProcessKind::Agent as i32,
+            name: name.to_owned(),
+            incarnation,
+            data_centre: "a".to_owned(),
+        }),
+        lease_millis: 6_000,
+        uptime_millis,
+        ..messages::Announce::default()
+    }
+}
+
+impl TestDirectory {
+    fn new() -> Self {
+        Self {
+            state: directory::DirectoryState::default(),
+            // Some time before the first announcement, so that uptimes can be subtracted.
+            start: Instant::now() + Duration::from_secs(1_000),
+        }
+    }
+
+    fn at(&self, millis: u64) -> Instant {
+        self.start + Duration::from_millis(millis)
+    }
+
+    /// Takes an announcement that was sent at `sent` and arrives at `arrival`.
+    fn announce(&mut self, name: &str, incarnation: u64, sent: u64, arrival: u64) -> bool {
+        let now = self.at(arrival);
+        self.state.announce(now, announce(name, incarnation, sent))
+    }
+
+    fn holder(&self, name: &str) -> Option<u64> {
+        let mut members = self.state.members();
+        let (_, entry) = members.find(|(found, _)| *found == name)?;
+        Some(entry.announce.process.as_ref()?.incarnation)
+    }
+}
+
+/// Guards against endpoints that stay in the directory when they are gone, or leave it before.
+#[test]
+fn leases_end() {
+    let mut directory = TestDirectory::new();
+    assert!(directory.announce("a", 1, 0, 0));
+    assert!(
+        !directory.announce("a", 1, 2_000, 2_000),
+        "an unchanged renewal is no news"
+    );
+    assert!(!directory.state.sweep(directory.at(7_999)));
+    assert!(directory.state.sweep(directory.at(8_000)));
+    assert_eq!(directory.holder("a"), None);
+}
+
+/// Guards against two processes that serve under one name: the newer start waits until the older
+/// lease has ended, and the conflict is shown meanwhile.
+#[test]
+fn a_newer_start_waits_for_the_older_lease() {
+    let mut directory = TestDirectory::new();
+    directory.announce("a", 1, 0, 0);
+    assert!(!directory.announce("a", 2, 0, 1_000));
+    assert_eq!(directory.holder("a"), Some(1));
+    assert_eq!(directory.state.conflicts().collect::<Vec<_>>(), ["a"]);
+    directory.announce("a", 2, 4_500, 5_500);
+    assert!(directory.state.sweep(directory.at(6_000)));
+    assert_eq!(directory.holder("a"), Some(2));
+    assert_eq!(directory.state.conflicts().count(), 0);
+}
+
+/// Guards against a wait of a whole lease when the older process said goodbye, and against late
+/// announcements that bring it back.
+#[test]
+fn a_goodbye_frees_the_name_for_good() {
+    let mut directory = TestDirectory::new();
+    directory.announce("a", 1, 0, 0);
+    directory.announce("a", 2, 0, 1_000);
+    assert!(directory.state.goodbye(directory.at(1_100), "a", 1));
+    assert_eq!(directory.holder("a"), Some(2));
+    assert!(!directory.announce("a", 1, 1_050, 1_200));
+    assert_eq!(directory.holder("a"), Some(2));
+    assert_eq!(directory.state.conflicts().count(), 0);
+}
+
+/// Guards against members that come and go when announcements were held up on the way and arrive
+/// in a burst: a lease counts from the sending.
+#[test]
+fn a_burst_of_late_announcements_does_not_flap() {
+    let mut directory = TestDirectory::new();
+    directory.announce("a", 1, 0, 0);
+    directory.announce("a", 1, 2_000, 2_000);
+    // The process died at 5 s; what it had sent arrives at 7.9 s, one piece after the other.
+    let mut news = 0;
+    for (sent, arrival) in [(4_000, 7_900), (2_500, 7_950), (3_000, 7_990)] {
+        news += u32::from(directory.announce("a", 1, sent, arrival));
+    }
+    news += u32::from(directory.state.sweep(directory.at(9_999)));
+    assert_eq!(news, 0);
+    assert!(
+        directory.state.sweep(directory.at(10_000)),
+        "6 s after the last sending"
+    );
+}
+
+/// Guards against an announcement from the past that undoes a later one.
+#[test]
+fn an_older_announcement_changes_nothing() {
+    let mut directory = TestDirectory::new();
+    directory.announce("a", 1, 0, 0);
+    let mut leaving = announce("a", 1, 2_000);
+    leaving.leaving = true;
+    assert!(directory.state.announce(directory.at(2_000), leaving));
+    assert!(!directory.announce("a", 1, 1_000, 2_100));
+    let (_, entry) = directory.state.members().next().unwrap();
+    assert!(entry.announce.leaving);
+}
+
+/// Guards against a directory that grows without bound.
+#[test]
+fn names_are_bounded() {
+    let mut directory = TestDirectory::new();
+    for number in 0..=directory::MAX_NAMES {
+        directory.announce(&format!("a{number}"), 1, 0, 0);
+    }
+    assert_eq!(directory.state.members().count(), directory::MAX_NAMES);
+}
+
+/// Guards against entries that watch far endpoints in place of their own, watch more than the
+/// limit, or lose most of their sample when one member comes or goes.
+#[test]
+fn subsets_prefer_the_own_data_centre_and_are_stable() {
+    let mut directory = TestDirectory::new();
+    for number in 0..3_400u64 {
+        let mut announce = announce(&format!("agent-{number}"), 1, 0);
+        announce.process.as_mut().unwrap().data_centre = format!("dc-{}", number % 25);
+        directory.state.announce(directory.at(0), announce);
+    }
+    let subset = |directory: &TestDirectory, watcher: &str| -> BTreeSet<String> {
+        let members = directory.state.members();
+        let subset = directory::watch_subset(watcher, "dc-3", 160, members);
+        subset.into_keys().map(ToOwned::to_owned).collect()
+    };
+    let before = subset(&directory, "entry-1");
+    assert_eq!(before.len(), 160);
+    let own = (0..3_400).filter(|number| number % 25 == 3);
+    assert!(
+        own.clone()
+            .all(|number| before.contains(&format!("agent-{number}")))
+    );
+    assert_ne!(
+        before,
+        subset(&directory, "entry-2"),
+        "entries sample different endpoints"
+    );
+    let gone = before.iter().next().unwrap();
+    directory.state.goodbye(directory.at(1), gone, 1);
+    let after = subset(&directory, "entry-1");
+    assert_eq!(before.difference(&after).collect::<Vec<_>>(), [gone]);
+    assert_eq!(after.difference(&before).count(), 1);
+}
--- /dev/null
+++ b/crates/waxwing-control/tests/machine.rs
@@ -0,0 +1,401 @@
+//! The state machine behind the log: changes, claims, and snapshots.
+
+mod support;
+
+use proptest::prelude::*;
+use prost::Message as _;
+use test_case::test_case;
+use waxwing_control::{changes, claims, commands, machine};
+use waxwing_settings::{credentials, patches};
+use waxwing_wire::messages;
+
+/// A `TestLog` applies actions at log times that a test chooses.
+#[derive(Clone, Default)]
+struct TestLog {
+    machine: machine::StateMachine,
+    index: u64,
+    log_millis: u64,
+}
+
+impl TestLog {
+    fn start() -> Self {
+        let mut log = Self::default();
+        let tree = serde_json::to_vec(&support::tree()).unwrap().into();
+        let bootstrap = commands::BootstrapSettings { tree };
+        log.apply(commands::LogAction::Bootstrap(bootstrap));
+        log
+    }
+
+    fn apply(&mut self, action: commands::LogAction) -> commands::ResultKind {
+        self.index += 1;
+        let command = commands::LogCommand {
+            log_millis: self.log_millis,
+            wall_millis: 0,
+            action: Some(action),
+        };
+        let result = self.machine.apply(self.index, &command.encode_to_vec());
+        result.kind.unwrap()
+    }
+
+    fn change(&mut self, change: &commands::ChangeSettings) -> commands::ResultKind {
+        self.apply(commands::LogAction::Change(change.clone()))
+    }
+
+    fn claim(&mut self, question: &messages::ClaimKey) -> messages::ClaimResult {
+        match self.apply(commands::LogAction::Claim(question.clone())) {
+            commands::ResultKind::Claim(result) => result,
+            other => panic!("unexpected result {other:?}"),
+        }
+    }
+
+    fn complete(&mut self, key: &str, request: u8, body: Vec<u8>) {
+        self.apply(commands::LogAction::Complete(messages::CompleteClaim {
+            name: support::claim(key, request).name,
+            request: vec![request; 16],
+            result: Some(messages::ClaimOutcome {
+                whole: true,
+                status: 200,
+                body: Some(body.into()),
+                ..messages::ClaimOutcome::default()
+            }),
+            group: 0,
+        }));
+    }
+
+    fn version(&self) -> u64 {
+        self.machine.settings().version().0
+    }
+
+    /// Replaces the state by what a host that starts from its snapshot has.
+    fn restart(&mut self) {
+        let bytes = self.machine.to_snapshot();
+        self.machine = machine::StateMachine::from_snapshot(&bytes).unwrap();
+        assert_eq!(self.machine.to_snapshot(), bytes);
+    }
+}
+
+fn change(
+    id: u128,
+    base: u64,
+    path: &str,
+    value: serde_json::Value,
+    token: &str,
+) -> commands::ChangeSettings {
+    let patch = patches::SettingsPatch::from_entries([(path.into(), value)]).unwrap();
+    commands::ChangeSettings {
+        id: id.to_be_bytes().to_vec(),
+        base,
+        patch: patch.to_vec().into(),
+        token_digest: credentials::TokenDigest::of(token).to_string(),
+    }
+}
+
+fn offers(id: u128, base: u64, value: u64) -> commands::ChangeSettings {
+    change(
+        id,
+        base,
+        "/policy/offers",
+        value.into(),
+        support::ROOT_TOKEN,
+    )
+}
+
+/// Guards against two winners of a race, and against a loser that isn't told who won.
+#[test]
+fn one_of_two_racing_changes_wins() {
+    let mut log = TestLog::start();
+    let base = log.version();
+    let won = log.change(&offers(1, base, 3));
+    let version = log.version();
+    assert_eq!(
+        won,
+        commands::ResultKind::Changed(commands::ChangedSettings { version })
+    );
+    let commands::ResultKind::Conflict(conflict) = log.change(&offers(2, base, 4)) else {
+        panic!("the second change on a base must lose");
+    };
+    let winner = conflict.winner.unwrap();
+    assert_eq!((conflict.version, winner.version), (version, version));
+    assert_eq!(
+        (winner.id, winner.operator),
+        (1u128.to_be_bytes().to_vec(), "root/ada".to_owned())
+    );
+    assert_eq!(log.machine.settings().typed().policy.offers, 3);
+}
+
+/// Guards against a resend that is decided anew: after other changes, a restart from a snapshot,
+/// and whatever the first answer was.
+#[test_case(3, "Changed"; "accepted")]
+#[test_case(99, "Refused"; "refused")]
+fn a_resend_gets_the_first_answer(value: u64, kind: &str) {
+    let mut log = TestLog::start();
+    let first = offers(1, log.version(), value);
+    let answer = log.change(&first);
+    assert!(format!("{answer:?}").starts_with(kind));
+    log.change(&offers(2, log.version(), 2));
+    assert_eq!(log.change(&first), answer);
+    log.restart();
+    let version = log.version();
+    assert_eq!(log.change(&first), answer);
+    assert_eq!(log.version(), version);
+}
+
+/// Guards against a second change that hides behind the id of an accepted one.
+#[test]
+fn a_change_id_is_not_used_twice() {
+    let mut log = TestLog::start();
+    log.change(&offers(1, log.version(), 3));
+    let other = log.change(&offers(1, log.version(), 4));
+    assert!(matches!(other, commands::ResultKind::Refused(_)));
+    assert_eq!(log.machine.settings().typed().policy.offers, 3);
+}
+
+/// Guards against answers that are forgotten within 10,000 changes or within 24 h, and against
+/// memory that grows without bound.
+#[test]
+fn answers_are_remembered_for_a_day_and_for_ten_thousand_changes() {
+    let mut log = TestLog::start();
+    let conflict = |id| offers(id, 0, 3);
+    let answered = |log: &TestLog, id| {
+        let id = waxwing_core::ids::ChangeId(id);
+        log.machine.settings().answer(id).is_some()
+    };
+    let count = changes::REMEMBERED_ANSWERS as u128 + 10;
+    for id in 1..=count {
+        log.change(&conflict(id));
+    }
+    assert!(answered(&log, 1), "younger than 24 h");
+    log.log_millis += changes::REMEMBERED_MILLIS;
+    log.change(&conflict(count + 1));
+    assert!(!answered(&log, 1));
+    assert!(answered(&log, 12), "one of the last 10,000");
+}
+
+/// Guards against an operator who changes what another team owns, or who was removed.
+#[test]
+fn the_log_checks_the_operator() {
+    let mut log = TestLog::start();
+    let path = "/teams/other/roles";
+    let foreign = change(
+        1,
+        log.version(),
+        path,
+        serde_json::json!({}),
+        support::BENCH_TOKEN,
+    );
+    assert!(matches!(
+        log.change(&foreign),
+        commands::ResultKind::Forbidden(_)
+    ));
+    let own = "/teams/bench/roles";
+    let allowed = change(
+        2,
+        log.version(),
+        own,
+        serde_json::json!({}),
+        support::BENCH_TOKEN,
+    );
+    assert!(matches!(
+        log.change(&allowed),
+        commands::ResultKind::Changed(_)
+    ));
+    let lin = "/teams/bench/operators/lin";
+    let removal = change(
+        3,
+        log.version(),
+        lin,
+        serde_json::Value::Null,
+        support::ROOT_TOKEN,
+    );
+    assert!(matches!(
+        log.change(&removal),
+        commands::ResultKind::Changed(_)
+    ));
+    let late = change(
+        4,
+        log.version(),
+        own,
+        serde_json::Value::Null,
+        support::BENCH_TOKEN,
+    );
+    assert!(matches!(
+        log.change(&late),
+        commands::ResultKind::Forbidden(_)
+    ));
+}
+
+/// Guards against a first tree that replaces settings in force when a founder restarts.
+#[test]
+fn bootstrap_happens_once() {
+    let mut log = TestLog::start();
+    log.change(&offers(1, log.version(), 3));
+    let tree = serde_json::to_vec(&support::tree()).unwrap().into();
+    let again = commands::BootstrapSettings { tree };
+    log.apply(commands::LogAction::Bootstrap(again));
+    assert_eq!(log.machine.settings().typed().policy.offers, 3);
+}
+
+/// Guards against a key that two requests own, and against a claim that is lost with the answer.
+#[test]
+fn claims_are_replaced_by_epoch_only() {
+    let mut log = TestLog::start();
+    let first = log.claim(&support::claim("k", 1));
+    assert!(first.granted);
+    assert_eq!(
+        log.claim(&support::claim("k", 1)),
+        first,
+        "a retry finds its own claim"
+    );
+    let epoch = first.record.unwrap().epoch;
+    let mut second = support::claim("k", 2);
+    assert!(!log.claim(&second).granted);
+    second.replaces = epoch;
+    let replaced = log.claim(&second);
+    assert!(replaced.granted);
+    assert_eq!(replaced.record.as_ref().unwrap().epoch, epoch + 1);
+    let mut third = support::claim("k", 3);
+    third.replaces = epoch;
+    assert!(!log.claim(&third).granted, "an old epoch replaces nothing");
+    assert!(
+        !log.claim(&support::claim("k", 1)).granted,
+        "a late first claim stays replaced"
+    );
+    log.complete("k", 1, b"late".to_vec());
+    log.complete("k", 2, b"done".to_vec());
+    log.complete("k", 2, b"twice".to_vec());
+    third.replaces = epoch + 1;
+    let found = log.claim(&third);
+    assert!(!found.granted, "a finished claim is never replaced");
+    let result = found.record.unwrap().result.unwrap();
+    assert_eq!(result.body.unwrap(), b"done".as_slice());
+}
+
+/// Guards against a key that is used for another request.
+#[test]
+fn another_digest_never_replaces_a_claim() {
+    let mut log = TestLog::start();
+    let epoch = log.claim(&support::claim("k", 1)).record.unwrap().epoch;
+    let mut other = support::claim("k", 2);
+    other.record.as_mut().unwrap().digest = vec![2; 32];
+    other.replaces = epoch;
+    assert!(!log.claim(&other).granted);
+}
+
+/// Guards against answers and claims that outlive their time, or end before it.
+#[test_case(0, 3_599_999, true, true; "before the answer ends")]
+#[test_case(0, 3_600_000, true, false; "after the answer ends")]
+#[test_case(0, 86_399_999, true, false; "before the claim ends")]
+#[test_case(0, 86_400_000, false, false; "after the claim ends")]
+#[test_case(5_000_000, 1, true, true; "log time never goes back")]
+fn claims_end_by_log_time(start: u64, end: u64, claimed: bool, kept: bool) {
+    let mut log = TestLog::start();
+    log.log_millis = start;
+    log.claim(&support::claim("k", 1));
+    log.complete("k", 1, vec![1]);
+    log.restart();
+    log.log_millis = end;
+    log.apply(commands::LogAction::TakeOffice(
+        commands::TakeOffice::default(),
+    ));
+    let name = support::claim("k", 1).name.unwrap();
+    let found = log.machine.claims().find(&name);
+    assert_eq!(found.is_some(), claimed);
+    let body = found.and_then(|record| record.result.as_ref()?.body.as_ref());
+    assert_eq!(body.is_some(), kept);
+}
+
+/// Guards against stored answers that take more memory than a control host has, and against hosts
+/// that drop different ones.
+#[test]
+fn stored_answers_are_bounded() {
+    let mut log = TestLog::start();
+    log.claim(&support::claim("long", 1));
+    log.complete("long", 1, vec![0; claims::MAX_ANSWER_BYTES + 1]);
+    let name = support::claim("long", 1).name.unwrap();
+    let result = log
+        .machine
+        .claims()
+        .find(&name)
+        .unwrap()
+        .result
+        .clone()
+        .unwrap();
+    assert_eq!((result.whole, result.body), (true, None));
+    let count = claims::MAX_STORED_BYTES / claims::MAX_ANSWER_BYTES + 1;
+    let mut restarted = log.clone();
+    for log in [&mut log, &mut restarted] {
+        for number in 0..count {
+            // Later answers sort before earlier ones by key, so that the order of time counts.
+            let key = format!("{:04}", count - number);
+            log.log_millis += 1;
+            log.claim(&support::claim(&key, 2));
+            log.complete(&key, 2, vec![0; claims::MAX_ANSWER_BYTES]);
+            if number == count / 2 {
+                log.restart();
+            }
+        }
+    }
+    let find = |log: &TestLog, key: &str| {
+        let name = support::claim(key, 2).name.unwrap();
+        let record = log.machine.claims().find(&name).unwrap().clone();
+        record.result.unwrap().body.is_some()
+    };
+    assert!(
+        !find(&log, &format!("{count:04}")),
+        "the oldest loses its body"
+    );
+    assert!(find(&log, "0001"), "the newest keeps it");
+    assert_eq!(log.machine.to_snapshot(), restarted.machine.to_snapshot());
+}
+
+/// Guards against a decider that was replaced and goes on placing models.
+#[test]
+fn an_old_decider_places_nothing() {
+    let mut log = TestLog::start();
+    let office = commands::LogAction::TakeOffice(commands::TakeOffice::default());
+    assert_eq!(log.apply(office.clone()), commands::ResultKind::Office(1));
+    assert_eq!(log.apply(office), commands::ResultKind::Office(2));
+    let place = |fencing| {
+        commands::LogAction::Place(commands::PlaceModel {
+            fencing,
+            agent: "agent-1".to_owned(),
+            model: "draft".to_owned(),
+            wanted: true,
+        })
+    };
+    assert_eq!(log.apply(place(1)), commands::ResultKind::Done(false));
+    assert!(log.machine.placement().is_empty());
+    assert_eq!(log.apply(place(2)), commands::ResultKind::Done(true));
+    log.restart();
+    assert!(log.machine.placement()["agent-1"].contains("draft"));
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        failure_persistence: None,
+        rng_seed: proptest::test_runner::RngSeed::Fixed(12),
+        ..ProptestConfig::default()
+    })]
+
+    /// Guards against a log record or a snapshot that makes a control host panic.
+    #[test]
+    fn any_bytes_are_read_or_refused(bytes in prop::collection::vec(any::<u8>(), 0..200)) {
+        let _ = machine::StateMachine::from_snapshot(&bytes);
+        let mut log = TestLog::start();
+        let before = log.version();
+        log.machine.apply(2, &bytes);
+        prop_assert_eq!(log.version(), before);
+    }
+
+    /// Guards against a snapshot with damage that makes a control host panic.
+    #[test]
+    fn any_damage_is_read_or_refused(at in any::<prop::sample::Index>(), byte in any::<u8>()) {
+        let mut log = TestLog::start();
+        log.change(&offers(1, log.version(), 3));
+        log.claim(&support::claim("k", 1));
+        let mut bytes = log.machine.to_snapshot();
+        let at = at.index(bytes.len());
+        bytes[at] = byte;
+        let _ = machine::StateMachine::from_snapshot(&bytes);
+    }
+}
