Run every fault at every step of requests on the real state machines

The fault matrix had no proved cells for requests. Two entries, two agents and the control group's state machine run on one stepped clock; links and endpoints are small fakes. A fault strikes when the main request reaches a step, and all checkers run over what was observed.

--- a/crates/waxwing-proof/src/evidence.rs
+++ b/crates/waxwing-proof/src/evidence.rs
@@ -29,7 +29,13 @@
 }
 
 /// Every piece of evidence; the first that covers a cell is named in it.
-pub const ALL: &[TestEvidence] = &[];
+pub const ALL: &[TestEvidence] = &[TestEvidence {
+    file: "crates/waxwing-proof/tests/requests.rs",
+    test: "request_keeps_the_promises",
+    groups: &[StepGroup::Model, StepGroup::Plain],
+    steps: &[],
+    faults: SystemFault::ALL,
+}];
 
 /// Finds the evidence of a cell.
 #[must_use]
--- /dev/null
+++ b/crates/waxwing-proof/tests/world/agents.rs
@@ -0,0 +1,338 @@
+//! The agents of the world and the outputs of their state machines.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use prost::Message as _;
+use waxwing_agent::{events, options, state};
+use waxwing_control::commands;
+use waxwing_core::{counters, ids};
+use waxwing_proof::events::RunEvent;
+use waxwing_wire::messages;
+
+use super::{Delivery, HOP, World, endpoints};
+
+/// An `AgentSlot` is an agent over all its incarnations, with its endpoint.
+pub(crate) struct AgentSlot {
+    pub(crate) core: Option<state::AgentCore>,
+    pub(crate) incarnation: u64,
+    pub(crate) endpoint_up: bool,
+    pub(crate) slow: u32,
+    pub(crate) leaving: bool,
+    pub(crate) restart_when_drained: bool,
+    pub(crate) limits: options::AgentLimits,
+    runs: BTreeMap<events::RunId, ids::RequestId>,
+}
+
+impl AgentSlot {
+    /// Builds an agent that is not started; a busy one has a single slot.
+    pub(crate) fn new(busy: bool) -> Self {
+        let mut limits = options::AgentLimits::default();
+        if busy {
+            limits.engine_running = 1;
+            limits.plain_running = 1;
+        }
+        Self {
+            core: None,
+            incarnation: 0,
+            endpoint_up: true,
+            slow: 1,
+            leaving: false,
+            restart_when_drained: false,
+            limits,
+            runs: BTreeMap::new(),
+        }
+    }
+}
+
+fn run_request(name: &str) -> ids::RequestId {
+    // The name of a run begins with the request's id.
+    let digits = name.get(..32).unwrap_or_default();
+    digits.parse().expect("run names begin with the request id")
+}
+
+impl World {
+    pub(super) fn start_agent(&mut self, agent: usize) {
+        let now = self.instant();
+        let plain = self.plain;
+        let slot = &mut self.agents[agent];
+        slot.incarnation += 1;
+        slot.leaving = false;
+        slot.restart_when_drained = false;
+        slot.runs.clear();
+        let incarnation = ids::Incarnation(slot.incarnation);
+        let counters = counters::CounterSet::new();
+        let core = state::AgentCore::new(incarnation, slot.limits.clone(), counters, now);
+        slot.core = Some(core);
+        let kind = match plain {
+            true => messages::EndpointKind::Plain,
+            false => messages::EndpointKind::Engine,
+        };
+        let info = messages::EndpointInfo {
+            kind: kind.into(),
+            models: vec!["writer".into()],
+            services: vec!["register".into()],
+            cache_tokens: 100_000,
+            prefill_rate: 10_000.0,
+            token_millis: 10.0,
+            ..messages::EndpointInfo::default()
+        };
+        if self.agents[agent].endpoint_up {
+            self.agent_input(agent, events::AgentInput::Info(info));
+        }
+        self.later(Duration::from_millis(100), Delivery::Tick { agent });
+        for link in 0..self.links.len() {
+            if self.links[link].agent == agent {
+                self.later(HOP, Delivery::LinkUp { link });
+            }
+        }
+    }
+
+    /// The process dies; its endpoint sees the connections close.
+    pub(super) fn kill_agent(&mut self, agent: usize) {
+        self.agents[agent].core = None;
+        self.agents[agent].runs.clear();
+        self.drop_links(|link| link.agent == agent);
+    }
+
+    pub(super) fn drain_agent(&mut self, agent: usize) {
+        self.agents[agent].leaving = true;
+        self.agents[agent].restart_when_drained = true;
+        let endpoint = agent_name(agent);
+        self.note(RunEvent::Leaving {
+            endpoint: endpoint.clone(),
+        });
+        self.note(RunEvent::ShutdownBegan { process: endpoint });
+        self.agent_input(agent, events::AgentInput::Drain);
+    }
+
+    /// The endpoint dies with all its calls; its agent notices.
+    pub(super) fn kill_endpoint(&mut self, agent: usize) {
+        self.agents[agent].endpoint_up = false;
+        let runs: Vec<_> = self.agents[agent].runs.keys().copied().collect();
+        let incarnation = self.agents[agent].incarnation;
+        for run in runs {
+            let event = events::EndpointEvent::Failed;
+            self.later(
+                HOP,
+                Delivery::Endpoint {
+                    agent,
+                    incarnation,
+                    run,
+                    event,
+                },
+            );
+        }
+        self.agent_input(agent, events::AgentInput::EndpointDown);
+    }
+
+    pub(super) fn tick(&mut self, agent: usize) {
+        if self.agents[agent].core.is_none() {
+            return;
+        }
+        self.agent_input(agent, events::AgentInput::Tick);
+        self.later(Duration::from_millis(100), Delivery::Tick { agent });
+        let slot = &self.agents[agent];
+        let drained = slot.core.as_ref().is_some_and(state::AgentCore::is_drained);
+        if slot.restart_when_drained && drained {
+            self.kill_agent(agent);
+            self.later(Duration::from_millis(500), Delivery::AgentStart { agent });
+        }
+    }
+
+    pub(super) fn agent_message(
+        &mut self,
+        link: usize,
+        life: u64,
+        correlation: u64,
+        body: messages::Body,
+    ) {
+        if self.links[link].up && self.links[link].life == life {
+            let agent = self.links[link].agent;
+            let link = link_id(link, life);
+            self.agent_input(
+                agent,
+                events::AgentInput::Message {
+                    link,
+                    correlation,
+                    body,
+                },
+            );
+        }
+    }
+
+    pub(super) fn agent_link_opened(&mut self, agent: usize, life: u64, link: usize) {
+        let link = link_id(link, life);
+        self.agent_input(agent, events::AgentInput::LinkOpened { link });
+    }
+
+    pub(super) fn agent_link_closed(&mut self, agent: usize, life: u64, link: usize) {
+        let link = link_id(link, life);
+        self.agent_input(agent, events::AgentInput::LinkClosed { link });
+    }
+
+    pub(super) fn agent_control(
+        &mut self,
+        agent: usize,
+        incarnation: u64,
+        correlation: u64,
+        body: messages::Body,
+    ) {
+        if self.agents[agent].incarnation == incarnation {
+            self.agent_input(agent, events::AgentInput::Control { correlation, body });
+        }
+    }
+
+    pub(super) fn endpoint_event(
+        &mut self,
+        agent: usize,
+        incarnation: u64,
+        run: events::RunId,
+        event: events::EndpointEvent,
+    ) {
+        let slot = &mut self.agents[agent];
+        if slot.incarnation != incarnation || !slot.runs.contains_key(&run) {
+            return;
+        }
+        let failed = matches!(
+            event,
+            events::EndpointEvent::Failed | events::EndpointEvent::NotSent
+        );
+        if !slot.endpoint_up && !failed {
+            return;
+        }
+        if failed || event == events::EndpointEvent::Ended {
+            slot.runs.remove(&run);
+        }
+        self.agent_input(agent, events::AgentInput::Endpoint { run, event });
+    }
+
+    pub(super) fn agent_input(&mut self, agent: usize, input: events::AgentInput) {
+        let now = self.instant();
+        let Some(core) = self.agents[agent].core.as_mut() else {
+            return;
+        };
+        let outputs = core.handle(now, input);
+        for output in outputs {
+            self.agent_output(agent, output);
+        }
+    }
+
+    fn agent_output(&mut self, agent: usize, output: events::AgentOutput) {
+        match output {
+            events::AgentOutput::Send {
+                link,
+                correlation,
+                body,
+            } => {
+                let (link, life) = (link.0 as usize % 16, link.0 / 16);
+                if self.links[link].life == life {
+                    self.send_on(link, false, correlation, body);
+                }
+            }
+            events::AgentOutput::Control { correlation, body } => {
+                self.control_message(agent, correlation, body);
+            }
+            events::AgentOutput::Start { run, call } => self.start_call(agent, run, &call),
+            events::AgentOutput::Stop { run, .. } => {
+                self.agents[agent].runs.remove(&run);
+            }
+            events::AgentOutput::Pause(_)
+            | events::AgentOutput::Proceed(_)
+            | events::AgentOutput::Order(_) => {}
+        }
+    }
+
+    fn start_call(&mut self, agent: usize, run: events::RunId, call: &events::EndpointCall) {
+        let request = run_request(&call.name);
+        let incarnation = self.agents[agent].incarnation;
+        self.agents[agent].runs.insert(run, request);
+        if !self.agents[agent].endpoint_up {
+            let event = events::EndpointEvent::NotSent;
+            self.later(
+                HOP,
+                Delivery::Endpoint {
+                    agent,
+                    incarnation,
+                    run,
+                    event,
+                },
+            );
+            return;
+        }
+        // A resumed generation goes on with the dispatch that it was part of.
+        if !endpoints::is_resumed(&call.body) {
+            self.note(RunEvent::Dispatched {
+                request,
+                endpoint: agent_name(agent),
+            });
+            self.note(RunEvent::Ran { request });
+        }
+        let slow = self.agents[agent].slow;
+        for (delay, event) in endpoints::script(self.plain, &call.body, slow) {
+            self.later(
+                delay,
+                Delivery::Endpoint {
+                    agent,
+                    incarnation,
+                    run,
+                    event,
+                },
+            );
+        }
+    }
+
+    fn control_message(&mut self, agent: usize, correlation: u64, body: messages::Body) {
+        if self.now < self.control_down_until {
+            return;
+        }
+        let answer = match body {
+            messages::Body::CompleteClaim(complete) => {
+                self.apply(commands::LogAction::Complete(complete));
+                messages::Body::ClaimCompleted(messages::ClaimCompleted {})
+            }
+            messages::Body::AskFencing(_) => messages::Body::Fencing(messages::Fencing {
+                number: self.control.fencing().0,
+            }),
+            _ => return,
+        };
+        let incarnation = self.agents[agent].incarnation;
+        let body = answer;
+        self.later(
+            2 * HOP,
+            Delivery::ToAgentControl {
+                agent,
+                incarnation,
+                correlation,
+                body,
+            },
+        );
+    }
+
+    pub(super) fn apply(&mut self, action: commands::LogAction) -> commands::CommandResult {
+        self.control_index += 1;
+        let log_millis = u64::try_from(self.now.as_millis()).unwrap_or(u64::MAX);
+        // A jump of the wall clock reaches the log only as a label.
+        let wall_millis = if self.wall_jump {
+            log_millis + (1 << 40)
+        } else {
+            log_millis
+        };
+        let command = commands::LogCommand {
+            log_millis,
+            wall_millis,
+            action: Some(action),
+        };
+        self.control
+            .apply(self.control_index, &command.encode_to_vec())
+    }
+}
+
+/// Names a link with its life, so that messages of an earlier life are told apart.
+pub(crate) fn link_id(link: usize, life: u64) -> events::LinkId {
+    events::LinkId(life * 16 + link as u64)
+}
+
+/// Returns the name of an agent.
+pub(crate) fn agent_name(agent: usize) -> smol_str::SmolStr {
+    smol_str::format_smolstr!("agent-{agent}")
+}
