Use the client of the control hosts, and adapt the number of requests too

The agent announces itself, takes settings, completes claims and receives orders over waxwing-client instead of a loop of its own. The admission limit bounds requests beside tokens, since a batch step grows with both, and leaves out token samples that a chunk of prefill lengthened. A suspended generation goes on only after the engine has answered the cancellation of its earlier run, as both have one id.

--- a/crates/waxwing-agent/src/driver.rs
+++ b/crates/waxwing-agent/src/driver.rs
@@ -2,24 +2,21 @@
 
 use std::{collections::HashMap, net::SocketAddr, time::Duration};
 
-use tokio::sync::{mpsc, watch};
+use tokio::sync::mpsc;
 use tokio_util::{sync::CancellationToken, task::AbortOnDropHandle};
 use waxwing_core::{clock::Clock, counters, ids};
 use waxwing_wire::{links, messages};
 
-use crate::{announcer, endpoint, errors, events, options, pollers, state};
+use crate::{controls, endpoint, errors, events, options, pollers, state};
 
 /// Inputs that may wait for the core; a full queue holds links and endpoint calls back.
 const INPUT_QUEUE: usize = 4_096;
 
-/// Messages that may wait for a control host; open completions are sent again by the core.
-const CONTROL_QUEUE: usize = 256;
-
 /// The pause after the operating system refused to accept a connection.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
 
-/// The time in which a last announcement may reach control.
-const GOODBYE_PAUSE: Duration = Duration::from_millis(100);
+/// The time in which the last messages on links are written.
+const FLUSH_PAUSE: Duration = Duration::from_millis(100);
 
 /// A `BoundAgent` is an agent whose socket is open and that does not run yet.
 #[derive(Debug)]
@@ -108,22 +105,14 @@
     pub async fn run(self, shutdown: CancellationToken) -> Result<(), errors::AgentError> {
         let (input_sender, inputs) = mpsc::channel(INPUT_QUEUE);
         let (link_sender, opened) = mpsc::channel(INPUT_QUEUE);
-        let (control_sender, outgoing) = mpsc::channel(CONTROL_QUEUE);
-        let (state_sender, state) = watch::channel(announcer::AnnouncedState::default());
-        let ended = CancellationToken::new();
+        let control = controls::ControlSide::start(
+            &self.options,
+            self.announcement(),
+            self.counters.clone(),
+            input_sender.clone(),
+            self.clock.clone(),
+        );
         let client = endpoint::EndpointClient::new(self.endpoint, self.clock.clone());
-        let announce = announcer::AnnounceTask {
-            hosts: self.options.control.clone(),
-            hello: self.hello.clone(),
-            region: self.options.region.to_string(),
-            address: self.options.announced_address.unwrap_or(self.address),
-            security: self.options.security.clone(),
-            state,
-            outgoing,
-            report: input_sender.clone(),
-            ended: ended.clone(),
-            clock: self.clock.clone(),
-        };
         let poll = pollers::PollTask {
             client: client.clone(),
             role: self.options.role.to_string(),
@@ -137,7 +126,6 @@
             clock: self.clock.clone(),
         };
         let _tasks = [
-            AbortOnDropHandle::new(tokio::spawn(announce.run())),
             AbortOnDropHandle::new(tokio::spawn(poll.run())),
             AbortOnDropHandle::new(tokio::spawn(accept.run())),
         ];
@@ -152,15 +140,24 @@
             links: HashMap::new(),
             runs: HashMap::new(),
             client,
-            control: control_sender,
-            announced: state_sender,
+            control,
             clock: self.clock,
         };
         driver.serve(shutdown).await;
-        driver.clock.sleep(GOODBYE_PAUSE).await;
-        ended.cancel();
+        driver.clock.sleep(FLUSH_PAUSE).await;
+        driver.control.leave().await;
         Ok(())
     }
+
+    fn announcement(&self) -> messages::Announce {
+        let address = self.options.announced_address.unwrap_or(self.address);
+        messages::Announce {
+            process: Some(self.hello.clone()),
+            address: address.to_string(),
+            region: self.options.region.to_string(),
+            ..messages::Announce::default()
+        }
+    }
 }
 
 /// An `AcceptTask` accepts links; each is read by its own task.
@@ -243,8 +240,7 @@
     links: HashMap<events::LinkId, links::LinkSender>,
     runs: HashMap<events::RunId, endpoint::RunControl>,
     client: endpoint::EndpointClient<C>,
-    control: mpsc::Sender<announcer::ControlMessage>,
-    announced: watch::Sender<announcer::AnnouncedState>,
+    control: controls::ControlSide<C>,
     clock: C,
 }
 
@@ -257,7 +253,7 @@
                 biased;
                 () = shutdown.cancelled(), if !leaving => {
                     leaving = true;
-                    events::AgentInput::Drain
+                    events::AgentInput::Leave
                 }
                 Some((link, sender)) = self.opened.recv() => {
                     self.links.insert(link, sender);
@@ -272,7 +268,8 @@
                 ticked = now;
                 self.step(events::AgentInput::Tick);
             }
-            self.announce(leaving);
+            let leaving = self.core.is_draining();
+            self.control.announce(self.core.info(), leaving);
         }
     }
 
@@ -285,23 +282,6 @@
         }
     }
 
-    /// Passes a change of the endpoint's description on to the announcements.
-    fn announce(&self, leaving: bool) {
-        let info = self.core.info();
-        let known = info.kind != messages::EndpointKind::Unspecified as i32;
-        let leaving = leaving || self.core.is_draining();
-        self.announced.send_if_modified(|state| {
-            let same = state.leaving == leaving && state.info.as_ref() == known.then_some(info);
-            if !same {
-                *state = announcer::AnnouncedState {
-                    info: known.then(|| info.clone()),
-                    leaving,
-                };
-            }
-            !same
-        });
-    }
-
     fn perform(&mut self, output: events::AgentOutput) {
         match output {
             events::AgentOutput::Send {
@@ -310,8 +290,7 @@
                 body,
             } => self.send(link, correlation, body),
             events::AgentOutput::Control { correlation, body } => {
-                // The core repeats what must arrive; a full queue means no control host is there.
-                let _ = self.control.try_send((correlation, body));
+                self.control.send(correlation, body);
             }
             events::AgentOutput::Start { run, call } => {
                 self.forget_ended_runs();
@@ -322,7 +301,7 @@
                 if let Some(control) = self.runs.remove(&run) {
                     control.stop();
                 }
-                tokio::spawn(pollers::cancel_call(self.client.clone(), name));
+                self.cancel(run, name);
             }
             events::AgentOutput::Pause(run) => self.pause(run, true),
             events::AgentOutput::Proceed(run) => self.pause(run, false),
@@ -346,6 +325,16 @@
         }
     }
 
+    fn cancel(&self, run: events::RunId, name: String) {
+        let client = self.client.clone();
+        let report = self.input_sender.clone();
+        tokio::spawn(async move {
+            pollers::cancel_call(client, name).await;
+            // A closed queue means that the process ends.
+            let _ = report.send(events::AgentInput::Stopped { run }).await;
+        });
+    }
+
     fn order(&self, order: messages::Order) {
         let client = self.client.clone();
         let report = self.input_sender.clone();
--- a/crates/waxwing-agent/src/events.rs
+++ b/crates/waxwing-agent/src/events.rs
@@ -1,6 +1,6 @@
 //! What goes into and comes out of the [`AgentCore`](crate::state::AgentCore).
 
-use std::fmt;
+use std::{fmt, time::Duration};
 
 use bytes::Bytes;
 use waxwing_core::ids;
@@ -23,7 +23,7 @@
 /// An `EndpointCall` is a request as it goes to the endpoint.
 #[derive(Debug, Clone, PartialEq)]
 pub struct EndpointCall {
-    /// The id that the endpoint sees, unique to the run so that a late cancel hits no later run.
+    /// The id that the endpoint sees; all runs of a request share it.
     pub name: String,
     /// The HTTP method.
     pub method: String,
@@ -77,6 +77,19 @@
     Failed(String),
 }
 
+/// A `PolicyUpdate` is what an agent takes from the agreed settings.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct PolicyUpdate {
+    /// Target for the first token.
+    pub first_token_target: Duration,
+    /// Target for the time between tokens.
+    pub token_target: Duration,
+    /// The length of a grant.
+    pub grant: Duration,
+    /// Whether the settings say that this endpoint is drained.
+    pub draining: bool,
+}
+
 /// An `AgentInput` is anything that happens to an agent.
 #[derive(Debug, Clone, PartialEq)]
 pub enum AgentInput {
@@ -131,10 +144,15 @@
         /// What came of it.
         outcome: OrderOutcome,
     },
-    /// The process is asked to leave.
-    Drain,
-    /// The process takes work again.
-    Undrain,
+    /// The endpoint was told to cancel a run, and has answered or not in time.
+    Stopped {
+        /// The run.
+        run: RunId,
+    },
+    /// The agreed settings changed.
+    Policy(PolicyUpdate),
+    /// The process is asked to leave; it never takes work again.
+    Leave,
     /// Time has passed.
     Tick,
 }
--- a/crates/waxwing-agent/src/jobs.rs
+++ b/crates/waxwing-agent/src/jobs.rs
@@ -122,14 +122,6 @@
         }
     }
 
-    /// Returns the id that the endpoint sees for the current run.
-    pub(crate) fn run_name(&self, request: ids::RequestId) -> String {
-        match self.runs {
-            0 | 1 => request.to_string(),
-            later => format!("{request}-{later}"),
-        }
-    }
-
     pub(crate) fn can_resume(&self) -> bool {
         let format = self.call.as_ref().map(|call| &call.format);
         self.note.idempotent && format.is_some_and(formats::CallFormat::can_resume)
--- a/crates/waxwing-agent/src/lib.rs
+++ b/crates/waxwing-agent/src/lib.rs
@@ -4,8 +4,8 @@
 //! [`state::AgentCore`] holds all decisions and performs no I/O; [`driver`] connects it to links,
 //! the endpoint and the control hosts. `docs/design.md`, section 5, gives the rules.
 
-mod announcer;
 pub mod answers;
+mod controls;
 pub mod driver;
 mod endpoint;
 pub mod errors;
--- a/crates/waxwing-agent/src/state.rs
+++ b/crates/waxwing-agent/src/state.rs
@@ -43,6 +43,14 @@
     stalls: u32,
 }
 
+/// `DrainCauses` are the independent reasons for refusing new offers.
+#[derive(Debug, Clone, Copy, Default)]
+struct DrainCauses {
+    leaving: bool,
+    order: bool,
+    settings: bool,
+}
+
 /// An `AgentCore` is the state of one incarnation of an agent.
 #[derive(Debug)]
 pub struct AgentCore {
@@ -52,13 +60,14 @@
     info: messages::EndpointInfo,
     health: EndpointHealth,
     stall: StallGuard,
-    draining: bool,
+    drains: DrainCauses,
     links: BTreeMap<events::LinkId, ()>,
     queue: queue::OfferQueue<jobs::OfferNote>,
     grants: BTreeMap<ids::RequestId, jobs::LiveGrant>,
     next_grant: u64,
     jobs: jobs::JobTable,
     runs: HashMap<events::RunId, ids::RequestId>,
+    stopping: HashMap<events::RunId, ids::RequestId>,
     next_run: u64,
     tombstones: jobs::TombstoneList,
     admission: admission::AdmissionLimit,
@@ -92,13 +101,14 @@
             info: messages::EndpointInfo::default(),
             health: EndpointHealth::Down,
             stall: StallGuard::default(),
-            draining: false,
+            drains: DrainCauses::default(),
             links: BTreeMap::new(),
             queue: queue::OfferQueue::new(queue::QueueOptions { max_offers }),
             grants: BTreeMap::new(),
             next_grant: 1,
             jobs: jobs::JobTable::new(),
             runs: HashMap::new(),
+            stopping: HashMap::new(),
             next_run: 1,
             tombstones: jobs::TombstoneList::default(),
             admission: admission::AdmissionLimit::new(admission_options.clone(), now),
@@ -140,8 +150,11 @@
             events::AgentInput::Load { requests } => self.reported_requests = requests,
             events::AgentInput::CacheChanges(changes) => self.cache_changes(&changes),
             events::AgentInput::OrderEnded { order, outcome } => self.order_ended(order, outcome),
-            events::AgentInput::Drain => self.drain(),
-            events::AgentInput::Undrain => self.undrain(),
+            events::AgentInput::Stopped { run } => {
+                self.stopping.remove(&run);
+            }
+            events::AgentInput::Policy(policy) => self.policy(&policy),
+            events::AgentInput::Leave => self.change_drains(|drains| drains.leaving = true),
             events::AgentInput::Tick => self.sweep(),
         }
     }
@@ -174,7 +187,7 @@
         self.links.insert(link, ());
         let report = self.build_report(&[], &[]);
         self.send(link, 0, messages::Body::Report(report));
-        if self.draining {
+        if self.is_draining() {
             self.send(link, 0, messages::Body::Leaving(messages::Leaving {}));
         }
     }
@@ -256,28 +269,36 @@
         }
     }
 
-    fn drain(&mut self) {
-        if self.draining {
+    fn policy(&mut self, policy: &events::PolicyUpdate) {
+        self.admission_options.first_token_target = policy.first_token_target;
+        self.admission_options.token_target = policy.token_target;
+        self.admission.set_options(self.admission_options.clone());
+        self.limits.grant_ms = u64::try_from(policy.grant.as_millis()).unwrap_or(u64::MAX);
+        self.change_drains(|drains| drains.settings = policy.draining);
+    }
+
+    fn change_drains(&mut self, change: impl FnOnce(&mut DrainCauses)) {
+        let before = self.is_draining();
+        change(&mut self.drains);
+        let after = self.is_draining();
+        if before == after {
+            return;
+        }
+        self.reports.mark();
+        if !after {
             return;
         }
-        self.draining = true;
         self.refuse_waiting(reasons::RefusalReason::Draining);
         let links: Vec<_> = self.links.keys().copied().collect();
         for link in links {
             self.send(link, 0, messages::Body::Leaving(messages::Leaving {}));
         }
-        self.reports.mark();
-    }
-
-    fn undrain(&mut self) {
-        self.draining = false;
-        self.reports.mark();
     }
 
     /// Tells whether new offers are refused.
     #[must_use]
     pub fn is_draining(&self) -> bool {
-        self.draining
+        self.drains.leaving || self.drains.order || self.drains.settings
     }
 
     /// Tells whether nothing is left to do: no grant is live, nothing runs, every answer has
--- a/crates/waxwing-agent/src/state/claims.rs
+++ b/crates/waxwing-agent/src/state/claims.rs
@@ -13,11 +13,12 @@
 /// The longest body that is stored with a claim, in bytes.
 const STORED_BODY_BYTES: usize = 64 * 1024;
 
-/// The time after which a completion without an answer is sent again.
-const FIRST_RETRY: Duration = Duration::from_millis(500);
+/// The time after which a completion without an answer is sent again; longer than the client of
+/// the control hosts tries by itself.
+const FIRST_RETRY: Duration = Duration::from_secs(7);
 
 /// The longest time between two sendings.
-const LONGEST_RETRY: Duration = Duration::from_secs(10);
+const LONGEST_RETRY: Duration = Duration::from_secs(30);
 
 /// The time for which a leaving agent waits for a completion to become durable. Without a control
 /// quorum it may never be, and the claim then stands without a result, which is `unknown`.
--- a/crates/waxwing-agent/src/state/handovers.rs
+++ b/crates/waxwing-agent/src/state/handovers.rs
@@ -29,14 +29,33 @@
         };
         let Some(live) = live else {
             let reason = reasons::RefusalReason::GrantExpired;
-            self.counters.refuse(reason);
-            self.acknowledge_handover(link, correlation, request, Some(reason));
+            self.refuse_handover(link, correlation, request, reason);
             return;
         };
+        // The body may have been long on its way.
+        let deadline = self.deadline_after(handover.deadline_millis);
+        if deadline <= self.now {
+            self.grants.insert(request, live);
+            self.revoke(request);
+            let reason = reasons::RefusalReason::DeadlinePassed;
+            self.refuse_handover(link, correlation, request, reason);
+            return;
+        }
         self.acknowledge_handover(link, correlation, request, None);
         self.begin(link, request, live, handover);
     }
 
+    fn refuse_handover(
+        &mut self,
+        link: events::LinkId,
+        correlation: u64,
+        request: ids::RequestId,
+        reason: reasons::RefusalReason,
+    ) {
+        self.counters.refuse(reason);
+        self.acknowledge_handover(link, correlation, request, Some(reason));
+    }
+
     fn acknowledge_handover(
         &mut self,
         link: events::LinkId,
--- a/crates/waxwing-agent/src/state/offers.rs
+++ b/crates/waxwing-agent/src/state/offers.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, Instant};
 
 use smol_str::SmolStr;
-use waxwing_core::{counters, ids, reasons, units};
+use waxwing_core::{counters, ids, prompts, reasons, units};
 use waxwing_policy::{admission, queue, suspension};
 use waxwing_wire::messages;
 
@@ -25,6 +25,12 @@
     Duration::from_millis(millis).min(LONGEST)
 }
 
+/// Rounds up to whole blocks, which is what the engine sets aside.
+pub(super) fn whole_blocks(tokens: units::TokenCount) -> units::TokenCount {
+    let block = prompts::BLOCK_TOKENS as u64;
+    units::TokenCount(tokens.0.div_ceil(block).saturating_mul(block))
+}
+
 fn rank_of(rank: u32) -> ids::TierRank {
     ids::TierRank(u8::try_from(rank).unwrap_or(u8::MAX))
 }
@@ -78,7 +84,7 @@
         offer: &messages::Offer,
         terms: &queue::OfferTerms,
     ) -> Option<reasons::RefusalReason> {
-        if self.draining {
+        if self.is_draining() {
             return Some(reasons::RefusalReason::Draining);
         }
         if !self.takes_offers() {
@@ -236,7 +242,7 @@
             return admission::Reservation::default();
         }
         admission::Reservation {
-            context: terms.context_tokens(),
+            context: whole_blocks(terms.context_tokens()),
             prefill: terms.prompt_tokens.saturating_sub(cached),
         }
     }
@@ -260,9 +266,8 @@
             admission::FitVerdict::LacksTokens(tokens) => suspension::RoomWanted::Tokens(tokens),
             admission::FitVerdict::LacksSlot => suspension::RoomWanted::Slot,
             admission::FitVerdict::LacksPrefill => {
-                let burst = self.pace.rate().0 * target.as_secs_f64();
                 let pending = self.admission.pending() + share.prefill;
-                let excess = pending.saturating_sub(units::TokenCount(burst as u64));
+                let excess = pending.saturating_sub(self.admission.burst(self.pace.rate()));
                 suspension::RoomWanted::Prefill(excess.min(self.admission.pending()))
             }
         };
--- a/crates/waxwing-agent/src/state/orders.rs
+++ b/crates/waxwing-agent/src/state/orders.rs
@@ -90,10 +90,7 @@
         let drain = order.kind == messages::OrderKind::Drain as i32;
         let undrain = order.kind == messages::OrderKind::Undrain as i32;
         if drain || undrain {
-            match drain {
-                true => self.drain(),
-                false => self.undrain(),
-            }
+            self.change_drains(|drains| drains.order = drain);
             let result = done(&order);
             self.finish_order(correlation, result);
             return;
--- a/crates/waxwing-agent/src/state/reports.rs
+++ b/crates/waxwing-agent/src/state/reports.rs
@@ -72,7 +72,7 @@
             limit_tokens: self.admission.limit().0,
             ranks: ranks.collect(),
             running: u32::try_from(self.runs.len()).unwrap_or(u32::MAX),
-            draining: self.draining || !self.takes_offers(),
+            draining: self.is_draining() || !self.takes_offers(),
             models: self.info.models.clone(),
             reported_requests: self.reported_requests,
             cached: cached.to_vec(),
--- a/crates/waxwing-agent/src/state/runs.rs
+++ b/crates/waxwing-agent/src/state/runs.rs
@@ -21,9 +21,12 @@
         if self.runs.is_empty() {
             self.pace.progress(self.now);
         }
+        let running = self.jobs.values().filter(|job| job.run().is_some());
+        let shares = running.filter_map(|job| job.share);
+        let ahead = shares.fold(own, |ahead, share| ahead + share.prefill);
         let progress = jobs::RunProgress {
             own,
-            ahead: self.admission.pending(),
+            ahead,
             ..jobs::RunProgress::idle(self.now)
         };
         let Some(job) = self.jobs.get_mut(&request) else {
@@ -35,12 +38,11 @@
         if let Some(reader) = job.reader.as_mut().filter(|_| job.runs > 1) {
             reader.begin_resumed();
         }
-        let name = job.run_name(request);
         let Some(call) = &job.call else {
             return;
         };
         let call = events::EndpointCall {
-            name,
+            name: request.to_string(),
             method: call.method.clone(),
             path: call.path.clone(),
             headers: call.headers.clone(),
@@ -53,13 +55,15 @@
     }
 
     /// Cancels the run of a request, if it has one, and gives its share back. What it computed
-    /// is added to the tally as far as it can be estimated.
+    /// is added to the tally as far as it can be estimated. The request does not run again before
+    /// the endpoint has confirmed the cancellation, which would else hit the later run.
     pub(super) fn stop_run(&mut self, request: ids::RequestId) {
         let Some(job) = self.jobs.get(&request) else {
             return;
         };
         if let Some(run) = job.run() {
-            let name = job.run_name(request);
+            self.stopping.insert(run, request);
+            let name = request.to_string();
             self.outputs.push(events::AgentOutput::Stop { run, name });
         }
         self.close_run(request);
@@ -76,7 +80,9 @@
         let Some(run) = job.run() else {
             return;
         };
-        self.runs.remove(&run);
+        if self.runs.remove(&run).is_none() {
+            return;
+        }
         let elapsed = self.now.saturating_duration_since(job.progress.started);
         let estimate = match job.progress.first_token {
             Some(_) => job.progress.own.0,
@@ -196,8 +202,10 @@
         match progress.last_token.replace(now) {
             Some(last) => {
                 let interval = now.saturating_duration_since(last) / tokens.max(1) as u32;
-                self.admission.token(interval);
-                self.pace.token(interval, running);
+                if self.admission.pending() == units::TokenCount::ZERO {
+                    self.admission.token(interval);
+                    self.pace.token(interval, running);
+                }
             }
             None => {
                 progress.first_token = Some(now);
--- a/crates/waxwing-agent/src/state/suspensions.rs
+++ b/crates/waxwing-agent/src/state/suspensions.rs
@@ -3,7 +3,7 @@
 use waxwing_core::{counters, ids};
 use waxwing_policy::admission;
 
-use crate::{jobs, state};
+use crate::{jobs, state, state::offers};
 
 impl state::AgentCore {
     /// Stops the generation of a request and keeps the tokens so far.
@@ -28,15 +28,16 @@
                 jobs::JobStage::Suspended(since) => Some((job.terms.rank, since, *request)),
                 _ => None,
             });
+        let stopping = |request| self.stopping.values().any(|other| *other == request);
+        let suspended = suspended.filter(|(_, _, request)| !stopping(*request));
         let (rank, _, request) = suspended.min()?;
         Some((request, rank))
     }
 
     /// Returns the share of the limit that a suspended request needs to go on.
     pub(super) fn resume_share(&self, job: &jobs::Job) -> admission::Reservation {
-        let context = job.terms.prompt_tokens + job.terms.output_tokens;
         admission::Reservation {
-            context,
+            context: offers::whole_blocks(job.terms.context_tokens()),
             prefill: self.expected_prefill(job),
         }
     }
--- a/crates/waxwing-policy/src/admission.rs
+++ b/crates/waxwing-policy/src/admission.rs
@@ -1,7 +1,8 @@
-//! The admission limit of one endpoint: a bound on context tokens that adapts to the latency
-//! targets, below the hard cap of the engine's cache memory.
+//! The admission limit of one endpoint: a bound on context tokens, and on requests beside it, that
+//! adapts to the latency targets, below the hard cap of the engine's cache memory.
 //!
-//! A sample is over target or not, and a window is over target when more than 5 in 100 samples
+//! Requests are bounded beside tokens since a batch step grows with both: a hundred one-line
+//! questions hold few tokens and slow every token down. A sample is over target or not, and a window is over target when more than 5 in 100 samples
 //! are; that is the 95th percentile of `docs/design.md`, section 2, without a histogram.
 
 use std::time::{Duration, Instant};
@@ -17,10 +18,17 @@
     pub token_target: Duration,
     /// Context tokens that the engine's cache holds; zero where the endpoint has no such bound.
     pub cap: units::TokenCount,
-    /// The limit below which it never falls; 4,096 tokens.
+    /// The limit below which it never falls, unless the cap is lower; 8,192 tokens, one dossier.
     pub floor: units::TokenCount,
     /// The growth of the limit in a window in which it was in use; 2,048 tokens.
     pub step: units::TokenCount,
+    /// The requests at the start; 32.
+    pub start_running: usize,
+    /// The requests below which the limit never falls; 4.
+    pub floor_running: usize,
+    /// The share of the first-token target that pending prefill may fill; 0.8, since the steps
+    /// that generate tokens share the engine with it.
+    pub prefill_share: f64,
     /// The factor that a window over target applies; 0.85.
     pub decrease: f64,
     /// The shortest window; 500 ms.
@@ -37,8 +45,11 @@
             first_token_target: Duration::from_millis(990),
             token_target: Duration::from_millis(58),
             cap: units::TokenCount::ZERO,
-            floor: units::TokenCount(4_096),
+            floor: units::TokenCount(8_192),
             step: units::TokenCount(2_048),
+            start_running: 32,
+            floor_running: 4,
+            prefill_share: 0.8,
             decrease: 0.85,
             window: Duration::from_millis(500),
             min_samples: 20,
@@ -97,30 +108,35 @@
 pub struct AdmissionLimit {
     options: AdmissionOptions,
     limit: f64,
+    slots: f64,
     held: units::TokenCount,
     pending: units::TokenCount,
     running: usize,
     peak: units::TokenCount,
+    peak_running: usize,
     tokens: WindowCount,
     first_tokens: WindowCount,
     window_start: Instant,
 }
 
 impl AdmissionLimit {
-    /// Builds a limit that starts at half of the cap, or at eight times the floor without one.
+    /// Builds a limit that starts at the cap, or at eight times the floor without one. It falls
+    /// within a window when that is too much, and nothing is refused for want of samples.
     #[must_use]
     pub fn new(options: AdmissionOptions, now: Instant) -> Self {
         let start = match options.cap.0 {
             0 => options.floor.0 * 8,
-            cap => (cap / 2).max(options.floor.0).min(cap),
+            cap => cap,
         };
         Self {
             limit: start as f64,
+            slots: options.start_running.min(options.max_running) as f64,
             options,
             held: units::TokenCount::ZERO,
             pending: units::TokenCount::ZERO,
             running: 0,
             peak: units::TokenCount::ZERO,
+            peak_running: 0,
             tokens: WindowCount::default(),
             first_tokens: WindowCount::default(),
             window_start: now,
@@ -164,7 +180,7 @@
         if self.running == 0 {
             return FitVerdict::Fits;
         }
-        if self.running >= self.options.max_running {
+        if self.running >= self.slots as usize {
             return FitVerdict::LacksSlot;
         }
         let after = self.held + wanted.context;
@@ -172,20 +188,33 @@
         if lacking > units::TokenCount::ZERO {
             return FitVerdict::LacksTokens(lacking);
         }
-        let burst = rate.0 * self.options.first_token_target.as_secs_f64();
-        let pending = (self.pending + wanted.prefill).0 as f64;
-        if self.pending > units::TokenCount::ZERO && pending > burst {
+        let pending = self.pending + wanted.prefill;
+        if self.pending > units::TokenCount::ZERO && pending > self.burst(rate) {
             return FitVerdict::LacksPrefill;
         }
         FitVerdict::Fits
     }
 
+    /// Returns the pending prefill that `rate` can process within the first-token target.
+    #[must_use]
+    pub fn burst(&self, rate: units::TokenRate) -> units::TokenCount {
+        let seconds = self.options.first_token_target.as_secs_f64();
+        units::TokenCount((rate.0 * seconds * self.options.prefill_share) as u64)
+    }
+
+    /// Returns the requests that may run at one time.
+    #[must_use]
+    pub fn slots(&self) -> usize {
+        self.slots as usize
+    }
+
     /// Takes a share of the limit.
     pub fn admit(&mut self, share: Reservation) {
         self.held += share.context;
         self.pending += share.prefill;
         self.running += 1;
         self.peak = self.peak.max(self.held);
+        self.peak_running = self.peak_running.max(self.running);
     }
 
     /// Marks prompt tokens of a running request as computed.
@@ -203,13 +232,15 @@
 
     /// Takes a sample of the time to the first token. `own` is the nominal time of the request's
     /// own prefill: a dossier that needs longer than the target by itself says nothing about the
-    /// limit, so it is measured against 1.25 times its own prefill.
+    /// limit, so it is measured against twice its own prefill.
     pub fn first_token(&mut self, sample: Duration, own: Duration) {
-        let target = self.options.first_token_target.max(own.mul_f64(1.25));
+        let target = self.options.first_token_target.max(own * 2);
         self.first_tokens.add(sample > target);
     }
 
-    /// Takes a sample of the time between two tokens of one answer.
+    /// Takes a sample of the time between two tokens of one answer. A sample that was taken while
+    /// prefill was pending is left out by the caller: a chunk of prefill lengthens a step whatever
+    /// the limit is, and pending prefill has its own bound.
     pub fn token(&mut self, sample: Duration) {
         self.tokens.add(sample > self.options.token_target);
     }
@@ -222,24 +253,30 @@
         let min_samples = self.options.min_samples;
         let tokens = self.tokens.verdict(min_samples);
         let first = self.first_tokens.verdict(min_samples);
-        let before = self.limit;
+        let before = (self.limit, self.slots);
         if tokens == Some(true) || first == Some(true) {
             // The limit falls from what was in use, since an unused part delayed nobody.
-            let used = self.limit.min(self.peak.0 as f64);
-            self.limit = used * self.options.decrease;
-        } else if tokens == Some(false) && self.peak.0 as f64 > 0.8 * self.limit {
-            self.limit += self.options.step.0 as f64;
+            self.limit = self.limit.min(self.peak.0 as f64) * self.options.decrease;
+            self.slots = self.slots.min(self.peak_running as f64) * self.options.decrease;
+        } else if tokens.or(first) == Some(false) {
+            if self.peak.0 as f64 > 0.8 * self.limit {
+                self.limit += self.options.step.0 as f64;
+            }
+            if self.peak_running as f64 > 0.8 * self.slots {
+                self.slots += 1.0;
+            }
         }
         self.clamp();
         self.window_start = now;
         self.peak = self.held;
+        self.peak_running = self.running;
         if tokens.is_some() {
             self.tokens = WindowCount::default();
         }
         if first.is_some() {
             self.first_tokens = WindowCount::default();
         }
-        self.limit != before
+        before != (self.limit, self.slots)
     }
 
     fn clamp(&mut self) {
@@ -249,5 +286,7 @@
             cap => cap as f64,
         };
         self.limit = self.limit.max(floor).min(cap);
+        let most = self.options.max_running as f64;
+        self.slots = self.slots.max(self.options.floor_running as f64).min(most);
     }
 }
