Keep new work coming during rolling restarts in the fault matrix

A trial with a draining agent that went on granting passed all cells, since no request arrived after the drain. Requests now go on coming through an entry that never hears of the drain, and a returned incarnation ends the ban of the checker: a trace showed that work for the new incarnation was taken for work of the leaving one.

--- a/crates/waxwing-proof/src/checkers.rs
+++ b/crates/waxwing-proof/src/checkers.rs
@@ -245,6 +245,10 @@
             leaving.entry(endpoint.clone()).or_insert(timed.at);
             None
         }
+        RunEvent::Returned { endpoint } => {
+            leaving.remove(endpoint);
+            None
+        }
         RunEvent::Dispatched { endpoint, .. } => leaving
             .get(endpoint)
             .filter(|since| timed.at > **since + LEAVING_LIMIT)
--- a/crates/waxwing-proof/src/events.rs
+++ b/crates/waxwing-proof/src/events.rs
@@ -62,6 +62,11 @@
         /// The endpoint.
         endpoint: SmolStr,
     },
+    /// An endpoint came back as a new incarnation after it had left.
+    Returned {
+        /// The endpoint.
+        endpoint: SmolStr,
+    },
     /// A process was asked to shut down gracefully.
     ShutdownBegan {
         /// The process.
--- a/crates/waxwing-proof/tests/world/agents.rs
+++ b/crates/waxwing-proof/tests/world/agents.rs
@@ -54,6 +54,9 @@
     pub(super) fn start_agent(&mut self, agent: usize) {
         let now = self.instant();
         let plain = self.plain;
+        self.note(RunEvent::Returned {
+            endpoint: agent_name(agent),
+        });
         let slot = &mut self.agents[agent];
         slot.incarnation += 1;
         slot.leaving = false;
@@ -102,7 +105,7 @@
             endpoint: endpoint.clone(),
         });
         self.note(RunEvent::ShutdownBegan { process: endpoint });
-        self.agent_input(agent, events::AgentInput::Drain);
+        self.agent_input(agent, events::AgentInput::Leave);
     }
 
     /// The endpoint dies with all its calls; its agent notices.
--- a/crates/waxwing-proof/tests/world/entries.rs
+++ b/crates/waxwing-proof/tests/world/entries.rs
@@ -89,9 +89,9 @@
     fn host(&self, entry: usize) -> WorldHost {
         let up = |agent: &usize| self.links[self.find_link(entry, *agent)].up;
         let linked = (0..2).filter(up);
-        let usable = (0..2)
-            .filter(up)
-            .filter(|agent| !self.agents[*agent].leaving);
+        // Entry 1 never hears that an agent leaves, so the agent itself has to refuse.
+        let leaves = |agent: &usize| entry == 0 && self.agents[*agent].leaving;
+        let usable = (0..2).filter(up).filter(|agent| !leaves(agent));
         let id = |agent: usize| choice::EndpointId(agent as u32);
         WorldHost {
             usable: usable.map(id).collect(),
--- a/crates/waxwing-proof/tests/world/inject.rs
+++ b/crates/waxwing-proof/tests/world/inject.rs
@@ -202,5 +202,17 @@
             let delay = Duration::from_secs(8) * agent as u32;
             self.later(delay, Delivery::AgentDrain { agent });
         }
+        // A long generation keeps the first agent from ending at once, and new work goes on coming.
+        self.agents[0].slow = 80;
+        for number in 0..14_u128 {
+            let request = ids::RequestId(2_000 + number);
+            let spec = RequestSpec {
+                request,
+                rank: 1,
+                key: None,
+                read_millis: 0,
+            };
+            self.ask(Duration::from_secs(1) * number as u32, 1, spec);
+        }
     }
 }
