Add the one-process fleet with its demo, and the load tool's runs

Every role runs in a cell with threads of its own, so that a kill drops its sockets without a farewell. The demo sends the request files of both deployments through entries, agents and stand-ins over loopback sockets, compares every answer and counts every record.

Silence of stand-in connections now counts connections in the fault switch, so that a fault from within the process does not silence new connections.

--- a/crates/waxwing-load/src/fleets.rs
+++ b/crates/waxwing-load/src/fleets.rs
@@ -20,12 +20,8 @@
     pub registers: Vec<SocketAddr>,
 }
 
-/// Reads a page as JSON; none if the process does not answer.
-pub async fn read_page<C: Clock, T: DeserializeOwned>(
-    address: SocketAddr,
-    path: &str,
-    clock: &C,
-) -> Option<T> {
+/// Reads a page as text; none if the process does not answer.
+pub async fn read_text<C: Clock>(address: SocketAddr, path: &str, clock: &C) -> Option<String> {
     let spec = callers::CallSpec {
         method: Method::GET,
         path: SmolStr::new(path),
@@ -33,7 +29,17 @@
         body: Bytes::new(),
     };
     let answer = callers::call(address, spec, clock, None).await.ok()?;
-    serde_json::from_slice(&answer.body).ok()
+    String::from_utf8(answer.body).ok()
+}
+
+/// Reads a page as JSON; none if the process does not answer.
+pub async fn read_page<C: Clock, T: DeserializeOwned>(
+    address: SocketAddr,
+    path: &str,
+    clock: &C,
+) -> Option<T> {
+    let text = read_text(address, path, clock).await?;
+    serde_json::from_str(&text).ok()
 }
 
 impl StandinAddresses {
--- a/crates/waxwing-load/src/lib.rs
+++ b/crates/waxwing-load/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod pages;
 pub mod plots;
 pub mod reports;
+pub mod runs;
 pub mod tallies;
 pub mod targets;
 pub mod verdicts;
--- /dev/null
+++ b/crates/waxwing-load/src/runs.rs
@@ -0,0 +1,263 @@
+//! One run: a fleet for each variant, the traffic, the faults at their times, and the report.
+
+use std::{collections::BTreeMap, net::SocketAddr, path::Path, sync::Arc, time::Duration};
+
+use smol_str::{SmolStr, format_smolstr};
+use waxwing_core::{
+    clock::{Clock as _, SystemClock},
+    ids,
+};
+use waxwing_settings::{files, view};
+use waxwing_solo::{deployments::Deployment, fleets::SoloFleet};
+use waxwing_standin::{options, servers::StandinSite, simulation};
+
+use crate::{
+    arrivals, drivers,
+    errors::LoadError,
+    experiments::{Experiment, FaultTarget, PlannedFault, RunVariant},
+    fleets::StandinAddresses,
+    reports::{RunReport, VariantReport},
+    tallies::{self, StandinTotals},
+    targets,
+};
+
+/// The time in which agents announce themselves to all entries after the first call is served.
+const SETTLE_TIME: Duration = Duration::from_millis(2_500);
+
+/// The time in which cancelled work ends at the stand-ins after the last call.
+const DRAIN_TIME: Duration = Duration::from_secs(1);
+
+/// A `RunSite` is where a run goes.
+#[derive(Debug, Clone, Default)]
+pub struct RunSite {
+    /// Entries that run elsewhere; empty to start a fleet in this process for each variant.
+    pub entries: Vec<SocketAddr>,
+    /// The stand-ins behind these entries.
+    pub standins: StandinAddresses,
+}
+
+/// Runs all variants of an experiment, one after the other.
+///
+/// # Errors
+/// Fails if the settings are not valid or a fleet can't be started.
+pub async fn run(
+    experiment: Experiment,
+    folder: &Path,
+    site: &RunSite,
+) -> Result<RunReport, LoadError> {
+    let settings = folder.join(experiment.settings.as_str());
+    let tree: serde_json::Value = files::load(&settings)?;
+    let typed: view::SettingsTree = files::load(&settings)?;
+    let tiers = typed.tiers.iter();
+    let ranks = tiers
+        .map(|(name, tier)| (name.clone(), tier.rank))
+        .collect();
+    let run = VariantRun {
+        experiment: Arc::new(experiment),
+        tree,
+        ranks,
+    };
+    let mut variants = Vec::new();
+    for variant in &run.experiment.variants {
+        eprintln!("{}: variant {}", run.experiment.name, variant.name);
+        let report = if site.entries.is_empty() {
+            run.in_process(variant).await?
+        } else {
+            run.elsewhere(variant, site).await
+        };
+        variants.push(report);
+    }
+    Ok(RunReport {
+        experiment: run.experiment.name.clone(),
+        seed: run.experiment.seed,
+        rate: arrivals::mean_rate(&run.experiment),
+        targets: targets::evaluate(&run.experiment.targets, &variants),
+        variants,
+    })
+}
+
+struct VariantRun {
+    experiment: Arc<Experiment>,
+    tree: serde_json::Value,
+    ranks: BTreeMap<ids::TierName, ids::TierRank>,
+}
+
+impl VariantRun {
+    async fn in_process(&self, variant: &RunVariant) -> Result<VariantReport, LoadError> {
+        let failure = |error: waxwing_solo::errors::SoloError| LoadError::Fleet(error.to_string());
+        let data = tempfile::tempdir().map_err(|error| LoadError::Fleet(error.to_string()))?;
+        let mut tree = self.tree.clone();
+        tree["policy"]["routing"] = serde_json::to_value(variant.routing)?;
+        let plan = &self.experiment.fleet;
+        let runners = plan.runners.iter().flat_map(|runner| {
+            let options = self.runner(runner.speed);
+            (0..runner.count).map(move |_| options.clone())
+        });
+        let fleet = Deployment::Atelier.fleet_of(data.path(), runners.collect(), plan.plain);
+        let mut options = fleet.map_err(failure)?;
+        options.tree = tree;
+        options.entries = plan.entries;
+        options.controls = plan.controls;
+        let mut fleet = SoloFleet::start(options).await.map_err(failure)?;
+        SystemClock.sleep(SETTLE_TIME).await;
+        let before = fleet_totals(&fleet);
+        let targets = call_targets(&fleet, variant);
+        let driver = tokio::spawn(self.drive(variant, targets));
+        self.inject(&mut fleet).await;
+        let records = driver.await.unwrap_or_default();
+        SystemClock.sleep(DRAIN_TIME).await;
+        let counters = entry_counters(&fleet.entry_addresses).await;
+        let totals = fleet_totals(&fleet).since(&before);
+        fleet.stop().await;
+        Ok(self.report(variant, &records, &totals, counters))
+    }
+
+    async fn elsewhere(&self, variant: &RunVariant, site: &RunSite) -> VariantReport {
+        let before = site.standins.totals(&SystemClock).await;
+        let targets = drivers::CallTargets {
+            chats: site.entries.clone(),
+            records: site.entries.clone(),
+        };
+        let records = self.drive(variant, targets).await;
+        SystemClock.sleep(DRAIN_TIME).await;
+        let totals = site.standins.totals(&SystemClock).await.since(&before);
+        let counters = entry_counters(&site.entries).await;
+        self.report(variant, &records, &totals, counters)
+    }
+
+    fn runner(&self, speed: u32) -> options::StandinOptions {
+        let plan = &self.experiment.fleet;
+        let mut options = Deployment::Atelier.runner(speed, plan.time_scale);
+        if let options::StandinRole::Engine(engine) = &mut options.role {
+            engine.cache_tokens = waxwing_core::units::TokenCount(plan.cache_tokens);
+        }
+        options
+    }
+
+    fn drive(
+        &self,
+        variant: &RunVariant,
+        targets: drivers::CallTargets,
+    ) -> impl Future<Output = Vec<drivers::CallRecord>> + Send + use<> {
+        let scale = if variant.rate_scale > 0.0 {
+            variant.rate_scale
+        } else {
+            1.0
+        };
+        let calls = arrivals::schedule(&self.experiment, scale);
+        let run = drivers::LoadRun {
+            experiment: self.experiment.clone(),
+            targets,
+            run: format_smolstr!("{}-{:08x}", variant.name, rand::random::<u32>()),
+            clock: SystemClock,
+        };
+        run.drive(calls)
+    }
+
+    async fn inject(&self, fleet: &mut SoloFleet) {
+        let started = SystemClock.now();
+        let mut faults = self.experiment.faults.clone();
+        faults.sort_by_key(|fault| fault.at_ms);
+        for fault in faults {
+            let passed = SystemClock.now().saturating_duration_since(started);
+            let at = Duration::from_millis(fault.at_ms);
+            if let Some(wait) = at.checked_sub(passed) {
+                SystemClock.sleep(wait).await;
+            }
+            hit(fleet, &fault);
+        }
+    }
+
+    fn report(
+        &self,
+        variant: &RunVariant,
+        records: &[drivers::CallRecord],
+        totals: &StandinTotals,
+        counters: BTreeMap<SmolStr, u64>,
+    ) -> VariantReport {
+        VariantReport {
+            name: variant.name.clone(),
+            baseline: variant.is_baseline(),
+            tiers: tallies::tally_tiers(&self.experiment, &self.ranks, records),
+            prefill: tallies::tally_prefill(&self.experiment, records, totals),
+            runs: tallies::tally_runs(&self.experiment, &self.ranks, records, totals),
+            good_by_second: tallies::good_by_second(records),
+            counters,
+        }
+    }
+}
+
+fn call_targets(fleet: &SoloFleet, variant: &RunVariant) -> drivers::CallTargets {
+    if variant.direct {
+        let addresses = |cells: &[waxwing_solo::fleets::StandinCell]| {
+            cells.iter().map(|cell| cell.address).collect()
+        };
+        return drivers::CallTargets {
+            chats: addresses(&fleet.runners),
+            records: addresses(&fleet.registers),
+        };
+    }
+    drivers::CallTargets {
+        chats: fleet.entry_addresses.clone(),
+        records: fleet.entry_addresses.clone(),
+    }
+}
+
+/// Sums the counts of all stand-ins, those that died included.
+fn fleet_totals(fleet: &SoloFleet) -> StandinTotals {
+    let mut totals = StandinTotals::default();
+    for runner in &fleet.runners {
+        if let StandinSite::Engine(engine) = &runner.site {
+            let counts: simulation::PrefillCounts = engine.counts();
+            totals.add_engine(&counts, &engine.runs());
+        }
+    }
+    totals.add_register(&fleet.book.counts());
+    totals
+}
+
+fn hit(fleet: &mut SoloFleet, fault: &PlannedFault) {
+    let first = fault.first as usize;
+    let range = first..first + fault.count as usize;
+    for index in range {
+        match fault.target {
+            FaultTarget::Runner => {
+                if let Some(standin) = fleet.runners.get(index) {
+                    standin.site.faults().apply(&fault.order);
+                }
+            }
+            FaultTarget::Register => {
+                if let Some(standin) = fleet.registers.get(index) {
+                    standin.site.faults().apply(&fault.order);
+                }
+            }
+            FaultTarget::Entry => kill(&mut fleet.entries, index),
+            FaultTarget::Agent => kill(&mut fleet.agents, index),
+            FaultTarget::Control => kill(&mut fleet.controls, index),
+        }
+    }
+}
+
+fn kill(cells: &mut [waxwing_solo::cells::RoleCell], index: usize) {
+    if let Some(cell) = cells.get_mut(index) {
+        cell.kill();
+    }
+}
+
+/// Sums the counters of all entries that answer, where not zero.
+async fn entry_counters(entries: &[SocketAddr]) -> BTreeMap<SmolStr, u64> {
+    let mut sums = BTreeMap::new();
+    for entry in entries {
+        let text = crate::fleets::read_text(*entry, "/metrics", &SystemClock).await;
+        for line in text.unwrap_or_default().lines() {
+            let Some((name, value)) = line.split_once(' ') else {
+                continue;
+            };
+            let value = value.trim().parse().unwrap_or(0);
+            if value > 0 {
+                *sums.entry(SmolStr::new(name)).or_default() += value;
+            }
+        }
+    }
+    sums
+}
--- a/crates/waxwing-load/src/tallies.rs
+++ b/crates/waxwing-load/src/tallies.rs
@@ -55,6 +55,25 @@
         }
     }
 
+    /// Returns the growth of the prefill counts since `before`, and the runs and records that were
+    /// not there before.
+    #[must_use]
+    pub fn since(mut self, before: &Self) -> Self {
+        let (now, old) = (&mut self.prefill, &before.prefill);
+        now.admitted -= old.admitted;
+        now.finished -= old.finished;
+        now.cancelled -= old.cancelled;
+        now.computed -= old.computed;
+        now.cached -= old.cached;
+        now.wasted_cancelled = now.wasted_cancelled.saturating_sub(old.wasted_cancelled);
+        now.wasted_repeated -= old.wasted_repeated;
+        now.wasted_lost -= old.wasted_lost;
+        self.runs.retain(|id, _| !before.runs.contains_key(id));
+        self.bodies
+            .retain(|name, _| !before.bodies.contains_key(name));
+        self
+    }
+
     /// Adds the counts of one register with a book of its own.
     pub fn add_register(&mut self, counts: &registers::RegisterCounts) {
         for (name, count) in &counts.bodies {
--- /dev/null
+++ b/crates/waxwing-solo/src/fleets.rs
@@ -0,0 +1,357 @@
+//! The fleet: starting all cells in order, waiting until they serve, killing and stopping them.
+
+use std::{fs, net::SocketAddr, sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use hyper::Method;
+use smol_str::{SmolStr, ToSmolStr as _, format_smolstr};
+use waxwing_agent::AgentOptions;
+use waxwing_control::{ControlOptions, options::PeerOptions};
+use waxwing_core::{
+    clock::{Clock, SystemClock},
+    ids,
+};
+use waxwing_entry::EntryOptions;
+use waxwing_standin::{
+    callers, registers,
+    servers::{self, StandinSite},
+};
+
+use crate::{cells::RoleCell, errors::SoloError, options};
+
+/// The time in which a fleet has to become ready.
+const READY_LIMIT: Duration = Duration::from_secs(20);
+
+/// The time between two probes.
+const PROBE_PAUSE: Duration = Duration::from_millis(100);
+
+/// A `StandinCell` is a stand-in with its handle for counts and faults.
+#[derive(Debug)]
+pub struct StandinCell {
+    /// The cell.
+    pub cell: RoleCell,
+    /// The handle; it works beyond the end of the cell.
+    pub site: StandinSite<SystemClock>,
+    /// The address.
+    pub address: SocketAddr,
+}
+
+/// A `SoloFleet` is a running fleet in this process.
+#[derive(Debug)]
+pub struct SoloFleet {
+    options: Arc<options::SoloOptions>,
+    /// Control hosts.
+    pub controls: Vec<RoleCell>,
+    /// Stand-in engines.
+    pub runners: Vec<StandinCell>,
+    /// Stand-in registers.
+    pub registers: Vec<StandinCell>,
+    /// Agents, those of the engines first.
+    pub agents: Vec<RoleCell>,
+    /// Entries.
+    pub entries: Vec<RoleCell>,
+    /// Addresses of the entries for callers.
+    pub entry_addresses: Vec<SocketAddr>,
+    /// Addresses of the operators' interface of the control hosts.
+    pub operator_addresses: Vec<SocketAddr>,
+    /// The book of all registers.
+    pub book: registers::RegisterBook,
+    links: Vec<SocketAddr>,
+}
+
+fn name_of(kind: &str, index: usize) -> ids::ProcessName {
+    let name = format!("{kind}-{}", index + 1);
+    name.parse().expect("letters, digits and `-` are a name")
+}
+
+fn loopback() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 0))
+}
+
+impl SoloFleet {
+    /// Starts all cells and waits until every entry answers every probe.
+    ///
+    /// # Errors
+    /// Fails if a cell can't be started or the fleet is not ready in time.
+    pub async fn start(options: options::SoloOptions) -> Result<Self, SoloError> {
+        let mut fleet = Self {
+            options: Arc::new(options),
+            controls: Vec::new(),
+            runners: Vec::new(),
+            registers: Vec::new(),
+            agents: Vec::new(),
+            entries: Vec::new(),
+            entry_addresses: Vec::new(),
+            operator_addresses: Vec::new(),
+            book: registers::RegisterBook::default(),
+            links: Vec::new(),
+        };
+        fleet.start_controls().await?;
+        fleet.start_standins().await?;
+        fleet.start_agents().await?;
+        fleet.start_entries().await?;
+        fleet.wait_ready().await?;
+        Ok(fleet)
+    }
+
+    async fn start_controls(&mut self) -> Result<(), SoloError> {
+        let mut bound = Vec::new();
+        for index in 0..self.options.controls as usize {
+            let cell = RoleCell::new(format_smolstr!("control-{}", index + 1), 1)?;
+            let options = self.control_options(index)?;
+            let control = cell
+                .bind(waxwing_control::bind(options, SystemClock))
+                .await?;
+            self.links.push(control.link_address());
+            self.operator_addresses.push(control.http_address());
+            bound.push((cell, control));
+        }
+        for (index, (mut cell, mut control)) in bound.into_iter().enumerate() {
+            let others = self
+                .links
+                .iter()
+                .enumerate()
+                .filter(|(other, _)| *other != index);
+            let peers = others.map(|(other, link)| PeerOptions {
+                name: name_of("control", other),
+                link: *link,
+            });
+            control.set_peers(peers.collect());
+            if index == 0 {
+                let set = control.set_first_tree(self.options.tree.clone());
+                set.map_err(|findings| SoloError::Tree(format!("{findings:?}")))?;
+            }
+            let name = cell.name().clone();
+            cell.run(|shutdown| async move {
+                if let Err(error) = control.run(shutdown).await {
+                    tracing::error!(%name, %error, "control host ended");
+                }
+            });
+            self.controls.push(cell);
+        }
+        Ok(())
+    }
+
+    fn control_options(&self, index: usize) -> Result<ControlOptions, SoloError> {
+        let folder = self.options.data.join(format!("control-{}", index + 1));
+        fs::create_dir_all(&folder).map_err(|error| SoloError::Folder {
+            folder: folder.to_string_lossy().to_smolstr(),
+            error,
+        })?;
+        Ok(ControlOptions {
+            name: name_of("control", index),
+            data_centre: self.options.data_centre(index),
+            region: self.options.region.clone(),
+            link: loopback(),
+            http: loopback(),
+            data: Some(folder),
+            found: index == 0,
+            peers: Vec::new(),
+            tls: None,
+            settings: None,
+        })
+    }
+
+    async fn start_standins(&mut self) -> Result<(), SoloError> {
+        for (index, options) in self.options.clone().runners.iter().enumerate() {
+            let name = format_smolstr!("runner-{}", index + 1);
+            self.runners.push(self.start_standin(name, options).await?);
+        }
+        for (index, options) in self.options.clone().registers.iter().enumerate() {
+            let name = format_smolstr!("register-{}", index + 1);
+            self.registers
+                .push(self.start_standin(name, options).await?);
+        }
+        Ok(())
+    }
+
+    async fn start_standin(
+        &self,
+        name: SmolStr,
+        options: &waxwing_standin::options::StandinOptions,
+    ) -> Result<StandinCell, SoloError> {
+        let mut cell = RoleCell::new(name, 1)?;
+        let bind = servers::bind_shared(options.clone(), self.book.clone(), SystemClock);
+        let bound = cell.bind(bind).await?;
+        let (address, site) = (bound.address(), bound.site());
+        cell.run(|shutdown| bound.run(shutdown));
+        Ok(StandinCell {
+            cell,
+            site,
+            address,
+        })
+    }
+
+    async fn start_agents(&mut self) -> Result<(), SoloError> {
+        let engines = self.runners.iter().map(|standin| standin.address);
+        let engines = engines.map(|address| (address, self.options.runner_role.clone()));
+        let plain = self.registers.iter().map(|standin| standin.address);
+        let plain = plain.map(|address| (address, self.options.register_role.clone()));
+        let endpoints: Vec<_> = engines.chain(plain).collect();
+        for (index, (address, role)) in endpoints.into_iter().enumerate() {
+            let agent = self.start_agent(index, address, role).await?;
+            self.agents.push(agent);
+        }
+        Ok(())
+    }
+
+    async fn start_agent(
+        &self,
+        index: usize,
+        endpoint: SocketAddr,
+        role: ids::RoleName,
+    ) -> Result<RoleCell, SoloError> {
+        let mut cell = RoleCell::new(format_smolstr!("agent-{}", index + 1), 1)?;
+        let options = AgentOptions {
+            name: name_of("agent", index),
+            data_centre: self.options.data_centre(index),
+            region: self.options.region.clone(),
+            link_address: loopback(),
+            announced_address: None,
+            endpoint: format_smolstr!("http://{endpoint}"),
+            role,
+            control: self.links.clone(),
+            limits: waxwing_agent::options::AgentLimits::default(),
+            security: waxwing_wire::security::LinkSecurity::Plain,
+        };
+        let bound = cell.bind(waxwing_agent::bind(options, SystemClock)).await?;
+        let name = cell.name().clone();
+        cell.run(|shutdown| async move {
+            if let Err(error) = bound.run(shutdown).await {
+                tracing::error!(%name, %error, "agent ended");
+            }
+        });
+        Ok(cell)
+    }
+
+    async fn start_entries(&mut self) -> Result<(), SoloError> {
+        for index in 0..self.options.entries as usize {
+            let mut cell = RoleCell::new(format_smolstr!("entry-{}", index + 1), 2)?;
+            let options = EntryOptions {
+                name: name_of("entry", index),
+                data_centre: self.options.data_centre(index),
+                region: self.options.region.clone(),
+                http_address: loopback(),
+                control_hosts: self.links.clone(),
+                body_memory_bytes: waxwing_core::units::ByteCount(256 * 1024 * 1024),
+                // No balancer has to notice here.
+                readiness_delay_ms: 0,
+                watch_limit: 160,
+                tls: None,
+            };
+            let bound = cell.bind(waxwing_entry::bind(options, SystemClock)).await?;
+            self.entry_addresses.push(bound.http_address());
+            cell.run(|shutdown| async move { bound.run(shutdown).await });
+            self.entries.push(cell);
+        }
+        Ok(())
+    }
+
+    async fn wait_ready(&self) -> Result<(), SoloError> {
+        let started = SystemClock.now();
+        for entry in &self.entry_addresses {
+            for probe in &self.options.probes {
+                self.wait_probe(*entry, probe, started).await?;
+            }
+        }
+        Ok(())
+    }
+
+    async fn wait_probe(
+        &self,
+        entry: SocketAddr,
+        probe: &options::FleetProbe,
+        started: std::time::Instant,
+    ) -> Result<(), SoloError> {
+        loop {
+            let seen = match send_probe(entry, probe).await {
+                // A plain service without the record asked for is served all the same.
+                Ok(answer) if callers::is_answer(answer.status) || is_plain_miss(&answer) => {
+                    return Ok(());
+                }
+                Ok(answer) => String::from_utf8_lossy(&answer.body).to_smolstr(),
+                Err(error) => error.to_smolstr(),
+            };
+            let waited = SystemClock.now().saturating_duration_since(started);
+            if waited > READY_LIMIT {
+                let seconds = READY_LIMIT.as_secs();
+                return Err(SoloError::NotReady { seconds, seen });
+            }
+            SystemClock.sleep(PROBE_PAUSE).await;
+        }
+    }
+
+    /// Stops entries first, then agents, stand-ins and control hosts, each gracefully.
+    pub async fn stop(mut self) {
+        let standins = self.runners.iter_mut().chain(&mut self.registers);
+        let standins = standins.map(|standin| &mut standin.cell);
+        let groups: [Vec<&mut RoleCell>; 4] = [
+            self.entries.iter_mut().collect(),
+            self.agents.iter_mut().collect(),
+            standins.collect(),
+            self.controls.iter_mut().collect(),
+        ];
+        for group in groups {
+            group.iter().for_each(|cell| cell.ask_to_stop());
+            for cell in group {
+                cell.stop().await;
+            }
+        }
+    }
+}
+
+fn is_plain_miss(answer: &callers::CallAnswer) -> bool {
+    answer.status == 404
+        && answer
+            .body
+            .windows(14)
+            .any(|text| text == b"no such record")
+}
+
+async fn send_probe(
+    entry: SocketAddr,
+    probe: &options::FleetProbe,
+) -> Result<callers::CallAnswer, waxwing_standin::errors::CallError> {
+    let spec = callers::CallSpec {
+        method: probe.method.clone(),
+        path: probe.path.clone(),
+        headers: vec![
+            ("authorization", format!("Bearer {}", probe.token)),
+            ("x-deadline-ms", "1000".to_owned()),
+        ],
+        body: Bytes::from(probe.body.clone()),
+    };
+    tokio::select! {
+        answer = callers::call(entry, spec, &SystemClock, None) => answer,
+        () = SystemClock.sleep(Duration::from_secs(2)) => Err(
+            waxwing_standin::errors::CallError::Connect(std::io::ErrorKind::TimedOut.into()),
+        ),
+    }
+}
+
+/// Returns a probe of a model.
+#[must_use]
+pub fn model_probe(model: &ids::ModelName, token: &str) -> options::FleetProbe {
+    let body = serde_json::json!({
+        "model": model,
+        "messages": [{ "role": "user", "content": "ready?" }],
+        "max_tokens": 1,
+    });
+    options::FleetProbe {
+        method: Method::POST,
+        path: SmolStr::new_static("/v1/chat/completions"),
+        token: SmolStr::new(token),
+        body: body.to_string(),
+    }
+}
+
+/// Returns a probe of a register; it looks up a record that does not exist.
+#[must_use]
+pub fn register_probe(service: &ids::ServiceName, token: &str) -> options::FleetProbe {
+    options::FleetProbe {
+        method: Method::GET,
+        path: format_smolstr!("/services/{service}/bookings/none"),
+        token: SmolStr::new(token),
+        body: String::new(),
+    }
+}
--- /dev/null
+++ b/crates/waxwing-solo/src/requests.rs
@@ -0,0 +1,198 @@
+//! Request files of the examples: what the demo sends, and what has to come back.
+
+use std::collections::BTreeMap;
+
+use bytes::Bytes;
+use hyper::Method;
+use serde::Deserialize;
+use serde_json::{Value, json};
+use smol_str::{SmolStr, format_smolstr};
+use waxwing_core::{ids, prompts};
+use waxwing_standin::{answers, callers, registers};
+
+/// A `RequestFile` is the request file of one deployment.
+#[derive(Debug, Clone, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct RequestFile {
+    /// Bearer tokens by account; for development only.
+    pub tokens: BTreeMap<ids::AccountName, SmolStr>,
+    /// The requests.
+    pub requests: Vec<RequestSample>,
+}
+
+/// A `RequestSample` is one request that is sent a number of times.
+#[derive(Debug, Clone, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct RequestSample {
+    /// What it is, for the terminal.
+    pub name: SmolStr,
+    /// The client account.
+    pub account: ids::AccountName,
+    /// The tier.
+    pub tier: ids::TierName,
+    /// How often it is sent, each time with a number in its text.
+    pub times: u32,
+    /// A chat with a model.
+    #[serde(default)]
+    pub chat: Option<ChatSample>,
+    /// A record in a plain service.
+    #[serde(default)]
+    pub record: Option<RecordSample>,
+}
+
+/// A `ChatSample` is a chat.
+#[derive(Debug, Clone, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ChatSample {
+    /// The model.
+    pub model: ids::ModelName,
+    /// Output tokens at most.
+    pub max_tokens: u64,
+    /// Whether the answer is streamed.
+    pub stream: bool,
+    /// The text of the user.
+    pub content: String,
+    /// Tokens of a document that stands before the text; the same one each time.
+    #[serde(default)]
+    pub padding_tokens: usize,
+}
+
+/// A `RecordSample` is a non-idempotent call to a plain service.
+#[derive(Debug, Clone, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct RecordSample {
+    /// The path.
+    pub path: SmolStr,
+    /// The beginning of the idempotency key.
+    pub key: SmolStr,
+    /// Whether the call is sent twice with one key, as an application does that saw no answer.
+    #[serde(default)]
+    pub resend: bool,
+    /// The body; a reference is added to it.
+    pub body: Value,
+}
+
+/// A `SampleCall` is one call of a sample.
+#[derive(Debug, Clone)]
+pub struct SampleCall {
+    /// The name of the sample and the number of the call.
+    pub name: SmolStr,
+    /// The tier.
+    pub tier: ids::TierName,
+    /// What is sent.
+    pub spec: callers::CallSpec,
+    /// Whether the call is sent twice.
+    pub resend: bool,
+    /// What has to come back.
+    pub expected: SampleAnswer,
+}
+
+/// A `SampleAnswer` is the answer that a call has to get.
+#[derive(Debug, Clone)]
+pub enum SampleAnswer {
+    /// The text of a streamed chat.
+    Stream(String),
+    /// The text of a chat that is not streamed.
+    Whole(String),
+    /// The body of a register's answer, and the name under which the register counts the record.
+    Record(String, SmolStr),
+}
+
+impl SampleAnswer {
+    /// Tells whether an answer is whole and the right one.
+    #[must_use]
+    pub fn is_met(&self, answer: &callers::CallAnswer) -> bool {
+        let read = |reading: callers::ChatReading, text: &str| {
+            reading.done && !reading.failed && reading.text == text
+        };
+        let right = match self {
+            Self::Stream(text) => read(callers::ChatReading::of_stream(&answer.body), text),
+            Self::Whole(text) => read(callers::ChatReading::of_whole(&answer.body), text),
+            Self::Record(body, _) => answer.body == body.as_bytes(),
+        };
+        callers::is_answer(answer.status) && answer.ended && right
+    }
+}
+
+impl RequestFile {
+    /// Returns all calls of the file.
+    #[must_use]
+    pub fn calls(&self) -> Vec<SampleCall> {
+        let samples = self.requests.iter();
+        let calls = samples
+            .flat_map(|sample| (0..sample.times).filter_map(|number| self.call(sample, number)));
+        calls.collect()
+    }
+
+    fn call(&self, sample: &RequestSample, number: u32) -> Option<SampleCall> {
+        let token = self.tokens.get(&sample.account)?;
+        let mut headers = vec![
+            ("authorization", format!("Bearer {token}")),
+            ("x-tier", sample.tier.to_string()),
+        ];
+        let (path, body, expected) = match (&sample.chat, &sample.record) {
+            (Some(chat), _) => chat_call(chat, number),
+            (None, Some(record)) => {
+                headers.push(("idempotency-key", format!("{}-{number}", record.key)));
+                record_call(record, number)
+            }
+            (None, None) => return None,
+        };
+        Some(SampleCall {
+            name: format_smolstr!("{} #{}", sample.name, number + 1),
+            tier: sample.tier.clone(),
+            resend: sample.record.as_ref().is_some_and(|record| record.resend),
+            spec: callers::CallSpec {
+                method: Method::POST,
+                path,
+                headers,
+                body: Bytes::from(body),
+            },
+            expected,
+        })
+    }
+}
+
+fn chat_call(chat: &ChatSample, number: u32) -> (SmolStr, String, SampleAnswer) {
+    let bytes = chat.padding_tokens * prompts::TOKEN_BYTES;
+    let mut content: String = chat.content.chars().cycle().take(bytes).collect();
+    content.push_str(&format!("\n{} ({number})", chat.content));
+    let mut prompt = String::new();
+    prompts::push_message(&mut prompt, "user", &content);
+    let text = answers::expected_text(chat.model.as_str(), &prompt, Some(chat.max_tokens));
+    let body = json!({
+        "model": chat.model,
+        "messages": [{ "role": "user", "content": content }],
+        "max_tokens": chat.max_tokens,
+        "stream": chat.stream,
+    });
+    let expected = if chat.stream {
+        SampleAnswer::Stream(text)
+    } else {
+        SampleAnswer::Whole(text)
+    };
+    (
+        SmolStr::new_static("/v1/chat/completions"),
+        body.to_string(),
+        expected,
+    )
+}
+
+fn record_call(record: &RecordSample, number: u32) -> (SmolStr, String, SampleAnswer) {
+    let mut body = record.body.clone();
+    if let Some(fields) = body.as_object_mut() {
+        fields.insert(
+            "reference".to_owned(),
+            json!(format!("{}-{number}", record.key)),
+        );
+    }
+    let body = body.to_string();
+    let kind = record.path.rsplit('/').next().unwrap_or_default();
+    let name = registers::record_name(kind, &answers::record_id(body.as_bytes()));
+    let expected = answers::expected_record(kind, body.as_bytes());
+    (
+        record.path.clone(),
+        body,
+        SampleAnswer::Record(expected, name),
+    )
+}
--- /dev/null
+++ b/crates/waxwing-solo/tests/cells.rs
@@ -0,0 +1,126 @@
+//! Tests of cells and of the demo's checks.
+
+use bytes::Bytes;
+use hyper::Method;
+use tokio::io::AsyncReadExt as _;
+use waxwing_core::clock::SystemClock;
+use waxwing_solo::{cells::RoleCell, deployments::Deployment, requests::SampleAnswer};
+use waxwing_standin::{answers, callers};
+
+/// Guards against a kill that leaves sockets open or lets the role say goodbye: it would prove
+/// nothing about processes that die.
+#[tokio::test]
+async fn kill_closes_sockets_without_shutdown() {
+    let mut cell = RoleCell::new("victim", 1).expect("threads");
+    let bind = tokio::net::TcpListener::bind(("127.0.0.1", 0));
+    let listener = cell.bind(bind).await.expect("a free port");
+    let address = listener.local_addr().expect("an address");
+    let (farewell, mut heard) = tokio::sync::mpsc::channel::<()>(1);
+    cell.run(|shutdown| async move {
+        let mut held = Vec::new();
+        loop {
+            tokio::select! {
+                accepted = listener.accept() => held.push(accepted),
+                () = shutdown.cancelled() => {
+                    let _ = farewell.send(()).await;
+                    return;
+                }
+            }
+        }
+    });
+    let mut stream = tokio::net::TcpStream::connect(address)
+        .await
+        .expect("connected");
+    cell.kill();
+    assert!(cell.is_gone());
+    let read = stream.read(&mut [0; 8]).await;
+    assert!(matches!(read, Ok(0) | Err(_)));
+    assert_eq!(
+        heard.recv().await,
+        None,
+        "the role had no chance to shut down"
+    );
+}
+
+/// Guards against request files that name accounts without a token, or settings that the control
+/// host refuses.
+#[test]
+fn example_files_fit_together() {
+    for deployment in Deployment::ALL {
+        let file = deployment.requests().expect("the request file is valid");
+        let sent: u32 = file.requests.iter().map(|sample| sample.times).sum();
+        assert_eq!(file.calls().len(), sent as usize);
+        let tree = deployment.tree().expect("the settings tree is valid");
+        let checked = waxwing_settings::checks::check_tree(&tree);
+        assert!(checked.is_ok(), "{:?}", checked.err());
+    }
+}
+
+/// Guards against a demo that calls a cut, refused or foreign answer whole.
+#[test]
+fn demo_finds_planted_faults() {
+    let stream = |text: &str, end: &str| callers::CallAnswer {
+        status: 200,
+        ended: true,
+        body: format!("data: {{\"choices\":[{{\"delta\":{{\"content\":\"{text}\"}}}}]}}\n\n{end}")
+            .into_bytes(),
+        ..callers::CallAnswer::default()
+    };
+    let expected = SampleAnswer::Stream("abc ".to_owned());
+    let done = "data: [DONE]\n\n";
+    assert!(expected.is_met(&stream("abc ", done)));
+    assert!(!expected.is_met(&stream("abc ", "")));
+    assert!(!expected.is_met(&stream("xyz ", done)));
+    let refused = callers::CallAnswer {
+        status: 503,
+        ..stream("abc ", done)
+    };
+    assert!(!expected.is_met(&refused));
+    let body = answers::expected_record("bookings", b"{}");
+    let record = SampleAnswer::Record(body.clone(), "bookings/0".into());
+    let answer = callers::CallAnswer {
+        status: 201,
+        ended: true,
+        body: body.into_bytes(),
+        ..callers::CallAnswer::default()
+    };
+    assert!(record.is_met(&answer));
+    let cut = callers::CallAnswer {
+        ended: false,
+        ..answer
+    };
+    assert!(!record.is_met(&cut));
+}
+
+/// Guards against a fleet that starts but does not serve: one call of each kind goes through
+/// entry, agent and stand-in over real sockets.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn fleet_serves_both_kinds_of_services() {
+    let data = tempfile::tempdir().expect("a folder");
+    let options = Deployment::Atelier
+        .fleet(data.path(), 1)
+        .expect("the example is valid");
+    let fleet = waxwing_solo::fleets::SoloFleet::start(options)
+        .await
+        .expect("a fleet");
+    let calls = Deployment::Atelier.requests().expect("requests").calls();
+    let order = calls.iter().find(|call| call.resend).expect("a record");
+    let chat = calls.iter().find(|call| !call.resend).expect("a chat");
+    for call in [chat, order, order] {
+        let entry = fleet.entry_addresses[1];
+        let answer = callers::call(entry, call.spec.clone(), &SystemClock, None).await;
+        let answer = answer.expect("an answer");
+        let body = String::from_utf8_lossy(&answer.body);
+        assert!(call.expected.is_met(&answer), "{} {body}", answer.status);
+    }
+    assert_eq!(fleet.book.counts().recorded, 1);
+    let spec = callers::CallSpec {
+        method: Method::GET,
+        path: "/healthz".into(),
+        headers: Vec::new(),
+        body: Bytes::new(),
+    };
+    let health = callers::call(fleet.entry_addresses[0], spec, &SystemClock, None).await;
+    assert_eq!(health.expect("an answer").status, 200);
+    fleet.stop().await;
+}
--- a/crates/waxwing-standin/src/faults.rs
+++ b/crates/waxwing-standin/src/faults.rs
@@ -31,6 +31,7 @@
 struct FaultTable {
     slow: AtomicU64,
     stall: AtomicBool,
+    opened: AtomicU64,
     silenced: AtomicU64,
     changed: Notify,
     death: CancellationToken,
@@ -48,6 +49,7 @@
             table: Arc::new(FaultTable {
                 slow: AtomicU64::new(1.0_f64.to_bits()),
                 stall: AtomicBool::new(false),
+                opened: AtomicU64::new(0),
                 silenced: AtomicU64::new(0),
                 changed: Notify::new(),
                 death: CancellationToken::new(),
@@ -57,9 +59,14 @@
 }
 
 impl FaultSwitch {
-    /// Puts faults into force. Connections with a number below `connections` go silent if the
-    /// order says so.
-    pub fn apply(&self, order: &FaultOrder, connections: u64) {
+    /// Counts a connection and returns its number.
+    #[must_use]
+    pub fn open_connection(&self) -> u64 {
+        self.table.opened.fetch_add(1, Ordering::SeqCst)
+    }
+
+    /// Puts faults into force. If the order says so, the connections that are open now go silent.
+    pub fn apply(&self, order: &FaultOrder) {
         let slow = order
             .slow
             .filter(|factor| factor.is_finite() && *factor > 0.0);
@@ -70,7 +77,8 @@
             self.table.stall.store(stall, Ordering::SeqCst);
         }
         if order.silent == Some(true) {
-            self.table.silenced.store(connections, Ordering::SeqCst);
+            let opened = self.table.opened.load(Ordering::SeqCst);
+            self.table.silenced.store(opened, Ordering::SeqCst);
         }
         if order.die == Some(true) {
             self.table.death.cancel();
--- a/crates/waxwing-standin/src/servers.rs
+++ b/crates/waxwing-standin/src/servers.rs
@@ -1,13 +1,6 @@
 //! The HTTP side of the stand-ins: the endpoint protocol of `docs/design.md`, section 10.
 
-use std::{
-    convert::Infallible,
-    net::SocketAddr,
-    sync::{
-        Arc,
-        atomic::{AtomicU64, Ordering},
-    },
-};
+use std::{convert::Infallible, net::SocketAddr};
 
 use bytes::Bytes;
 use http_body_util::{BodyExt as _, Limited};
@@ -105,11 +98,10 @@
     pub async fn run(self, shutdown: CancellationToken) {
         let death = self.site.faults().death().clone();
         let site = self.site.clone();
-        let connections = Arc::new(AtomicU64::new(0));
         tokio::select! {
             () = shutdown.cancelled() => {}
             () = death.cancelled() => {}
-            () = serve(self.listener, &site, &connections) => {}
+            () = serve(self.listener, &site) => {}
             () = work(&site, shutdown.clone()) => {}
         }
         // The work is ended here too, since a death may win against the loop of the engine.
@@ -128,22 +120,16 @@
     }
 }
 
-async fn serve<C: Clock>(
-    listener: net::TcpListener,
-    site: &StandinSite<C>,
-    connections: &Arc<AtomicU64>,
-) {
+async fn serve<C: Clock>(listener: net::TcpListener, site: &StandinSite<C>) {
     let mut tasks = JoinSet::new();
     loop {
         let Ok((stream, _)) = listener.accept().await else {
             continue;
         };
         let _ = stream.set_nodelay(true);
-        let number = connections.fetch_add(1, Ordering::SeqCst);
         let visit = SiteVisit {
             site: site.clone(),
-            connections: connections.clone(),
-            number,
+            number: site.faults().open_connection(),
         };
         tasks.spawn(async move {
             let service = service::service_fn(move |request| {
@@ -174,7 +160,6 @@
 #[derive(Debug, Clone)]
 struct SiteVisit<C> {
     site: StandinSite<C>,
-    connections: Arc<AtomicU64>,
     number: u64,
 }
 
@@ -260,8 +245,7 @@
         let Some(order) = parse::<faults::FaultOrder>(body) else {
             return replies::refusal(StatusCode::BAD_REQUEST, "the body is not a fault order");
         };
-        let connections = self.connections.load(Ordering::SeqCst);
-        self.site.faults().apply(&order, connections);
+        self.site.faults().apply(&order);
         replies::json(StatusCode::OK, &order)
     }
 
