--- a/crates/waxwing-agent/src/state/runs.rs
+++ b/crates/waxwing-agent/src/state/runs.rs
@@ -21,9 +21,12 @@
         if self.runs.is_empty() {
             self.pace.progress(self.now);
         }
+        let running = self.jobs.values().filter(|job| job.run().is_some());
+        let shares = running.filter_map(|job| job.share);
+        let ahead = shares.fold(own, |ahead, share| ahead + share.prefill);
         let progress = jobs::RunProgress {
             own,
-            ahead: self.admission.pending(),
+            ahead,
             ..jobs::RunProgress::idle(self.now)
         };
         let Some(job) = self.jobs.get_mut(&request) else {
@@ -35,16 +38,16 @@
         if let Some(reader) = job.reader.as_mut().filter(|_| job.runs > 1) {
             reader.begin_resumed();
         }
-        let name = job.run_name(request);
         let Some(call) = &job.call else {
             return;
         };
         let call = events::EndpointCall {
-            name,
+            name: request.to_string(),
             method: call.method.clone(),
             path: call.path.clone(),
             headers: call.headers.clone(),
             body: call.format.body(job.tokens),
+            import: job.kv.take(),
         };
         self.runs.insert(run, request);
         self.counters.count(counters::CounterEvent::Dispatches);
@@ -53,14 +56,17 @@
     }
 
     /// Cancels the run of a request, if it has one, and gives its share back. What it computed
-    /// is added to the tally as far as it can be estimated.
-    pub(super) fn stop_run(&mut self, request: ids::RequestId) {
+    /// is added to the tally as far as it can be estimated. The request does not run again before
+    /// the endpoint has confirmed the cancellation, which would else hit the later run.
+    pub(super) fn stop_run(&mut self, request: ids::RequestId, export: bool) {
         let Some(job) = self.jobs.get(&request) else {
             return;
         };
         if let Some(run) = job.run() {
-            let name = job.run_name(request);
-            self.outputs.push(events::AgentOutput::Stop { run, name });
+            self.stopping.insert(run, request);
+            let name = request.to_string();
+            self.outputs
+                .push(events::AgentOutput::Stop { run, name, export });
         }
         self.close_run(request);
     }
@@ -76,7 +82,9 @@
         let Some(run) = job.run() else {
             return;
         };
-        self.runs.remove(&run);
+        if self.runs.remove(&run).is_none() {
+            return;
+        }
         let elapsed = self.now.saturating_duration_since(job.progress.started);
         let estimate = match job.progress.first_token {
             Some(_) => job.progress.own.0,
@@ -144,7 +152,7 @@
         let success = (200..FIRST_REDIRECT).contains(&status);
         if job.runs > 1 && !success {
             // The engine refused to go on; the caller has the beginning of the answer.
-            self.stop_run(request);
+            self.stop_run(request, false);
             self.run_failed(request, reasons::Outcome::Unknown);
             return;
         }
@@ -176,7 +184,7 @@
             self.tokens_arrived(request, step.tokens);
         }
         if step.broken {
-            self.stop_run(request);
+            self.stop_run(request, false);
             self.run_failed(request, reasons::Outcome::Unknown);
         } else if step.done {
             self.run_complete(request);
@@ -196,8 +204,10 @@
         match progress.last_token.replace(now) {
             Some(last) => {
                 let interval = now.saturating_duration_since(last) / tokens.max(1) as u32;
-                self.admission.token(interval);
-                self.pace.token(interval, running);
+                if self.admission.pending() == units::TokenCount::ZERO {
+                    self.admission.token(interval);
+                    self.pace.token(interval, running);
+                }
             }
             None => {
                 progress.first_token = Some(now);
