Reconcile models and endpoints with fenced orders

Pure decisions place a model that nobody serves at once, missing copies after 30 s, successors of draining endpoints, and copies that data centres lack; one load at a time per endpoint, within the weight store's rate, and never removing the last copy or what an engine came with. The leader takes a fencing number from the log, waits 5 s for its predecessor's orders, and gives orders through whichever host has the agent's link.

--- a/crates/waxwing-control/src/host.rs
+++ b/crates/waxwing-control/src/host.rs
@@ -7,7 +7,7 @@
 
 use bytes::Bytes;
 use prost::Message as _;
-use tokio::sync::watch;
+use tokio::sync::{broadcast, watch};
 use waxwing_core::{clock::Clock, counters, ids};
 use waxwing_wire::messages;
 
@@ -48,6 +48,10 @@
     pub(crate) directory_changes: watch::Sender<u64>,
     /// Counts the confirmations of the settings by a quorum.
     pub(crate) confirmations: watch::Sender<u64>,
+    /// Engine orders for agents that may have a link to this host.
+    pub(crate) orders: broadcast::Sender<messages::RelayOrder>,
+    /// Results of engine orders, by agent, for the decider.
+    pub(crate) order_results: broadcast::Sender<(String, messages::OrderResult)>,
     /// Addresses of the control hosts for the directory.
     pub(crate) control: watch::Sender<Vec<String>>,
 }
--- a/crates/waxwing-control/src/hosts.rs
+++ b/crates/waxwing-control/src/hosts.rs
@@ -61,6 +61,15 @@
                     let _ = sender.send(envelope.correlation, answer).await;
                 });
             }
+            Some(messages::Body::RelayOrder(relay)) => {
+                // Without a listener, no agent has a link to this host.
+                let _ = host.orders.send(relay);
+            }
+            Some(messages::Body::RelayResult(relay)) => {
+                if let Some(result) = relay.result {
+                    let _ = host.order_results.send((relay.agent, result));
+                }
+            }
             Some(messages::Body::Announce(announce)) => {
                 let now = host.clock.now();
                 let urgent = announce.leaving || announce.lease_millis == 0;
--- a/crates/waxwing-control/src/lib.rs
+++ b/crates/waxwing-control/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod changes;
 pub mod claims;
 pub mod commands;
+mod decider;
 pub mod directory;
 mod driver;
 pub mod errors;
@@ -18,6 +19,7 @@
 pub mod options;
 mod peers;
 mod processes;
+pub mod reconcile;
 pub mod roles;
 pub mod snapshots;
 mod status;
--- a/crates/waxwing-control/src/processes.rs
+++ b/crates/waxwing-control/src/processes.rs
@@ -77,6 +77,7 @@
         let mut confirmations = self.host.confirmations.subscribe();
         let mut directory = self.host.directory_changes.subscribe();
         let mut control = self.host.control.subscribe();
+        let mut orders = self.host.orders.subscribe();
         loop {
             tokio::select! {
                 envelope = receiver.recv() => self.receive(envelope?, &starts).await?,
@@ -84,6 +85,7 @@
                 Ok(()) = versions.changed() => self.send_settings().await?,
                 Ok(()) = confirmations.changed() => self.send_confirmation().await?,
                 Ok(()) = directory.changed() => self.send_directory(false).await?,
+                Ok(relay) = orders.recv() => self.pass_order(relay).await?,
                 Ok(()) = control.changed() => self.send_directory(true).await?,
             }
         }
@@ -106,6 +108,7 @@
             }
             Some(messages::Body::Announce(announce)) => self.take_announce(announce).await?,
             Some(messages::Body::Leaving(_)) => self.take_goodbye(),
+            Some(messages::Body::OrderResult(result)) => self.take_order_result(result),
             Some(messages::Body::WatchSettings(watch)) => {
                 self.confirm_start(correlation, watch.version, starts.clone());
             }
@@ -162,6 +165,29 @@
         }
     }
 
+    async fn pass_order(&self, relay: messages::RelayOrder) -> Result<(), LinkError> {
+        let agent = messages::ProcessKind::Agent as i32;
+        match relay.order {
+            Some(order) if self.peer.kind == agent && relay.agent == self.peer.name => {
+                self.sender.send(0, messages::Body::Order(order)).await
+            }
+            _ => Ok(()),
+        }
+    }
+
+    /// Passes a result on to the decider, which may be at another host.
+    fn take_order_result(&self, result: messages::OrderResult) {
+        let agent = self.peer.name.clone();
+        let relay = messages::RelayResult {
+            agent: agent.clone(),
+            result: Some(result.clone()),
+        };
+        self.host
+            .network
+            .tell_all(&messages::Body::RelayResult(relay));
+        let _ = self.host.order_results.send((agent, result));
+    }
+
     /// Has the settings confirmed by a quorum before the process gets any.
     fn confirm_start(&self, correlation: u64, version: u64, starts: mpsc::Sender<WatchStart>) {
         let host = self.host.clone();
--- a/crates/waxwing-control/src/roles.rs
+++ b/crates/waxwing-control/src/roles.rs
@@ -2,14 +2,22 @@
 
 use std::{net::SocketAddr, sync::Arc};
 
-use tokio::{net, sync::watch};
+use tokio::{
+    net,
+    sync::{broadcast, watch},
+};
 use tokio_util::{sync::CancellationToken, task::TaskTracker};
 use waxwing_core::{clock::Clock, counters, ids};
 use waxwing_settings::{checks, files};
 use waxwing_store::{disk, memory};
 use waxwing_wire::{links, messages, security};
 
-use crate::{commands, driver, errors, host, hosts, operators, options, peers, processes, storage};
+use crate::{
+    commands, decider, driver, errors, host, hosts, operators, options, peers, processes, storage,
+};
+
+/// Engine orders and results that may wait for a slow link; lost ones are given again.
+const ORDER_QUEUE: usize = 256;
 
 /// A `BoundControl` is a control host whose sockets are open.
 pub struct BoundControl<C> {
@@ -140,6 +148,8 @@
             directory: std::sync::Mutex::default(),
             directory_changes: watch::Sender::new(0),
             confirmations: watch::Sender::new(0),
+            orders: broadcast::Sender::new(ORDER_QUEUE),
+            order_results: broadcast::Sender::new(ORDER_QUEUE),
             control: watch::Sender::new(vec![own.link.clone()]),
             options: self.options,
         });
@@ -165,6 +175,10 @@
         tasks.spawn(operators::serve(state.clone(), self.http, shutdown.clone()));
         tasks.spawn(sweep_directory(state.clone(), shutdown.clone()));
         tasks.spawn(confirm_settings(state.clone(), shutdown.clone()));
+        let decider = decider::FleetDecider {
+            host: state.clone(),
+        };
+        tasks.spawn(decider.run(shutdown.clone()));
         if let Some(tree) = self.first_tree {
             tasks.spawn(bootstrap(state.clone(), tree, shutdown.clone()));
         }
--- a/crates/waxwing-control/tests/three_hosts.rs
+++ b/crates/waxwing-control/tests/three_hosts.rs
@@ -9,7 +9,7 @@
 use waxwing_control::{errors, options, roles};
 use waxwing_core::{clock, ids};
 use waxwing_settings::operations;
-use waxwing_wire::messages::ProcessKind;
+use waxwing_wire::messages::{self, ProcessKind};
 
 use support::{change, history, request, submit};
 
@@ -271,3 +271,25 @@
     assert_eq!((second.granted, second.record), (false, first.record));
     shutdown.cancel();
 }
+
+/// Guards against orders that never reach an agent whose link another host than the leader has,
+/// and against orders without the fencing number of the log.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn orders_reach_agents_of_any_host() {
+    let group = TestGroup::start().await;
+    let shutdown = CancellationToken::new();
+    let leader = group.leader().await;
+    let other = group.hosts[(leader + 1) % 3].as_ref().unwrap().link;
+    let agent = support::start_client(ProcessKind::Agent, "agent-1", &[other], &shutdown);
+    agent.update_announcement(|announcement| {
+        announcement.endpoint = Some(messages::EndpointInfo {
+            kind: messages::EndpointKind::Engine as i32,
+            ..messages::EndpointInfo::default()
+        });
+    });
+    let order = agent.next_order().await.unwrap();
+    let fencing = agent.ask_fencing().await.unwrap();
+    assert_eq!((order.target.as_str(), order.fencing), ("draft", fencing.0));
+    assert_eq!(order.kind, messages::OrderKind::LoadModel as i32);
+    shutdown.cancel();
+}
--- a/crates/waxwing-wire/src/messages.rs
+++ b/crates/waxwing-wire/src/messages.rs
@@ -22,7 +22,7 @@
     /// The message itself.
     #[prost(
         oneof = "Body",
-        tags = "3,4,5,10,11,12,13,14,15,16,17,18,19,20,21,22,23,24,30,31,32,33,34,35,36,37,38,39,40,41,42,43,44,45,50,51,52"
+        tags = "3,4,5,10,11,12,13,14,15,16,17,18,19,20,21,22,23,24,30,31,32,33,34,35,36,37,38,39,40,41,42,43,44,45,46,47,50,51,52"
     )]
     pub body: Option<Body>,
 }
@@ -132,6 +132,12 @@
     /// Control to all: the settings in force were confirmed by a quorum.
     #[prost(message, tag = "45")]
     SettingsConfirmed(SettingsConfirmed),
+    /// Control to control: an engine order for an agent whose link another host has.
+    #[prost(message, tag = "46")]
+    RelayOrder(RelayOrder),
+    /// Control to control: the result of a relayed order, for the decider.
+    #[prost(message, tag = "47")]
+    RelayResult(RelayResult),
     /// Control to control: a message of the replicated log.
     #[prost(message, tag = "50")]
     Quorum(Quorum),
@@ -821,6 +827,28 @@
     pub target_version: String,
 }
 
+/// A `RelayOrder` carries an engine order to the control host that has the agent's link.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct RelayOrder {
+    /// The name of the agent.
+    #[prost(string, tag = "1")]
+    pub agent: String,
+    /// The order.
+    #[prost(message, optional, tag = "2")]
+    pub order: Option<Order>,
+}
+
+/// A `RelayResult` carries the result of an order to the decider's host.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct RelayResult {
+    /// The name of the agent.
+    #[prost(string, tag = "1")]
+    pub agent: String,
+    /// The result.
+    #[prost(message, optional, tag = "2")]
+    pub result: Option<OrderResult>,
+}
+
 /// An `OrderResult` answers an `Order`.
 #[derive(Clone, PartialEq, Eq, Message)]
 pub struct OrderResult {
--- a/crates/waxwingctl/src/calls.rs
+++ b/crates/waxwingctl/src/calls.rs
@@ -181,7 +181,7 @@
     ) -> anyhow::Result<(StatusCode, Bytes)> {
         let started = self.clock.now();
         let mut hosts = self.hosts.iter().cycle();
-        loop {
+        for attempt in 1.. {
             let host = hosts.next().context("no control host is given")?;
             let failure = match self.attempt(host, method, path, body.clone()).await {
                 Ok((status, body)) if status != StatusCode::SERVICE_UNAVAILABLE => {
@@ -193,8 +193,12 @@
             if self.clock.now().saturating_duration_since(started) >= REQUEST_LIMIT {
                 anyhow::bail!("no control host answered; the last one, {host}: {failure}");
             }
-            self.clock.sleep(RETRY_PAUSE).await;
+            // The next host may be fine; only a whole round without an answer calls for a pause.
+            if attempt % self.hosts.len() == 0 {
+                self.clock.sleep(RETRY_PAUSE).await;
+            }
         }
+        unreachable!("the attempts are not counted out")
     }
 
     async fn attempt(
