--- /dev/null
+++ b/crates/waxwing-quorum/tests/decoders.rs
@@ -0,0 +1,240 @@
+//! Property tests of everything that reads bytes from another member: no input may panic or make a
+//! node allocate what it merely announces.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use proptest::{prelude::*, test_runner};
+use waxwing_core::ids;
+use waxwing_quorum::{members, messages, node, options, ready};
+
+fn config() -> test_runner::Config {
+    test_runner::Config {
+        cases: 500,
+        failure_persistence: None,
+        rng_seed: test_runner::RngSeed::Fixed(30),
+        ..test_runner::Config::default()
+    }
+}
+
+fn identity(member: u64) -> members::MemberIdentity {
+    members::MemberIdentity {
+        member: ids::MemberId(member),
+        store: ids::StoreId(u128::from(member)),
+    }
+}
+
+/// Builds member 1 of three; it leads if `leads` is set.
+fn node(leads: bool) -> node::QuorumNode {
+    let voters: Vec<_> = (1..=3).map(identity).collect();
+    let members = members::Membership::of_voters(&voters);
+    let recovered = ready::RecoveredState {
+        snapshot: Some(ready::Snapshot::founding(members, Bytes::new())),
+        ..ready::RecoveredState::default()
+    };
+    let options = options::NodeOptions::default();
+    let mut node = node::QuorumNode::new(identity(1), options, recovered, 1, Duration::ZERO)
+        .expect("the state is right");
+    if leads {
+        for pre_vote in [true, false] {
+            node.tick(Duration::from_secs(3));
+            settle(&mut node);
+            let asked_term = node.status().term + u64::from(pre_vote);
+            let answer = messages::VoteAnswer {
+                asked_term,
+                granted: true,
+                pre_vote,
+            };
+            let body = messages::PeerBody::VoteAnswer(answer);
+            let term = node.status().term;
+            node.receive(
+                Duration::from_secs(3),
+                ids::MemberId(2),
+                message(term, body),
+            )
+            .expect("the vote is taken");
+            settle(&mut node);
+        }
+        assert_eq!(node.status().role, ready::NodeRole::Leader);
+    }
+    node
+}
+
+fn settle(node: &mut node::QuorumNode) {
+    for _ in 0..4 {
+        if let Some(batch) = node.take_ready().writes {
+            node.persisted(batch.sequence);
+        }
+    }
+}
+
+fn message(term: u64, body: messages::PeerBody) -> messages::PeerMessage {
+    messages::PeerMessage {
+        term,
+        sender: Some(identity(2).into()),
+        recipient: Some(identity(1).into()),
+        body: Some(body),
+    }
+}
+
+/// Returns small numbers, by which checks pass, and numbers at the ends of the range.
+fn number() -> impl Strategy<Value = u64> {
+    prop_oneof![4 => 0_u64..6, 1 => any::<u64>(), 1 => u64::MAX - 2..=u64::MAX]
+}
+
+fn entry() -> impl Strategy<Value = messages::LogEntry> {
+    let payload = proptest::collection::vec(any::<u8>(), 0..20);
+    (number(), number(), -1..5_i32, payload).prop_map(|(index, term, kind, payload)| {
+        messages::LogEntry {
+            index,
+            term,
+            kind,
+            payload: payload.into(),
+        }
+    })
+}
+
+fn body() -> impl Strategy<Value = messages::PeerBody> {
+    let entries = proptest::collection::vec(entry(), 0..4);
+    prop_oneof![
+        (number(), number(), any::<bool>(), any::<bool>()).prop_map(
+            |(last_index, last_term, pre_vote, transfer)| {
+                messages::PeerBody::VoteRequest(messages::VoteRequest {
+                    last_index,
+                    last_term,
+                    pre_vote,
+                    transfer,
+                })
+            }
+        ),
+        (number(), any::<bool>(), any::<bool>()).prop_map(|(asked_term, granted, pre_vote)| {
+            messages::PeerBody::VoteAnswer(messages::VoteAnswer {
+                asked_term,
+                granted,
+                pre_vote,
+            })
+        }),
+        (number(), number(), number(), number(), entries).prop_map(
+            |(previous_index, previous_term, commit, round, entries)| {
+                messages::PeerBody::AppendRequest(messages::AppendRequest {
+                    previous_index,
+                    previous_term,
+                    commit,
+                    round,
+                    entries,
+                })
+            }
+        ),
+        (number(), any::<bool>(), number(), number(), number()).prop_map(
+            |(round, rejected, index, hint_term, refused_index)| {
+                messages::PeerBody::AppendAnswer(messages::AppendAnswer {
+                    round,
+                    rejected,
+                    index,
+                    hint_term,
+                    refused_index,
+                })
+            }
+        ),
+        (number(), number(), number(), number(), any::<bool>()).prop_map(
+            |(index, term, total, offset, listed)| {
+                messages::PeerBody::SnapshotChunk(messages::SnapshotChunk {
+                    index,
+                    term,
+                    members: listed.then(messages::MemberList::default),
+                    total,
+                    offset,
+                    data: Bytes::from_static(b"abc"),
+                    round: offset,
+                })
+            }
+        ),
+        (number(), number(), any::<bool>(), number()).prop_map(
+            |(index, next_offset, installed, round)| {
+                messages::PeerBody::SnapshotAnswer(messages::SnapshotAnswer {
+                    index,
+                    next_offset,
+                    installed,
+                    round,
+                })
+            }
+        ),
+        Just(messages::PeerBody::ElectNow(messages::ElectNow {})),
+    ]
+}
+
+/// Tells whether a message states what the sender's disk holds.
+fn is_bound_to_writes(message: &ready::OutgoingMessage) -> bool {
+    matches!(
+        message.message.body,
+        Some(
+            messages::PeerBody::VoteRequest(_)
+                | messages::PeerBody::VoteAnswer(_)
+                | messages::PeerBody::AppendAnswer(_)
+                | messages::PeerBody::SnapshotAnswer(_)
+        )
+    )
+}
+
+proptest! {
+    #![proptest_config(config())]
+
+    /// Guards against a panic on random bytes.
+    #[test]
+    fn random_bytes_are_decoded_without_panic(
+        bytes in proptest::collection::vec(any::<u8>(), 0..300),
+    ) {
+        members::Membership::decode(&bytes).ok();
+        if let Ok(message) = messages::decode(bytes.into()) {
+            node(false).receive(Duration::ZERO, ids::MemberId(2), message).ok();
+        }
+    }
+
+    /// Guards against messages that survive their encoding with another meaning.
+    #[test]
+    fn messages_survive_their_encoding(term in any::<u64>(), body in body()) {
+        let message = message(term, body);
+        prop_assert_eq!(messages::decode(messages::encode(&message)), Ok(message));
+    }
+
+    /// Guards against a panic of a follower or a leader on messages with any numbers in them, and
+    /// against an answer that leaves before the writes it depends on.
+    #[test]
+    fn any_message_is_taken_without_panic(
+        leads in any::<bool>(),
+        messages in proptest::collection::vec((number(), body()), 1..12),
+    ) {
+        let mut node = node(leads);
+        let mut now = Duration::from_secs(4);
+        for (term, body) in messages {
+            now += Duration::from_millis(200);
+            node.receive(now, ids::MemberId(2), message(term, body)).ok();
+            node.tick(now);
+            let ready = node.take_ready();
+            if let Some(batch) = ready.writes {
+                // Everything earlier was sent, so these messages belong to the new writes.
+                prop_assert!(!ready.messages.iter().any(is_bound_to_writes));
+                node.persisted(batch.sequence);
+            }
+            settle(&mut node);
+        }
+    }
+}
+
+/// Guards against a snapshot that makes the receiver reserve the announced length.
+#[test]
+fn announced_snapshot_is_refused_above_the_bound() {
+    let chunk = messages::SnapshotChunk {
+        index: 9,
+        term: 2,
+        members: Some(messages::MemberList::default()),
+        total: u64::MAX / 4,
+        ..messages::SnapshotChunk::default()
+    };
+    let body = messages::PeerBody::SnapshotChunk(chunk);
+    let mut node = node(false);
+    assert!(
+        node.receive(Duration::ZERO, ids::MemberId(2), message(3, body))
+            .is_err()
+    );
+}
--- /dev/null
+++ b/crates/waxwing-quorum/tests/rules.rs
@@ -0,0 +1,358 @@
+//! Tests of single rules of a node, with messages written by hand.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use test_case::test_case;
+use waxwing_core::{ids, units as core_units};
+use waxwing_quorum::{errors, members, messages, node, options, ready, units};
+
+const START: Duration = Duration::from_secs(3);
+
+fn identity(member: u64) -> members::MemberIdentity {
+    members::MemberIdentity {
+        member: ids::MemberId(member),
+        store: ids::StoreId(u128::from(member)),
+    }
+}
+
+fn founded(voters: u64) -> ready::RecoveredState {
+    let voters: Vec<_> = (1..=voters).map(identity).collect();
+    let members = members::Membership::of_voters(&voters);
+    ready::RecoveredState {
+        snapshot: Some(ready::Snapshot::founding(members, Bytes::new())),
+        ..ready::RecoveredState::default()
+    }
+}
+
+fn node_with(voters: u64, options: options::NodeOptions) -> node::QuorumNode {
+    node::QuorumNode::new(identity(1), options, founded(voters), 1, Duration::ZERO)
+        .expect("the state is right")
+}
+
+fn node(voters: u64) -> node::QuorumNode {
+    node_with(voters, options::NodeOptions::default())
+}
+
+fn message(
+    sender: members::MemberIdentity,
+    term: u64,
+    body: messages::PeerBody,
+) -> messages::PeerMessage {
+    messages::PeerMessage {
+        term,
+        sender: Some(sender.into()),
+        recipient: Some(identity(1).into()),
+        body: Some(body),
+    }
+}
+
+/// Carries out all writes and returns everything else.
+fn settle(node: &mut node::QuorumNode) -> ready::Ready {
+    let mut all = ready::Ready::default();
+    for _ in 0..4 {
+        let ready = node.take_ready();
+        if let Some(batch) = &ready.writes {
+            node.persisted(batch.sequence);
+        }
+        all.messages.extend(ready.messages);
+        all.committed.extend(ready.committed);
+        all.reads.extend(ready.reads);
+        all.failed_reads.extend(ready.failed_reads);
+    }
+    all
+}
+
+fn vote(pre_vote: bool, asked_term: u64) -> messages::PeerBody {
+    messages::PeerBody::VoteAnswer(messages::VoteAnswer {
+        asked_term,
+        granted: true,
+        pre_vote,
+    })
+}
+
+/// Answers appends up to `index` and heartbeats up to `round` as member 2.
+fn acknowledge(node: &mut node::QuorumNode, now: Duration, index: u64, round: u64) {
+    let answer = messages::AppendAnswer {
+        round,
+        index,
+        ..messages::AppendAnswer::default()
+    };
+    let term = node.status().term;
+    let body = messages::PeerBody::AppendAnswer(answer);
+    node.receive(now, ids::MemberId(2), message(identity(2), term, body))
+        .expect("the answer is taken");
+}
+
+/// Makes member 1 of three the leader of term 2 by the vote of member 2.
+fn lead(options: options::NodeOptions) -> node::QuorumNode {
+    let mut node = node_with(3, options);
+    node.tick(START);
+    settle(&mut node);
+    for pre_vote in [true, false] {
+        let body = vote(pre_vote, 2);
+        node.receive(
+            START,
+            ids::MemberId(2),
+            message(identity(2), 2 - u64::from(pre_vote), body),
+        )
+        .expect("the vote is taken");
+        settle(&mut node);
+    }
+    assert_eq!(node.status().role, ready::NodeRole::Leader);
+    node
+}
+
+/// Guards against memory that grows without bound while no quorum answers.
+#[test]
+fn proposals_above_the_bound_are_refused() {
+    let mut node = lead(options::NodeOptions {
+        max_uncommitted_bytes: core_units::ByteCount(1000),
+        max_command_bytes: core_units::ByteCount(500),
+        ..options::NodeOptions::default()
+    });
+    let command = Bytes::from(vec![1; 400]);
+    let long = node.propose(vec![1; 501].into());
+    assert!(matches!(long, Err(errors::ProposeError::TooLong { .. })));
+    node.propose(command.clone()).expect("the first one fits");
+    node.propose(command.clone()).expect("the second one fits");
+    let refused = node.propose(command.clone());
+    assert!(matches!(
+        refused,
+        Err(errors::ProposeError::Overloaded { .. })
+    ));
+    settle(&mut node);
+    acknowledge(&mut node, START, 4, 1);
+    node.propose(command).expect("it fits after the commit");
+}
+
+/// Guards against an election, a vote or a commit that counts a member under another store id.
+#[test]
+fn answers_of_another_store_id_are_refused() {
+    let mut node = node(3);
+    node.tick(START);
+    settle(&mut node);
+    let wiped = members::MemberIdentity {
+        store: ids::StoreId(99),
+        ..identity(2)
+    };
+    let refused = node.receive(START, ids::MemberId(2), message(wiped, 1, vote(true, 2)));
+    assert_eq!(refused, Err(errors::ReceiveError::Stranger(wiped)));
+    assert_eq!(node.status().term, 1);
+}
+
+/// Guards against a wiped host that takes part under the identity its peers remember.
+#[test]
+fn messages_for_a_former_life_are_refused() {
+    let mut node = node(3);
+    let mut request = message(identity(2), 2, vote(true, 2));
+    let former = members::MemberIdentity {
+        store: ids::StoreId(77),
+        ..identity(1)
+    };
+    request.recipient = Some(former.into());
+    let refused = node.receive(START, ids::MemberId(2), request.clone());
+    assert!(matches!(
+        refused,
+        Err(errors::ReceiveError::Recipient { .. })
+    ));
+    let forged = node.receive(START, ids::MemberId(3), request);
+    assert!(matches!(forged, Err(errors::ReceiveError::Link { .. })));
+}
+
+fn vote_request(pre_vote: bool, last_term: u64, last_index: u64) -> messages::PeerBody {
+    messages::PeerBody::VoteRequest(messages::VoteRequest {
+        last_index,
+        last_term,
+        pre_vote,
+        transfer: false,
+    })
+}
+
+fn granted(node: &mut node::QuorumNode) -> Option<bool> {
+    let ready = settle(node);
+    ready
+        .messages
+        .iter()
+        .find_map(|message| match &message.message.body {
+            Some(messages::PeerBody::VoteAnswer(answer)) => Some(answer.granted),
+            _ => None,
+        })
+}
+
+/// Guards against a vote within the lease that a former life of the voter may have renewed, and
+/// against votes for a candidate that lacks entries.
+#[test_case(500, 1, 1, None; "just started")]
+#[test_case(1100, 1, 1, Some(true); "after the timeout")]
+#[test_case(1100, 1, 0, Some(false); "shorter log")]
+#[test_case(1100, 0, 9, Some(false); "older term")]
+fn vote_depends_on_time_and_log(
+    millis: u64,
+    last_term: u64,
+    last_index: u64,
+    expected: Option<bool>,
+) {
+    let mut node = node(3);
+    let now = Duration::from_millis(millis);
+    let body = vote_request(false, last_term, last_index);
+    node.receive(now, ids::MemberId(2), message(identity(2), 2, body))
+        .expect("the request is heard");
+    assert_eq!(granted(&mut node), expected);
+}
+
+/// Guards against two votes in one term, also over a restart.
+#[test]
+fn second_vote_in_a_term_is_refused() {
+    let mut node = node(3);
+    let now = Duration::from_millis(1100);
+    let body = vote_request(false, 1, 1);
+    node.receive(now, ids::MemberId(2), message(identity(2), 2, body.clone()))
+        .expect("the request is heard");
+    let batch = node.take_ready().writes.expect("the vote is written");
+    let hard = batch.steps.iter().rev().find_map(|step| match step {
+        ready::WriteStep::HardState(hard) => Some(hard.clone()),
+        _ => None,
+    });
+    let recovered = ready::RecoveredState {
+        hard: hard.expect("the vote is written"),
+        ..founded(3)
+    };
+    let options = options::NodeOptions::default();
+    let mut node = node::QuorumNode::new(identity(1), options, recovered, 1, Duration::ZERO)
+        .expect("the state is right");
+    node.receive(now, ids::MemberId(3), message(identity(3), 2, body))
+        .expect("the request is heard");
+    assert_eq!(granted(&mut node), Some(false));
+}
+
+/// Guards against a group that can't elect after a host is lost right after a repair: the only
+/// other voter hasn't heard yet of the new host, whose log is ahead.
+#[test]
+fn unlisted_candidate_is_heard_only_with_a_longer_log() {
+    let mut node = node(3);
+    let now = Duration::from_millis(1100);
+    let repaired = identity(9);
+    let behind = vote_request(false, 1, 1);
+    let refused = node.receive(now, repaired.member, message(repaired, 2, behind));
+    assert_eq!(refused, Err(errors::ReceiveError::Stranger(repaired)));
+    let ahead = vote_request(false, 1, 2);
+    node.receive(now, repaired.member, message(repaired, 2, ahead))
+        .expect("the request is heard");
+    assert_eq!(granted(&mut node), Some(true));
+}
+
+/// Guards against reads that an isolated leader confirms after its lease, and against a leader
+/// that stays in office without a quorum.
+#[test]
+fn isolated_leader_confirms_nothing_and_steps_down() {
+    let mut node = lead(options::NodeOptions::default());
+    acknowledge(&mut node, START, 2, 1);
+    settle(&mut node);
+    let within = START + Duration::from_millis(740);
+    node.read_index(within, units::ReadToken(1))
+        .expect("it leads");
+    assert_eq!(settle(&mut node).reads.len(), 1);
+    let after = START + Duration::from_millis(760);
+    node.read_index(after, units::ReadToken(2))
+        .expect("it leads");
+    assert_eq!(settle(&mut node).reads, []);
+    node.tick(START + Duration::from_millis(1100));
+    assert_eq!(settle(&mut node).failed_reads, [units::ReadToken(2)]);
+    assert_eq!(node.status().role, ready::NodeRole::Follower);
+}
+
+/// Guards against a lease that outlives a transfer: the told voter ignores it at any later time.
+#[test]
+fn leader_gives_up_its_lease_with_a_transfer() {
+    let mut node = lead(options::NodeOptions::default());
+    acknowledge(&mut node, START, 2, 1);
+    settle(&mut node);
+    node.transfer_leadership(START, ids::MemberId(2))
+        .expect("member 2 votes");
+    let told = settle(&mut node).messages;
+    let elect = |message: &ready::OutgoingMessage| {
+        matches!(message.message.body, Some(messages::PeerBody::ElectNow(_)))
+    };
+    assert!(told.iter().any(elect));
+    node.read_index(START, units::ReadToken(1))
+        .expect("it leads");
+    assert_eq!(settle(&mut node).reads, []);
+    let refused = node.propose(Bytes::new());
+    assert_eq!(
+        refused,
+        Err(errors::ProposeError::Transferring(ids::MemberId(2)))
+    );
+}
+
+/// Guards against changes whose quorums may not overlap, and against voters that can't commit.
+#[test]
+fn membership_changes_one_caught_up_member_at_a_time() {
+    let mut node = lead(options::NodeOptions::default());
+    let add = members::MemberChange::AddLearner(identity(4));
+    let early = node.change_members(add);
+    assert_eq!(early, Err(errors::ChangeError::Pending));
+    acknowledge(&mut node, START, 2, 1);
+    settle(&mut node);
+    node.change_members(add).expect("the term has a commit");
+    let second = node.change_members(members::MemberChange::Remove(identity(3)));
+    assert_eq!(second, Err(errors::ChangeError::Pending));
+    settle(&mut node);
+    acknowledge(&mut node, START, 3, 1);
+    let promote = node.change_members(members::MemberChange::Promote(identity(4)));
+    assert!(matches!(
+        promote,
+        Err(errors::ChangeError::NotCaughtUp { .. })
+    ));
+    let own = node.change_members(members::MemberChange::Remove(identity(1)));
+    assert_eq!(own, Err(errors::ChangeError::RemovesLeader));
+}
+
+/// Guards against work after a failed sync.
+#[test]
+fn halted_node_does_nothing() {
+    let mut node = lead(options::NodeOptions::default());
+    node.read_index(START, units::ReadToken(5))
+        .expect("it leads");
+    node.storage_failed();
+    let ready = node.take_ready();
+    assert!(ready.messages.is_empty() && ready.writes.is_none());
+    assert_eq!(ready.failed_reads, [units::ReadToken(5)]);
+    assert_eq!(
+        node.propose(Bytes::new()),
+        Err(errors::ProposeError::Halted)
+    );
+    let body = vote_request(true, 9, 9);
+    let received = node.receive(START, ids::MemberId(2), message(identity(2), 9, body));
+    assert_eq!(received, Err(errors::ReceiveError::Halted));
+}
+
+/// Guards against a write or a message for each proposal instead of one for all of them.
+#[test]
+fn proposals_between_two_calls_share_a_batch() {
+    let mut node = lead(options::NodeOptions::default());
+    acknowledge(&mut node, START, 2, 1);
+    settle(&mut node);
+    for _ in 0..50 {
+        node.propose(Bytes::from_static(b"command"))
+            .expect("it leads");
+    }
+    let ready = node.take_ready();
+    let steps = ready.writes.expect("there is a batch").steps;
+    assert!(matches!(&steps[..], [ready::WriteStep::Append(entries)] if entries.len() == 50));
+    let to_second = ready
+        .messages
+        .iter()
+        .filter(|message| message.to == ids::MemberId(2));
+    assert_eq!(to_second.count(), 1);
+}
+
+/// Guards against options under which a lease is unsafe.
+#[test_case(|options| options.leader_lease = options.election_timeout_min; "lease as long as the timeout")]
+#[test_case(|options| options.election_timeout_max = Duration::from_millis(900); "empty range")]
+#[test_case(|options| options.heartbeat_interval = Duration::from_millis(400); "slow heartbeats")]
+fn unsafe_options_are_refused(spoil: fn(&mut options::NodeOptions)) {
+    let mut options = options::NodeOptions::default();
+    assert_eq!(options.check(), Ok(()));
+    spoil(&mut options);
+    assert!(options.check().is_err());
+}
