Keep open and ended requests of an agent apart

Decisions walked over every request of the last minute. They look only at open ones now, and the lowest tier at work is looked for only where a queue stands above an offer.

--- a/crates/waxwing-agent/src/jobs.rs
+++ b/crates/waxwing-agent/src/jobs.rs
@@ -208,6 +208,60 @@
     }
 }
 
-/// A `JobTable` holds the requests that were handed over. It is ordered, so that decisions which
-/// walk over it are the same in every run of a test.
-pub(crate) type JobTable = BTreeMap<ids::RequestId, Job>;
+/// A `JobTable` holds the requests that were handed over. Ended ones are kept apart: there are far
+/// more of them, and decisions look only at open ones. Both are ordered, so that a decision which
+/// walks over them is the same in every run of a test.
+#[derive(Debug, Default)]
+pub(crate) struct JobTable {
+    open: BTreeMap<ids::RequestId, Job>,
+    ended: BTreeMap<ids::RequestId, Job>,
+}
+
+impl JobTable {
+    pub(crate) fn insert(&mut self, request: ids::RequestId, job: Job) {
+        self.open.insert(request, job);
+    }
+
+    pub(crate) fn contains(&self, request: ids::RequestId) -> bool {
+        self.get(request).is_some()
+    }
+
+    pub(crate) fn get(&self, request: ids::RequestId) -> Option<&Job> {
+        self.open.get(&request).or_else(|| self.ended.get(&request))
+    }
+
+    pub(crate) fn get_mut(&mut self, request: ids::RequestId) -> Option<&mut Job> {
+        match self.open.get_mut(&request) {
+            Some(job) => Some(job),
+            None => self.ended.get_mut(&request),
+        }
+    }
+
+    /// Moves a request to the ended ones.
+    pub(crate) fn close(&mut self, request: ids::RequestId) {
+        if let Some(job) = self.open.remove(&request) {
+            self.ended.insert(request, job);
+        }
+    }
+
+    pub(crate) fn forget(&mut self, request: ids::RequestId) {
+        self.ended.remove(&request);
+    }
+
+    /// Returns the requests that run or are suspended.
+    pub(crate) fn open(&self) -> impl Iterator<Item = (ids::RequestId, &Job)> + Clone {
+        self.open.iter().map(|(request, job)| (*request, job))
+    }
+
+    pub(crate) fn ended(&self) -> impl Iterator<Item = (ids::RequestId, &Job)> {
+        self.ended.iter().map(|(request, job)| (*request, job))
+    }
+
+    pub(crate) fn all(&self) -> impl Iterator<Item = &Job> {
+        self.open.values().chain(self.ended.values())
+    }
+
+    pub(crate) fn all_mut(&mut self) -> impl Iterator<Item = &mut Job> {
+        self.open.values_mut().chain(self.ended.values_mut())
+    }
+}
--- a/crates/waxwing-agent/src/state.rs
+++ b/crates/waxwing-agent/src/state.rs
@@ -106,7 +106,7 @@
             queue: queue::OfferQueue::new(queue::QueueOptions { max_offers }),
             grants: BTreeMap::new(),
             next_grant: 1,
-            jobs: jobs::JobTable::new(),
+            jobs: jobs::JobTable::default(),
             runs: HashMap::new(),
             stopping: HashMap::new(),
             next_run: 1,
@@ -195,7 +195,7 @@
         // A grant can't be delivered any more; the entry offers again over its next link.
         self.queue.remove_where(|offer| offer.payload.link == link);
         let now = self.now;
-        for job in self.jobs.values_mut() {
+        for job in self.jobs.all_mut() {
             if job.link == Some(link) {
                 job.link = None;
                 job.detached = Some(now);
@@ -312,7 +312,7 @@
             _ => true,
         };
         let claimed = self.claims.is_settled(self.now);
-        self.grants.is_empty() && claimed && !self.jobs.values().any(waits)
+        self.grants.is_empty() && claimed && !self.jobs.all().any(waits)
     }
 
     /// Returns the description of the endpoint, once it is known.
@@ -330,7 +330,7 @@
     /// Returns the bytes of answers that are kept.
     #[must_use]
     pub fn kept_bytes(&self) -> units::ByteCount {
-        let kept = self.jobs.values().map(|job| job.answer.kept_bytes());
+        let kept = self.jobs.all().map(|job| job.answer.kept_bytes());
         units::ByteCount(kept.sum())
     }
 
--- a/crates/waxwing-agent/src/state/claims.rs
+++ b/crates/waxwing-agent/src/state/claims.rs
@@ -50,7 +50,7 @@
 
 impl state::AgentCore {
     pub(super) fn complete_claim(&mut self, request: ids::RequestId) {
-        let Some(job) = self.jobs.get(&request) else {
+        let Some(job) = self.jobs.get(request) else {
             return;
         };
         let (Some(name), Some(end)) = (job.claim.clone(), job.answer.end()) else {
--- a/crates/waxwing-agent/src/state/deliveries.rs
+++ b/crates/waxwing-agent/src/state/deliveries.rs
@@ -40,13 +40,13 @@
         request: ids::RequestId,
         window: u64,
     ) -> Option<(events::LinkId, answers::AnswerPart)> {
-        let job = self.jobs.get_mut(&request)?;
+        let job = self.jobs.get_mut(request)?;
         let link = job.link?;
         Some((link, job.answer.next_part(window)?))
     }
 
     fn hold_back(&mut self, request: ids::RequestId, window: u64) {
-        let Some(job) = self.jobs.get_mut(&request) else {
+        let Some(job) = self.jobs.get_mut(request) else {
             return;
         };
         let Some(run) = job.run() else {
@@ -68,7 +68,7 @@
         let Some(request) = events::request_id(&ack.request) else {
             return;
         };
-        if let Some(job) = self.jobs.get_mut(&request) {
+        if let Some(job) = self.jobs.get_mut(request) {
             job.answer.acknowledge(ack.offset);
             self.deliver(request);
         }
@@ -79,7 +79,7 @@
         let Some(request) = events::request_id(&resume.request) else {
             return;
         };
-        let job = self.jobs.get_mut(&request);
+        let job = self.jobs.get_mut(request);
         let found = job.is_some_and(|job| {
             let kept = job.answer.rewind(resume.offset);
             if kept {
@@ -122,13 +122,13 @@
             return;
         }
         self.jobs
-            .values_mut()
+            .all_mut()
             .for_each(|job| job.answer.free_acknowledged());
         let ended = self
             .jobs
-            .iter()
+            .ended()
             .filter_map(|(request, job)| match job.stage {
-                jobs::JobStage::Ended(since) => Some((job.link.is_some(), since, *request)),
+                jobs::JobStage::Ended(since) => Some((job.link.is_some(), since, request)),
                 _ => None,
             });
         let mut ended: Vec<_> = ended.collect();
@@ -137,7 +137,7 @@
             if self.kept_bytes() <= bound {
                 return;
             }
-            if let Some(job) = self.jobs.get_mut(&request) {
+            if let Some(job) = self.jobs.get_mut(request) {
                 job.answer.free_all();
             }
         }
@@ -151,10 +151,10 @@
             jobs::JobStage::Ended(since) => now.saturating_duration_since(since) >= retention,
             _ => false,
         };
-        let ended = self.jobs.iter().filter(|(_, job)| over(job));
-        let ended: Vec<_> = ended.map(|(request, job)| (*request, job.grant)).collect();
+        let ended = self.jobs.ended().filter(|(_, job)| over(job));
+        let ended: Vec<_> = ended.map(|(request, job)| (request, job.grant)).collect();
         for (request, grant) in ended {
-            self.jobs.remove(&request);
+            self.jobs.forget(request);
             self.tombstones.add(request, grant, now);
         }
         self.tombstones.expire(now);
--- a/crates/waxwing-agent/src/state/handovers.rs
+++ b/crates/waxwing-agent/src/state/handovers.rs
@@ -17,7 +17,7 @@
             return;
         };
         // A doubled message must not be told that nothing ran.
-        if self.jobs.contains_key(&request) || self.tombstones.contains(request) {
+        if self.jobs.contains(request) || self.tombstones.contains(request) {
             self.acknowledge_handover(link, correlation, request, None);
             return;
         }
@@ -140,7 +140,7 @@
         if settle.incarnation != self.incarnation.0 {
             return messages::SettledState::OtherIncarnation;
         }
-        if let Some(job) = self.jobs.get(&request) {
+        if let Some(job) = self.jobs.get(request) {
             return match job.stage {
                 _ if !job.answer.is_complete_from_start() => messages::SettledState::Forgotten,
                 jobs::JobStage::Ended(_) => messages::SettledState::Finished,
@@ -163,7 +163,7 @@
         };
         self.queue.remove(request);
         self.revoke(request);
-        let Some(job) = self.jobs.get(&request) else {
+        let Some(job) = self.jobs.get(request) else {
             return;
         };
         // A call that must not run twice goes on to its end, so that its result is known.
@@ -175,11 +175,11 @@
     /// Ends a request before its answer is complete: cancels the call, counts the prefill as
     /// wasted by cause, and tells the entry if it is still there.
     pub(super) fn abandon(&mut self, request: ids::RequestId, reason: reasons::RefusalReason) {
-        if self.jobs.get(&request).is_none_or(jobs::Job::is_ended) {
+        if self.jobs.get(request).is_none_or(jobs::Job::is_ended) {
             return;
         }
         self.stop_run(request, false);
-        let wasted = self.jobs.get(&request).map_or(0, |job| job.tally.computed);
+        let wasted = self.jobs.get(request).map_or(0, |job| job.tally.computed);
         let cause = match reason {
             reasons::RefusalReason::CallerGone => counters::CounterEvent::WastedPrefillCaller,
             reasons::RefusalReason::DeadlinePassed => counters::CounterEvent::WastedPrefillDeadline,
@@ -189,7 +189,7 @@
         self.counters.refuse(reason);
         self.end_broken(request, reason, reasons::Outcome::Unknown);
         if reason == reasons::RefusalReason::CallerGone
-            && let Some(job) = self.jobs.get_mut(&request)
+            && let Some(job) = self.jobs.get_mut(request)
         {
             job.answer.free_all();
         }
--- a/crates/waxwing-agent/src/state/offers.rs
+++ b/crates/waxwing-agent/src/state/offers.rs
@@ -41,7 +41,7 @@
             return;
         };
         // A refusal would say that nothing ran, which is not true of a request that was taken.
-        if self.jobs.contains_key(&request) || self.tombstones.contains(request) {
+        if self.jobs.contains(request) || self.tombstones.contains(request) {
             return;
         }
         // A second offer of a request replaces the first: its link was replaced.
@@ -97,7 +97,7 @@
             return None;
         }
         let cached = self.cache.expected_tokens(&offer.prefix_hashes);
-        self.deadline_refusal(terms, cached, self.lowest_work())
+        self.deadline_refusal(terms, cached)
     }
 
     fn serves(&self, offer: &messages::Offer) -> bool {
@@ -114,14 +114,14 @@
         &self,
         terms: &queue::OfferTerms,
         cached: units::TokenCount,
-        lowest: Option<ids::TierRank>,
     ) -> Option<reasons::RefusalReason> {
         if terms.deadline <= self.now {
             return Some(reasons::RefusalReason::DeadlinePassed);
         }
-        let ahead = match lowest.is_some_and(|lowest| lowest > terms.rank) {
+        let above = self.queue.tokens_above(terms.rank);
+        let ahead = match above > units::TokenCount::ZERO && self.has_lower_work(terms.rank) {
             true => units::TokenCount::ZERO,
-            false => self.queue.tokens_above(terms.rank),
+            false => above,
         };
         let prefill = ahead + terms.prompt_tokens.saturating_sub(cached);
         let end = self.now + self.service_time(prefill, terms.output_tokens);
@@ -139,12 +139,11 @@
         self.pace.prefill_time(prefill) + self.pace.generation_time(output)
     }
 
-    /// Returns the lowest tier of which an offer waits or a generation could be suspended.
-    fn lowest_work(&self) -> Option<ids::TierRank> {
-        let waiting = self.queue.loads().map(|(rank, _)| rank).last();
-        let jobs = self.jobs.values();
-        let open = jobs.filter(|job| !job.is_ended() && job.can_resume());
-        waiting.max(open.map(|job| job.terms.rank).max())
+    /// Tells whether an offer of a lower tier waits or a generation of one could be suspended.
+    fn has_lower_work(&self, rank: ids::TierRank) -> bool {
+        let waits = self.queue.loads().any(|(other, _)| other > rank);
+        let lower = |job: &jobs::Job| job.terms.rank > rank && job.can_resume();
+        waits || self.jobs.open().any(|(_, job)| lower(job))
     }
 
     fn enqueue(
@@ -195,7 +194,7 @@
     }
 
     fn try_resume(&mut self, request: ids::RequestId, rank: ids::TierRank) -> bool {
-        let Some(job) = self.jobs.get(&request) else {
+        let Some(job) = self.jobs.get(request) else {
             return false;
         };
         let share = self.resume_share(job);
@@ -214,7 +213,7 @@
             return false;
         };
         let cached = self.cache.expected_tokens(&head.payload.prefixes);
-        if let Some(reason) = self.deadline_refusal(&head.terms, cached, self.lowest_work()) {
+        if let Some(reason) = self.deadline_refusal(&head.terms, cached) {
             let (link, request) = (head.payload.link, head.request);
             self.queue.remove(request);
             self.refuse_offer(link, request, reason);
@@ -271,8 +270,8 @@
                 suspension::RoomWanted::Prefill(excess.min(self.admission.pending()))
             }
         };
-        let jobs = self.jobs.iter();
-        let running = jobs.filter_map(|(request, job)| job.running_work(*request));
+        let open = self.jobs.open();
+        let running = open.filter_map(|(request, job)| job.running_work(request));
         let victims = suspension::choose_victims(running, rank, wanted);
         victims.iter().for_each(|victim| self.suspend(*victim));
         !victims.is_empty()
@@ -280,8 +279,8 @@
 
     /// Returns the time until the first running request is expected to end by itself.
     fn next_release(&self) -> Duration {
-        let running = self.jobs.values().filter(|job| job.run().is_some());
-        let remaining = running.map(|job| self.pace.generation_time(job.remaining_output()));
+        let running = self.jobs.open().filter(|(_, job)| job.run().is_some());
+        let remaining = running.map(|(_, job)| self.pace.generation_time(job.remaining_output()));
         remaining.min().unwrap_or_default()
     }
 
@@ -361,10 +360,9 @@
 
     /// Refuses waiting offers whose deadline can't be met any more.
     pub(super) fn refuse_unreachable(&mut self) {
-        let lowest = self.lowest_work();
         let check = |offer: &queue::WaitingOffer<jobs::OfferNote>| {
             let cached = self.cache.expected_tokens(&offer.payload.prefixes);
-            let reason = self.deadline_refusal(&offer.terms, cached, lowest)?;
+            let reason = self.deadline_refusal(&offer.terms, cached)?;
             Some((offer.payload.link, offer.request, reason))
         };
         let refused: Vec<_> = self.queue.iter().filter_map(check).collect();
--- a/crates/waxwing-agent/src/state/runs.rs
+++ b/crates/waxwing-agent/src/state/runs.rs
@@ -12,7 +12,7 @@
 impl state::AgentCore {
     /// Starts the next run of a request that holds a share of the limit.
     pub(super) fn start_run(&mut self, request: ids::RequestId) {
-        let Some(job) = self.jobs.get(&request) else {
+        let Some(job) = self.jobs.get(request) else {
             return;
         };
         let own = self.expected_prefill(job);
@@ -21,15 +21,15 @@
         if self.runs.is_empty() {
             self.pace.progress(self.now);
         }
-        let running = self.jobs.values().filter(|job| job.run().is_some());
-        let shares = running.filter_map(|job| job.share);
+        let running = self.jobs.open().filter(|(_, job)| job.run().is_some());
+        let shares = running.filter_map(|(_, job)| job.share);
         let ahead = shares.fold(own, |ahead, share| ahead + share.prefill);
         let progress = jobs::RunProgress {
             own,
             ahead,
             ..jobs::RunProgress::idle(self.now)
         };
-        let Some(job) = self.jobs.get_mut(&request) else {
+        let Some(job) = self.jobs.get_mut(request) else {
             return;
         };
         job.runs += 1;
@@ -59,7 +59,7 @@
     /// is added to the tally as far as it can be estimated. The request does not run again before
     /// the endpoint has confirmed the cancellation, which would else hit the later run.
     pub(super) fn stop_run(&mut self, request: ids::RequestId, export: bool) {
-        let Some(job) = self.jobs.get(&request) else {
+        let Some(job) = self.jobs.get(request) else {
             return;
         };
         if let Some(run) = job.run() {
@@ -73,7 +73,7 @@
 
     /// Books the end of a run, however it ended.
     pub(super) fn close_run(&mut self, request: ids::RequestId) {
-        let Some(job) = self.jobs.get_mut(&request) else {
+        let Some(job) = self.jobs.get_mut(request) else {
             return;
         };
         if let Some(share) = job.share.take() {
@@ -146,7 +146,7 @@
         status: u16,
         headers: Vec<messages::HeaderField>,
     ) {
-        let Some(job) = self.jobs.get_mut(&request) else {
+        let Some(job) = self.jobs.get_mut(request) else {
             return;
         };
         let success = (200..FIRST_REDIRECT).contains(&status);
@@ -169,7 +169,7 @@
     }
 
     fn run_data(&mut self, request: ids::RequestId, data: Bytes) {
-        let Some(job) = self.jobs.get_mut(&request) else {
+        let Some(job) = self.jobs.get_mut(request) else {
             return;
         };
         let Some(reader) = job.reader.as_mut() else {
@@ -196,7 +196,7 @@
         let running = self.runs.len();
         self.pace.progress(now);
         self.stall = state::StallGuard::default();
-        let Some(job) = self.jobs.get_mut(&request) else {
+        let Some(job) = self.jobs.get_mut(request) else {
             return;
         };
         job.tokens += tokens;
@@ -227,7 +227,7 @@
 
     /// Ends a chat answer that the engine marked as complete.
     fn run_complete(&mut self, request: ids::RequestId) {
-        let Some(job) = self.jobs.get_mut(&request) else {
+        let Some(job) = self.jobs.get_mut(request) else {
             return;
         };
         if let Some(usage) = job.progress.usage.filter(|_| job.runs == 1) {
@@ -235,7 +235,7 @@
             self.cache.observed(hashes, usage.cached_tokens);
         }
         self.close_run(request);
-        if let Some(job) = self.jobs.get_mut(&request) {
+        if let Some(job) = self.jobs.get_mut(request) {
             let repeated = job.tally.computed.saturating_sub(job.tally.needed);
             let event = counters::CounterEvent::WastedPrefillSuspended;
             self.counters.add(event, repeated);
@@ -245,7 +245,7 @@
     }
 
     fn run_ended(&mut self, request: ids::RequestId) {
-        let Some(job) = self.jobs.get_mut(&request) else {
+        let Some(job) = self.jobs.get_mut(request) else {
             return;
         };
         self.pace.progress(self.now);
@@ -255,14 +255,14 @@
             return;
         }
         self.close_run(request);
-        if let Some(job) = self.jobs.get_mut(&request) {
+        if let Some(job) = self.jobs.get_mut(request) {
             job.answer.finish_whole();
         }
         self.end(request);
     }
 
     fn run_failed(&mut self, request: ids::RequestId, outcome: reasons::Outcome) {
-        let Some(job) = self.jobs.get(&request) else {
+        let Some(job) = self.jobs.get(request) else {
             return;
         };
         // What an earlier run of a resumed generation did can't be undone.
@@ -271,7 +271,7 @@
             false => outcome,
         };
         self.close_run(request);
-        let wasted = self.jobs.get(&request).map_or(0, |job| job.tally.computed);
+        let wasted = self.jobs.get(request).map_or(0, |job| job.tally.computed);
         self.counters
             .add(counters::CounterEvent::WastedPrefillLost, wasted);
         self.counters.refuse(reasons::RefusalReason::EndpointFailed);
@@ -284,7 +284,7 @@
         reason: reasons::RefusalReason,
         outcome: reasons::Outcome,
     ) {
-        if let Some(job) = self.jobs.get_mut(&request) {
+        if let Some(job) = self.jobs.get_mut(request) {
             job.answer.finish_broken(reason.as_str(), outcome.as_str());
         }
         self.end(request);
@@ -293,12 +293,14 @@
 
     /// Ends a request: the body is freed, and the result of a claimed one is made durable.
     fn end(&mut self, request: ids::RequestId) {
-        let Some(job) = self.jobs.get_mut(&request) else {
+        let Some(job) = self.jobs.get_mut(request) else {
             return;
         };
         job.stage = jobs::JobStage::Ended(self.now);
         job.call = None;
         job.reader = None;
+        job.kv = None;
+        self.jobs.close(request);
         self.complete_claim(request);
         self.reports.mark();
     }
@@ -306,7 +308,7 @@
     /// Returns the time in which the endpoint is expected to report something; `None` if nothing
     /// runs that reports progress.
     pub(super) fn event_due(&self) -> Option<std::time::Duration> {
-        let running = self.jobs.values();
+        let running = self.jobs.open().map(|(_, job)| job);
         let running = running.filter(|job| job.run().is_some() && job.reader.is_some());
         let generating = running
             .clone()
--- a/crates/waxwing-agent/src/state/suspensions.rs
+++ b/crates/waxwing-agent/src/state/suspensions.rs
@@ -12,13 +12,13 @@
 impl state::AgentCore {
     /// Stops the generation of a request and keeps the tokens so far.
     pub(super) fn suspend(&mut self, request: ids::RequestId) {
-        let Some(job) = self.jobs.get(&request).filter(|job| job.can_resume()) else {
+        let Some(job) = self.jobs.get(request).filter(|job| job.can_resume()) else {
             return;
         };
         let computed = job.progress.first_token.is_some();
         let export = computed && job.terms.prompt_tokens >= MIN_EXPORT_TOKENS;
         self.stop_run(request, export);
-        if let Some(job) = self.jobs.get_mut(&request) {
+        if let Some(job) = self.jobs.get_mut(request) {
             job.stage = jobs::JobStage::Suspended(self.now);
         }
         self.counters.count(counters::CounterEvent::Suspensions);
@@ -29,11 +29,11 @@
         let Some(request) = self.stopping.remove(&run) else {
             return;
         };
-        let held = self.jobs.values().filter_map(|job| job.kv.as_ref());
+        let held = self.jobs.open().filter_map(|(_, job)| job.kv.as_ref());
         let held: usize = held.map(Bytes::len).sum();
         let bound = self.limits.kept_bytes.0;
         let kv = kv.filter(|kv| (held + kv.len()) as u64 <= bound);
-        if let Some(job) = self.jobs.get_mut(&request)
+        if let Some(job) = self.jobs.get_mut(request)
             && matches!(job.stage, jobs::JobStage::Suspended(_))
         {
             job.kv = kv;
@@ -45,9 +45,9 @@
     pub(super) fn next_suspended(&self) -> Option<(ids::RequestId, ids::TierRank)> {
         let suspended = self
             .jobs
-            .iter()
+            .open()
             .filter_map(|(request, job)| match job.stage {
-                jobs::JobStage::Suspended(since) => Some((job.terms.rank, since, *request)),
+                jobs::JobStage::Suspended(since) => Some((job.terms.rank, since, request)),
                 _ => None,
             });
         let stopping = |request| self.stopping.values().any(|other| *other == request);
@@ -65,7 +65,7 @@
     }
 
     pub(super) fn resume_run(&mut self, request: ids::RequestId, share: admission::Reservation) {
-        let Some(job) = self.jobs.get_mut(&request) else {
+        let Some(job) = self.jobs.get_mut(request) else {
             return;
         };
         job.share = Some(share);
--- a/crates/waxwing-agent/src/state/sweeps.rs
+++ b/crates/waxwing-agent/src/state/sweeps.rs
@@ -39,9 +39,8 @@
     }
 
     fn select(&self, chosen: impl Fn(&jobs::Job) -> bool) -> Vec<ids::RequestId> {
-        let open = self.jobs.iter().filter(|(_, job)| !job.is_ended());
-        let open = open.filter(|(_, job)| chosen(job));
-        open.map(|(request, _)| *request).collect()
+        let open = self.jobs.open().filter(|(_, job)| chosen(job));
+        open.map(|(request, _)| request).collect()
     }
 
     fn end_overdue(&mut self) {
