--- a/crates/waxwing-control/src/log.rs
+++ b/crates/waxwing-control/src/log.rs
@@ -5,6 +5,7 @@
 use bytes::Bytes;
 use tokio::sync::{mpsc, oneshot, watch};
 use waxwing_core::ids;
+use xxhash_rust::xxh3;
 
 use crate::{commands, errors, machine};
 
@@ -26,6 +27,8 @@
     Confirm {
         answer: oneshot::Sender<Result<u64, errors::SubmitError>>,
     },
+    /// Take a message of the log that came over the link of a member.
+    Peer { from: ids::MemberId, payload: Bytes },
 }
 
 /// A `LogStatus` is what the log's task publishes about its role.
@@ -37,6 +40,16 @@
     pub(crate) leader: Option<String>,
     /// The term.
     pub(crate) term: u64,
+    /// The members, and whether each votes.
+    pub(crate) members: Vec<(u64, bool)>,
+    /// Whether this host is a member with its present data folder.
+    pub(crate) listed: bool,
+}
+
+/// Derives the member id of a host from its name, so that a host keeps it when its disk is
+/// replaced; the store id tells the two lives apart.
+pub(crate) fn member_id(name: &str) -> ids::MemberId {
+    ids::MemberId(xxh3::xxh3_64(name.as_bytes()))
 }
 
 /// A `LogShared` is the state that the log's task changes and all others read.
--- /dev/null
+++ b/crates/waxwing-entry/src/server.rs
@@ -0,0 +1,202 @@
+//! The process: sockets, tasks and the order of a shutdown.
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use hyper::{server::conn::http1, service};
+use hyper_util::{
+    rt::{TokioIo, TokioTimer},
+    server::graceful,
+};
+use tokio::{
+    io::{AsyncRead, AsyncWrite},
+    net,
+};
+use tokio_util::sync::CancellationToken;
+use waxwing_client::{clients, options as client_options};
+use waxwing_core::{clock, counters};
+use waxwing_wire::{messages, security};
+
+use crate::{caller_tls, control, edge, errors, options, state};
+
+/// Time for which the head of a request is awaited, so that idle connections don't pile up.
+const HEAD_LIMIT: Duration = Duration::from_secs(30);
+
+/// Time for a TLS handshake.
+const HANDSHAKE_LIMIT: Duration = Duration::from_secs(5);
+
+/// Pause after a failed accept, most often for want of file descriptors.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// A `BoundEntry` is an entry whose socket is open.
+pub struct BoundEntry<C> {
+    options: options::EntryOptions,
+    clock: C,
+    listener: net::TcpListener,
+    address: SocketAddr,
+    tls: Option<tokio_rustls::TlsAcceptor>,
+    security: security::LinkSecurity,
+}
+
+/// Opens the socket for callers.
+///
+/// # Errors
+/// Fails if the options or the certificate are not valid, or the address can't be bound.
+pub async fn bind<C: clock::Clock>(
+    options: options::EntryOptions,
+    clock: C,
+) -> Result<BoundEntry<C>, errors::EntryError> {
+    options.check("entry options")?;
+    let tls = options.tls.as_ref().map(caller_tls::load).transpose()?;
+    let address = options.http_address;
+    let bind_error = |error| errors::EntryError::Bind { address, error };
+    let listener = net::TcpListener::bind(address).await.map_err(bind_error)?;
+    let address = listener.local_addr().map_err(bind_error)?;
+    Ok(BoundEntry {
+        options,
+        clock,
+        listener,
+        address,
+        tls,
+        security: security::LinkSecurity::Plain,
+    })
+}
+
+impl<C: clock::Clock> BoundEntry<C> {
+    /// Returns the address for callers.
+    #[must_use]
+    pub fn http_address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Protects the links to other processes.
+    #[must_use]
+    pub fn with_security(mut self, security: security::LinkSecurity) -> Self {
+        self.security = security;
+        self
+    }
+
+    /// Serves until `shutdown`. Then readiness fails at once, requests are accepted for the
+    /// readiness delay, and those in progress end before this returns.
+    pub async fn run(self, shutdown: CancellationToken) {
+        let links_ended = CancellationToken::new();
+        let counters = counters::CounterSet::new();
+        let client = clients::ControlClient::start(
+            self.client_options(),
+            self.clock.clone(),
+            counters.clone(),
+            links_ended.clone(),
+        );
+        let shared = state::EntryShared::new(
+            self.options.clone(),
+            self.security.clone(),
+            self.clock.clone(),
+            counters,
+            client.clone(),
+            links_ended.clone(),
+        );
+        let follower = control::follow_directory(client, shared.agents.clone());
+        let follower_ended = links_ended.clone();
+        shared.tasks.spawn(async move {
+            follower_ended.run_until_cancelled(follower).await;
+        });
+        tracing::info!(address = %self.address, "entry serves callers");
+        let delay = shared.options.readiness_delay();
+        let stop = self.stop_accepting(shared.clone(), shutdown, delay);
+        let connections = graceful::GracefulShutdown::new();
+        self.accept(&shared, &connections, stop).await;
+        drop(self.listener);
+        connections.shutdown().await;
+        tracing::info!("all requests have ended");
+        links_ended.cancel();
+        shared.tasks.close();
+        shared.tasks.wait().await;
+    }
+
+    fn client_options(&self) -> client_options::ClientOptions {
+        let announce = messages::Announce {
+            process: Some(state::hello(&self.options, &self.clock)),
+            address: self.address.to_string(),
+            region: self.options.region.to_string(),
+            watch_limit: self.options.watch_limit,
+            ..messages::Announce::default()
+        };
+        let mut options =
+            client_options::ClientOptions::new(announce, self.options.control_hosts.clone());
+        options.security = self.security.clone();
+        options
+    }
+
+    /// Waits for the shutdown and the readiness delay after it.
+    fn stop_accepting<P: control::ControlPort>(
+        &self,
+        shared: Arc<state::EntryShared<C, P>>,
+        shutdown: CancellationToken,
+        delay: Duration,
+    ) -> impl Future<Output = ()> + Send + use<C, P> {
+        async move {
+            shutdown.cancelled().await;
+            shared.drain();
+            tracing::info!("readiness fails; new requests are accepted for the readiness delay");
+            shared.clock.sleep(delay).await;
+        }
+    }
+
+    async fn accept<P: control::ControlPort>(
+        &self,
+        shared: &Arc<state::EntryShared<C, P>>,
+        connections: &graceful::GracefulShutdown,
+        stop: impl Future<Output = ()>,
+    ) {
+        let mut stop = std::pin::pin!(stop);
+        loop {
+            let accepted = tokio::select! {
+                biased;
+                () = &mut stop => return,
+                accepted = self.listener.accept() => accepted,
+            };
+            let Ok((stream, _)) = accepted else {
+                self.clock.sleep(ACCEPT_PAUSE).await;
+                continue;
+            };
+            // Without it small events of a stream wait for the acknowledgement of earlier ones.
+            let _ = stream.set_nodelay(true);
+            let edge = edge::HttpEdge::new(shared.clone());
+            let watcher = connections.watcher();
+            let tls = self.tls.clone();
+            let clock = self.clock.clone();
+            tokio::spawn(async move {
+                match tls {
+                    None => serve(stream, edge, watcher).await,
+                    Some(tls) => {
+                        let secured = tokio::select! {
+                            secured = tls.accept(stream) => secured.ok(),
+                            () = clock.sleep(HANDSHAKE_LIMIT) => None,
+                        };
+                        if let Some(secured) = secured {
+                            serve(secured, edge, watcher).await;
+                        }
+                    }
+                }
+            });
+        }
+    }
+}
+
+async fn serve<S, C, P>(stream: S, edge: edge::HttpEdge<C, P>, watcher: graceful::Watcher)
+where
+    S: AsyncRead + AsyncWrite + Send + Unpin + 'static,
+    C: clock::Clock,
+    P: control::ControlPort,
+{
+    let service = service::service_fn(move |http| {
+        let edge = edge.clone();
+        async move { Ok::<_, std::convert::Infallible>(edge.handle(http).await) }
+    });
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(HEAD_LIMIT)
+        .serve_connection(TokioIo::new(stream), service);
+    if let Err(error) = watcher.watch(connection).await {
+        tracing::debug!(%error, "a caller's connection ended with an error");
+    }
+}
