Settle a running request as running after a part was acknowledged

A freed prefix made the settlement say forgotten, so an entry whose acknowledgement of the hand-over was lost gave up on a running answer. Only bytes that no entry had acknowledged count as forgotten now.

--- a/crates/waxwing-agent/src/answers.rs
+++ b/crates/waxwing-agent/src/answers.rs
@@ -24,6 +24,8 @@
     checksum: u32,
     end: Option<messages::AnswerEnd>,
     end_sent: bool,
+    /// Whether bytes were given up that no entry had acknowledged.
+    dropped: bool,
     /// Whether acknowledged bytes are kept too, so that a keyed resend gets the whole answer.
     keep_all: bool,
 }
@@ -111,10 +113,10 @@
         self.total - self.acknowledged
     }
 
-    /// Tells whether the answer can still be sent from its first byte.
+    /// Tells whether bytes were given up that no entry had acknowledged.
     #[must_use]
-    pub fn is_complete_from_start(&self) -> bool {
-        self.base == 0
+    pub fn is_dropped(&self) -> bool {
+        self.dropped
     }
 
     /// Returns the kept bytes from the start if none is missing and they are at most `limit`.
@@ -145,9 +147,10 @@
         self.free_below(self.acknowledged);
     }
 
-    /// Frees everything; the answer can't be sent any more.
+    /// Frees everything; what was not acknowledged can't be sent any more.
     pub fn free_all(&mut self) {
         self.keep_all = false;
+        self.dropped |= self.acknowledged < self.total;
         self.free_below(self.total);
     }
 
--- a/crates/waxwing-agent/src/state/handovers.rs
+++ b/crates/waxwing-agent/src/state/handovers.rs
@@ -142,7 +142,7 @@
         }
         if let Some(job) = self.jobs.get(request) {
             return match job.stage {
-                _ if !job.answer.is_complete_from_start() => messages::SettledState::Forgotten,
+                _ if job.answer.is_dropped() => messages::SettledState::Forgotten,
                 jobs::JobStage::Ended(_) => messages::SettledState::Finished,
                 _ => messages::SettledState::Running,
             };
--- a/crates/waxwing-agent/tests/fences.rs
+++ b/crates/waxwing-agent/tests/fences.rs
@@ -105,6 +105,22 @@
     assert_eq!(bench.settle(1, 0, INCARNATION), SettledState::Forgotten);
 }
 
+/// Guards against an asker that is told to give up on a running answer, of which it has
+/// acknowledged the beginning.
+#[test]
+fn acknowledged_bytes_are_not_forgotten_work() {
+    let mut bench = Bench::new();
+    let run = bench.admit(offer(1, 0));
+    bench.head(run);
+    bench.tokens(run, 0..3);
+    let offset = bench.answer(1).0.len() as u64;
+    let request = bytes_of(1);
+    bench.say(Body::AnswerAck(messages::AnswerAck { request, offset }));
+    assert_eq!(bench.settle(1, 0, INCARNATION), SettledState::Running);
+    bench.finish(run, 100, 0);
+    assert_eq!(bench.settle(1, 0, INCARNATION), SettledState::Finished);
+}
+
 /// Guards against room that stays reserved after its grant was given back.
 #[test]
 fn declined_and_withdrawn_grants_free_their_room() {
