--- a/crates/waxwing-policy/src/choice.rs
+++ b/crates/waxwing-policy/src/choice.rs
@@ -164,7 +164,7 @@
     pub rank: ids::TierRank,
     /// Prompt tokens.
     pub prompt: units::TokenCount,
-    /// Endpoints that have a prefix of the prompt cached; a few at most.
+    /// Endpoints that have a prefix of the prompt cached, each once.
     pub affinity: &'a [AffinityHint],
     /// Endpoints that must not be chosen.
     pub excluded: &'a [EndpointId],
@@ -183,7 +183,7 @@
     /// Whether the agent grants at once, without an admission limit.
     const IMMEDIATE: bool;
 
-    /// Appends up to `demand.count` endpoints to `picks`.
+    /// Appends up to `demand.count` endpoints to `picks`; `loads` is sorted by number.
     fn choose<R: Rng>(
         &self,
         demand: &ChoiceDemand<'_>,
@@ -211,10 +211,19 @@
             return;
         }
         let mut best = BestList::new(demand.count);
+        // Endpoints with a cached prefix come first and are found by their number, so that the scan
+        // over all others needs no look at the hints.
+        for hint in demand.affinity {
+            if let Ok(place) = loads.binary_search_by_key(&hint.endpoint, |load| load.id) {
+                let uncached = demand.prompt.saturating_sub(hint.cached);
+                best.consider(demand, &loads[place], uncached.0 as f32);
+            }
+        }
         // The scan starts at a random place, so that equal endpoints share the work.
         let (tail, head) = loads.split_at(random.random_range(0..loads.len()));
+        let prompt = demand.prompt.0 as f32;
         for load in head.iter().chain(tail) {
-            best.consider(demand, load);
+            best.consider(demand, load, prompt);
         }
         picks.extend(best.entries.iter().map(|(_, id)| *id));
     }
@@ -236,14 +245,12 @@
         }
     }
 
-    fn consider(&mut self, demand: &ChoiceDemand<'_>, load: &EndpointLoad) {
-        let rank = rank_index(demand.rank);
-        let mut hints = demand.affinity.iter();
-        let hint = hints.find(|hint| hint.endpoint == load.id);
-        let cached = hint.map_or(units::TokenCount::ZERO, |hint| hint.cached);
-        let uncached = demand.prompt.saturating_sub(cached);
-        let seconds = load.expected(rank, uncached.0 as f32);
-        if seconds < self.bound && demand.allows(load) {
+    /// Takes an endpoint in if it is among the best. One that is listed already has a cached prefix
+    /// and a better time than without it.
+    fn consider(&mut self, demand: &ChoiceDemand<'_>, load: &EndpointLoad, uncached: f32) {
+        let seconds = load.expected(rank_index(demand.rank), uncached);
+        let listed = || self.entries.iter().any(|(_, id)| *id == load.id);
+        if seconds < self.bound && demand.allows(load) && !listed() {
             self.insert(seconds, load.id);
         }
     }
--- a/crates/waxwing-policy/src/prefixes.rs
+++ b/crates/waxwing-policy/src/prefixes.rs
@@ -12,6 +12,10 @@
 /// Endpoints that are remembered for one prefix.
 const MAX_HOLDERS: usize = 4;
 
+/// Endpoints that one look-up returns at most, those with the longest prefix first; it bounds the
+/// time of a decision.
+pub const MAX_HINTS: usize = 32;
+
 /// A `PrefixHash` is the chained hash of a prefix together with its length.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct PrefixHash {
@@ -124,6 +128,9 @@
             };
             holders.used = true;
             for endpoint in &holders.endpoints {
+                if hints.len() == MAX_HINTS {
+                    return;
+                }
                 if hints.iter().all(|hint| hint.endpoint != *endpoint) {
                     hints.push(choice::AffinityHint {
                         endpoint: *endpoint,
--- /dev/null
+++ b/crates/waxwing-policy/tests/waiting.rs
@@ -0,0 +1,130 @@
+//! Tests of the room for waiting bodies.
+
+use std::collections::BTreeMap;
+
+use proptest::prelude::*;
+use waxwing_core::{ids, units};
+use waxwing_policy::waiting;
+
+fn id(number: u128) -> ids::RequestId {
+    ids::RequestId(number)
+}
+
+fn admit(
+    room: &mut waiting::WaitingRoom,
+    number: u128,
+    rank: u8,
+    bytes: u64,
+) -> Result<Vec<u128>, waiting::RoomFull> {
+    let evicted = room.admit(id(number), ids::TierRank(rank), units::ByteCount(bytes))?;
+    Ok(evicted.into_iter().map(|request| request.0).collect())
+}
+
+/// Guards against shedding in the wrong order: the lowest tier goes first, in it the newest.
+#[test]
+fn lowest_tier_goes_first_newest_first() {
+    let mut room = waiting::WaitingRoom::new(units::ByteCount(60));
+    for (number, rank) in [(1, 2), (2, 1), (3, 2), (4, 0), (5, 1), (6, 2)] {
+        assert_eq!(admit(&mut room, number, rank, 10), Ok(vec![]));
+    }
+    assert_eq!(admit(&mut room, 7, 0, 10), Ok(vec![6]));
+    assert_eq!(admit(&mut room, 8, 0, 40), Ok(vec![3, 1, 5, 2]));
+    assert!(
+        admit(&mut room, 9, 0, 10).is_err(),
+        "only its own tier is left"
+    );
+    assert_eq!(room.used(), units::ByteCount(60));
+}
+
+/// Guards against evicting for a request that can't fit anyway.
+#[test]
+fn nothing_is_evicted_in_vain() {
+    let mut room = waiting::WaitingRoom::new(units::ByteCount(30));
+    assert_eq!(admit(&mut room, 1, 2, 10), Ok(vec![]));
+    assert_eq!(admit(&mut room, 2, 0, 10), Ok(vec![]));
+    assert!(admit(&mut room, 3, 1, 25).is_err());
+    assert!(room.contains(id(1)) && room.contains(id(2)));
+}
+
+/// Guards against evicting a request that is being handed over.
+#[test]
+fn pinned_requests_stay() {
+    let mut room = waiting::WaitingRoom::new(units::ByteCount(20));
+    assert_eq!(admit(&mut room, 1, 3, 20), Ok(vec![]));
+    assert!(room.pin(id(1)));
+    assert!(admit(&mut room, 2, 0, 10).is_err());
+    room.unpin(id(1));
+    assert_eq!(admit(&mut room, 2, 0, 10), Ok(vec![1]));
+    assert!(!room.pin(id(1)), "an evicted request can't be handed over");
+}
+
+#[derive(Debug, Clone)]
+enum RoomStep {
+    Admit(u128, u8, u64),
+    Pin(u128),
+    Unpin(u128),
+    Remove(u128),
+}
+
+fn steps() -> impl Strategy<Value = RoomStep> {
+    let number = 0_u128..12;
+    prop_oneof![
+        4 => (number.clone(), 0_u8..4, 0_u64..40).prop_map(|(n, r, b)| RoomStep::Admit(n, r, b)),
+        1 => number.clone().prop_map(RoomStep::Pin),
+        1 => number.clone().prop_map(RoomStep::Unpin),
+        1 => number.prop_map(RoomStep::Remove),
+    ]
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { failure_persistence: None, ..ProptestConfig::default() })]
+
+    /// Guards against more bytes than the limit, against evicting work of the same tier or above,
+    /// and against a refusal while less urgent work that would make room waits here.
+    #[test]
+    fn room_keeps_its_promises(steps in prop::collection::vec(steps(), 1..60)) {
+        let limit = 100;
+        let mut room = waiting::WaitingRoom::new(units::ByteCount(limit));
+        let mut model: BTreeMap<u128, (u8, u64, bool)> = BTreeMap::new();
+        for step in steps {
+            match step {
+                RoomStep::Admit(number, rank, bytes) => {
+                    let others = model.iter().filter(|(other, _)| **other != number);
+                    let fixed: u64 = others
+                        .filter(|(_, (other, _, pinned))| *other <= rank || *pinned)
+                        .map(|(_, (_, bytes, _))| bytes)
+                        .sum();
+                    let fits = fixed + bytes <= limit;
+                    let admitted = admit(&mut room, number, rank, bytes);
+                    prop_assert_eq!(admitted.is_ok(), fits);
+                    if let Ok(evicted) = admitted {
+                        for other in evicted {
+                            let (other_rank, _, pinned) = model.remove(&other).unwrap();
+                            prop_assert!(other_rank > rank && !pinned);
+                        }
+                        model.insert(number, (rank, bytes, false));
+                    }
+                }
+                RoomStep::Pin(number) => {
+                    prop_assert_eq!(room.pin(id(number)), model.contains_key(&number));
+                    if let Some(entry) = model.get_mut(&number) {
+                        entry.2 = true;
+                    }
+                }
+                RoomStep::Unpin(number) => {
+                    room.unpin(id(number));
+                    if let Some(entry) = model.get_mut(&number) {
+                        entry.2 = false;
+                    }
+                }
+                RoomStep::Remove(number) => {
+                    prop_assert_eq!(room.remove(id(number)), model.remove(&number).is_some());
+                }
+            }
+            let used: u64 = model.values().map(|(_, bytes, _)| bytes).sum();
+            prop_assert!(used <= limit);
+            prop_assert_eq!(room.used(), units::ByteCount(used));
+            prop_assert_eq!(room.len(), model.len());
+        }
+    }
+}
