--- a/crates/waxwing-agent/src/jobs.rs
+++ b/crates/waxwing-agent/src/jobs.rs
@@ -5,6 +5,7 @@
     time::{Duration, Instant},
 };
 
+use bytes::Bytes;
 use waxwing_core::{ids, units};
 use waxwing_policy::{admission, queue, suspension};
 use waxwing_wire::messages;
@@ -107,6 +108,8 @@
     pub(crate) progress: RunProgress,
     pub(crate) tally: PrefillTally,
     pub(crate) paused: bool,
+    /// Exported KV cache of the stopped run.
+    pub(crate) kv: Option<Bytes>,
     pub(crate) deadline: Instant,
 }
 
@@ -122,14 +125,6 @@
         }
     }
 
-    /// Returns the id that the endpoint sees for the current run.
-    pub(crate) fn run_name(&self, request: ids::RequestId) -> String {
-        match self.runs {
-            0 | 1 => request.to_string(),
-            later => format!("{request}-{later}"),
-        }
-    }
-
     pub(crate) fn can_resume(&self) -> bool {
         let format = self.call.as_ref().map(|call| &call.format);
         self.note.idempotent && format.is_some_and(formats::CallFormat::can_resume)
--- a/crates/waxwing-policy/tests/limits.rs
+++ b/crates/waxwing-policy/tests/limits.rs
@@ -1,213 +1,221 @@
-//! Tests of the retry budget, the backoff, the account limits and the prefix map.
+//! The admission limit, the choice of victims, and the knowledge of the prefix cache.
 
 use std::time::{Duration, Instant};
 
-use proptest::prelude::*;
-use rand::SeedableRng as _;
-use rand_chacha::ChaCha8Rng;
 use test_case::test_case;
-use waxwing_core::{clock::Clock as _, clock::ManualClock, ids, reasons, units};
-use waxwing_policy::{accounts, budget, choice, prefixes};
-
-const LIMITS: budget::BudgetLimits = budget::BudgetLimits {
-    share: 0.1,
-    burst: 10,
+use waxwing_core::{ids, units};
+use waxwing_policy::{
+    admission::{AdmissionLimit, AdmissionOptions, FitVerdict, Reservation},
+    cache::{CacheKnowledge, CacheView},
+    suspension::{self, RoomWanted, RunningWork},
 };
 
-fn account(name: &str) -> ids::AccountName {
-    name.parse().unwrap()
-}
-
-/// Guards against retries that multiply the load of a fleet in trouble.
-#[test_case(0, 10)]
-#[test_case(100, 20)]
-#[test_case(1_000, 110)]
-fn retries_stay_within_share_and_burst(requests: u32, most: u32) {
-    let mut retries = budget::RetryBudget::new();
-    let name = account("orders");
-    let rank = ids::TierRank(0);
-    let mut taken = 0;
-    for _ in 0..requests {
-        retries.earn(&name, rank, LIMITS);
-        while retries.withdraw(&name, rank, LIMITS) {
-            taken += 1;
-        }
-    }
-    taken += (0..50)
-        .filter(|_| retries.withdraw(&name, rank, LIMITS))
-        .count() as u32;
-    assert!(taken <= most && taken + 1 >= most, "{taken} of {most}");
-}
+const RATE: units::TokenRate = units::TokenRate(4_000.0);
 
-/// Guards against one account or tier using up the retries of another.
-#[test]
-fn budgets_are_apart() {
-    let mut retries = budget::RetryBudget::new();
-    let (large, small) = (account("large"), account("small"));
-    while retries.withdraw(&large, ids::TierRank(0), LIMITS) {}
-    assert!(retries.withdraw(&large, ids::TierRank(1), LIMITS));
-    assert!(retries.withdraw(&small, ids::TierRank(0), LIMITS));
+fn share(context: u64, prefill: u64) -> Reservation {
+    Reservation {
+        context: units::TokenCount(context),
+        prefill: units::TokenCount(prefill),
+    }
 }
 
-/// Guards against retries in step and against delays out of the range 50 ms to 2 s.
-#[test]
-fn delays_are_spread_below_their_bound() {
-    let backoff = budget::BackoffPolicy::default();
-    let bounds: Vec<_> = (0..8).map(|attempt| backoff.bound(attempt)).collect();
-    let millis = [50, 100, 200, 400, 800, 1_600, 2_000, 2_000];
-    assert_eq!(bounds, millis.map(Duration::from_millis));
-    assert_eq!(backoff.bound(u32::MAX), Duration::from_secs(2));
-    let mut random = ChaCha8Rng::seed_from_u64(7);
-    let delays: Vec<_> = (0..100).map(|_| backoff.delay(3, &mut random)).collect();
-    assert!(delays.iter().all(|delay| *delay <= bounds[3]));
-    let low = delays
-        .iter()
-        .filter(|delay| **delay < bounds[3] / 2)
-        .count();
-    assert!(
-        (30..70).contains(&low),
-        "full jitter: {low} of 100 in the lower half"
-    );
+fn limit(now: Instant) -> AdmissionLimit {
+    let cap = units::TokenCount(65_536);
+    let options = AdmissionOptions {
+        cap,
+        ..AdmissionOptions::default()
+    };
+    AdmissionLimit::new(options, now)
 }
 
-fn admit(
-    table: &mut accounts::AccountTable,
-    limits: &accounts::AccountLimits,
-    tokens: u64,
-    now: Instant,
-) -> Result<(), reasons::RefusalReason> {
-    table
-        .admit(&account("orders"), limits, units::TokenCount(tokens), now)
-        .map_err(|refusal| refusal.reason)
+/// Lets windows pass in which every token takes `millis`.
+fn windows(limit: &mut AdmissionLimit, now: &mut Instant, count: usize, millis: u64) {
+    for _ in 0..count {
+        (0..40).for_each(|_| limit.token(Duration::from_millis(millis)));
+        *now += Duration::from_millis(500);
+        limit.adjust(*now);
+    }
 }
 
-/// Guards against a request rate that is not held, or that a pause doesn't restore.
+/// Guards against a limit that stays too high when tokens come late, grows past the cache memory,
+/// or falls so far that nothing runs.
 #[test]
-fn request_rate_is_held() {
-    let clock = ManualClock::new();
-    let limits = accounts::AccountLimits {
-        requests_per_second: Some(5.0),
-        ..accounts::AccountLimits::default()
-    };
-    let mut table = accounts::AccountTable::new();
-    let burst = (0..9).filter(|_| admit(&mut table, &limits, 1, clock.now()).is_ok());
-    assert_eq!(burst.count(), 5);
-    let refused = admit(&mut table, &limits, 1, clock.now());
-    assert_eq!(refused, Err(reasons::RefusalReason::AccountRate));
-    clock.advance(Duration::from_millis(200));
-    assert_eq!(admit(&mut table, &limits, 1, clock.now()), Ok(()));
-    clock.advance(Duration::from_secs(60));
-    let burst = (0..9).filter(|_| admit(&mut table, &limits, 1, clock.now()).is_ok());
+fn limit_follows_the_token_target() {
+    let mut now = Instant::now();
+    let mut limit = limit(now);
+    for _ in 0..20 {
+        limit.admit(share(3_000, 0));
+    }
+    windows(&mut limit, &mut now, 1, 70);
+    assert!(limit.limit().0 <= 51_000, "limit {}", limit.limit());
+    assert!(limit.slots() <= 17, "slots {}", limit.slots());
+    windows(&mut limit, &mut now, 50, 70);
+    assert_eq!(limit.limit().0, 8_192);
+    assert_eq!(limit.slots(), 4);
+    windows(&mut limit, &mut now, 200, 50);
     assert_eq!(
-        burst.count(),
-        5,
-        "a long pause earns one second of the rate"
+        limit.limit().0,
+        65_536,
+        "grows back to the cap and no further"
     );
 }
 
-/// Guards against a slot that is lost or given back twice.
+/// Guards against a limit that grows while it is not in use, and so is far too high when a burst
+/// comes.
 #[test]
-fn concurrency_is_held_and_given_back() {
-    let clock = ManualClock::new();
-    let limits = accounts::AccountLimits {
-        concurrent_requests: Some(2),
-        ..accounts::AccountLimits::default()
-    };
-    let mut table = accounts::AccountTable::new();
-    assert_eq!(admit(&mut table, &limits, 1, clock.now()), Ok(()));
-    assert_eq!(admit(&mut table, &limits, 1, clock.now()), Ok(()));
-    let refused = admit(&mut table, &limits, 1, clock.now());
-    assert_eq!(refused, Err(reasons::RefusalReason::AccountConcurrency));
-    table.release(&account("orders"));
-    assert_eq!(admit(&mut table, &limits, 1, clock.now()), Ok(()));
-    assert_eq!(table.running(&account("orders")), 2);
-}
-
-/// Guards against a prompt longer than one second of the rate that could never be admitted, and
-/// against it being admitted for nothing.
-#[test]
-fn long_prompts_go_into_debt() {
-    let clock = ManualClock::new();
-    let limits = accounts::AccountLimits {
-        tokens_per_second: Some(units::TokenRate(100.0)),
-        ..accounts::AccountLimits::default()
-    };
-    let mut table = accounts::AccountTable::new();
-    assert_eq!(admit(&mut table, &limits, 1_100, clock.now()), Ok(()));
-    clock.advance(Duration::from_secs(9));
-    let refused = admit(&mut table, &limits, 1, clock.now());
-    assert_eq!(refused, Err(reasons::RefusalReason::AccountTokens));
-    clock.advance(Duration::from_millis(1_100));
-    assert_eq!(admit(&mut table, &limits, 1, clock.now()), Ok(()));
-}
-
-fn hashes(range: std::ops::Range<u64>) -> Vec<u64> {
-    range.collect()
-}
-
-/// Guards against offers over their size, and against a shared prefix that two prompts of different
-/// lengths name by different hashes.
-#[test_case(0)]
-#[test_case(5)]
-#[test_case(100)]
-#[test_case(5_000)]
-fn sampled_hashes_are_few_and_on_one_grid(blocks: u64) {
-    let short = prefixes::sample_hashes(&hashes(0..blocks));
-    let long = prefixes::sample_hashes(&hashes(0..blocks + 40));
-    assert!(short.len() <= prefixes::MAX_HASHES);
-    assert!(short.is_sorted_by_key(|prefix| prefix.blocks));
-    if let Some(last) = short.last() {
-        assert!(
-            u64::from(last.blocks) * 5 >= blocks * 4,
-            "four lengths per octave"
-        );
-        assert!(long.contains(last), "a longer prompt names the same prefix");
+fn unused_limit_does_not_grow() {
+    let mut now = Instant::now();
+    let mut limit = limit(now);
+    (0..20).for_each(|_| limit.admit(share(3_000, 0)));
+    windows(&mut limit, &mut now, 3, 70);
+    (0..19).for_each(|_| limit.release(share(3_000, 0)));
+    windows(&mut limit, &mut now, 1, 50);
+    let before = (limit.limit(), limit.slots());
+    windows(&mut limit, &mut now, 20, 50);
+    assert_eq!((limit.limit(), limit.slots()), before);
+}
+
+/// Guards against one late token in a hundred that counts as a missed target, and against six
+/// that don't.
+#[test_case(5, false; "five in a hundred are allowed")]
+#[test_case(6, true; "six in a hundred are not")]
+fn target_is_the_95th_percentile(late: usize, falls: bool) {
+    let now = Instant::now();
+    let mut limit = limit(now);
+    (0..20).for_each(|_| limit.admit(share(3_000, 0)));
+    let before = limit.limit();
+    for index in 0..100 {
+        let millis = if index < late { 90 } else { 50 };
+        limit.token(Duration::from_millis(millis));
     }
+    limit.adjust(now + Duration::from_millis(500));
+    assert_eq!(limit.limit() < before, falls);
 }
 
-/// Guards against a hint for an endpoint that has evicted the prefix, or that has restarted.
+/// Guards against a dossier that counts as a missed target although nothing was ahead of it.
 #[test]
-fn forgotten_prefixes_give_no_hint() {
-    let mut map = prefixes::PrefixMap::new(100);
-    let prompt = prefixes::sample_hashes(&hashes(0..16));
-    let endpoints: Vec<_> = (0..3).map(choice::EndpointId).collect();
-    for endpoint in &endpoints {
-        map.insert(prompt[3].hash, *endpoint);
+fn long_prefill_of_its_own_is_no_miss() {
+    let now = Instant::now();
+    let mut limit = limit(now);
+    limit.admit(share(30_000, 0));
+    for _ in 0..20 {
+        limit.first_token(Duration::from_secs(5), Duration::from_secs(3));
     }
-    let longest = prompt.last().unwrap();
-    map.insert(longest.hash, endpoints[0]);
-    map.remove(prompt[3].hash, endpoints[1]);
-    map.forget(endpoints[2]);
-    let mut hints = Vec::new();
-    map.affinities(&prompt, &mut hints);
-    let expected = choice::AffinityHint {
-        endpoint: endpoints[0],
-        cached: longest.tokens(),
-    };
+    assert!(!limit.adjust(now + Duration::from_millis(500)));
+    for _ in 0..20 {
+        limit.first_token(Duration::from_secs(2), Duration::from_millis(100));
+    }
+    assert!(limit.adjust(now + Duration::from_millis(1_000)));
+}
+
+/// Guards against a burst of prefill that makes every first token late, and against a dossier
+/// that never runs since it is larger than any bound.
+#[test]
+fn pending_prefill_is_bounded_unless_alone() {
+    let mut limit = limit(Instant::now());
+    let dossier = share(65_000, 65_000);
+    assert_eq!(limit.verdict(dossier, RATE), FitVerdict::Fits);
+    limit.admit(share(3_000, 3_000));
+    // 0.8 of 0.99 s at 4,000 tokens/s.
+    assert_eq!(limit.verdict(share(168, 168), RATE), FitVerdict::Fits);
     assert_eq!(
-        hints,
-        [expected],
-        "the longest prefix of each endpoint, once"
+        limit.verdict(share(169, 169), RATE),
+        FitVerdict::LacksPrefill
     );
+    let mut held = share(3_000, 3_000);
+    limit.prefill_done(&mut held);
+    assert_eq!(limit.verdict(share(20_000, 20_000), RATE), FitVerdict::Fits);
+    assert!(matches!(
+        limit.verdict(dossier, RATE),
+        FitVerdict::LacksTokens(_)
+    ));
 }
 
-proptest! {
-    #![proptest_config(ProptestConfig { failure_persistence: None, ..ProptestConfig::default() })]
-
-    /// Guards against a prefix map that grows without bound.
-    #[test]
-    fn prefix_map_stays_bounded(
-        inserts in prop::collection::vec((0_u64..200, 0_u32..9), 1..400),
-        capacity in 1_usize..50,
-    ) {
-        let mut map = prefixes::PrefixMap::new(capacity);
-        for (hash, endpoint) in inserts {
-            map.insert(hash, choice::EndpointId(endpoint));
-            prop_assert!(map.len() <= capacity);
-            let mut hints = Vec::new();
-            map.affinities(&[prefixes::PrefixHash { blocks: 1, hash }], &mut hints);
-            prop_assert!(hints.iter().any(|hint| hint.endpoint.0 == endpoint), "newest is known");
-            prop_assert!(hints.len() <= 4);
-        }
+fn work(request: u128, rank: u8, context: u64) -> RunningWork {
+    RunningWork {
+        request: ids::RequestId(request),
+        rank: ids::TierRank(rank),
+        can_suspend: true,
+        generating: true,
+        context: units::TokenCount(context),
+        prefill: units::TokenCount::ZERO,
+        started: Instant::now(),
     }
 }
+
+fn victims(running: Vec<RunningWork>, tokens: u64) -> Vec<u128> {
+    let wanted = RoomWanted::Tokens(units::TokenCount(tokens));
+    let victims = suspension::choose_victims(running, ids::TierRank(1), wanted);
+    victims.into_iter().map(|request| request.0).collect()
+}
+
+/// Guards against a higher tier that is suspended while a lower one runs.
+#[test]
+fn lowest_tier_goes_first() {
+    let running = vec![work(1, 2, 1_000), work(2, 4, 1_000), work(3, 3, 1_000)];
+    assert_eq!(victims(running.clone(), 1_000), vec![2]);
+    assert_eq!(victims(running, 2_500), vec![2, 3, 1]);
+}
+
+/// Guards against suspensions that help nobody.
+#[test]
+fn nothing_is_suspended_in_vain() {
+    let mut fixed = work(2, 4, 9_000);
+    fixed.can_suspend = false;
+    let running = vec![work(1, 2, 1_000), fixed, work(3, 1, 9_000)];
+    assert!(victims(running, 1_001).is_empty());
+}
+
+/// Guards against throwing half-done prefill away while a generation could go.
+#[test]
+fn generation_goes_before_prefill() {
+    let mut prefilling = work(2, 3, 1_000);
+    prefilling.generating = false;
+    let running = vec![work(1, 3, 1_000), prefilling];
+    assert_eq!(victims(running, 1_000), vec![1]);
+}
+
+/// Guards against knowledge that a lost event has made wrong, and against treating all of it as
+/// false.
+#[test]
+fn gap_makes_knowledge_unknown() {
+    let mut view = CacheView::new(units::TokenCount(16_000));
+    let hashes: Vec<u64> = (1..=100).collect();
+    view.sent(&hashes);
+    assert!(!view.event(1, true, &[1_001]));
+    assert_eq!(view.expected_tokens(&[50, 100]).0, 1_600);
+    assert!(view.event(3, true, &hashes[..50]));
+    assert_eq!(view.knowledge(50), CacheKnowledge::Known);
+    assert_eq!(view.knowledge(100), CacheKnowledge::Unknown);
+    assert_eq!(view.knowledge(7_000), CacheKnowledge::Absent);
+    // The first half is known, and the rest counts half.
+    assert_eq!(view.expected_tokens(&[50, 100]).0, 1_200);
+    assert!(!view.event(2, false, &hashes), "an old event came late");
+    assert_eq!(view.knowledge(50), CacheKnowledge::Known);
+}
+
+/// Guards against prefixes that count as cached after the engine evicted them.
+#[test]
+fn evictions_are_followed() {
+    let mut view = CacheView::new(units::TokenCount(16_000));
+    view.sent(&[1, 2, 3]);
+    view.event(1, false, &[3]);
+    assert_eq!(view.expected_tokens(&[1, 2, 3]).0, 32);
+    let deltas = view.take_deltas();
+    assert_eq!(deltas.evicted, vec![3]);
+    assert!(!view.observed(&[1, 2], 32));
+    assert!(view.observed(&[1, 2], 16), "a miss was not noticed");
+}
+
+/// Guards against a view that grows beyond the engine's memory, or that drops a prefix before
+/// its own continuation.
+#[test]
+fn oldest_prefixes_leave_first() {
+    let mut view = CacheView::new(units::TokenCount(160));
+    view.sent(&[1, 2, 3, 4, 5, 6]);
+    view.sent(&[11, 12, 13, 14, 15, 16]);
+    assert_eq!(view.len(), 10);
+    assert_eq!(view.expected_tokens(&[11, 16]).0, 96);
+    assert_eq!(view.knowledge(4), CacheKnowledge::Known);
+    assert_eq!(view.knowledge(5), CacheKnowledge::Absent);
+}
