Test the request state machine on chosen courses

Change: tests for offers, hand-over, settlement, resumption, whole answers, acknowledgements, cancellation, eviction, deadlines, claims and resends.

--- /dev/null
+++ b/crates/waxwing-entry/tests/claims.rs
@@ -0,0 +1,285 @@
+//! Tests of keyed requests: claims, resends and stored answers.
+
+mod support;
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use support::{CoreHarness, INCARNATION};
+use test_case::test_case;
+use waxwing_core::{ids, reasons};
+use waxwing_entry::request_core::{CoreAction, CoreEvent};
+use waxwing_policy::choice;
+use waxwing_wire::messages::{self, Body, SettledState};
+
+/// The request that made the claim before.
+const FIRST: u128 = 77;
+
+fn record(request: u128, agent: u32) -> messages::ClaimRecord {
+    messages::ClaimRecord {
+        request: support::id_bytes(request),
+        digest: vec![7; 32],
+        agent: agent.to_string(),
+        incarnation: INCARNATION,
+        epoch: 3,
+        result: None,
+        address: "127.0.0.1:1".into(),
+    }
+}
+
+fn stored(whole: bool, body: Option<&'static [u8]>) -> messages::ClaimOutcome {
+    messages::ClaimOutcome {
+        whole,
+        status: 201,
+        headers: Vec::new(),
+        body: body.map(Bytes::from_static),
+    }
+}
+
+fn claimed(granted: bool, record: messages::ClaimRecord) -> CoreEvent {
+    CoreEvent::Claimed(messages::ClaimResult {
+        granted,
+        record: Some(record),
+    })
+}
+
+fn link_up(incarnation: u64) -> CoreEvent {
+    CoreEvent::LinkUp {
+        agent: choice::EndpointId(0),
+        incarnation: ids::Incarnation(incarnation),
+    }
+}
+
+fn claims(actions: &[CoreAction]) -> Vec<&messages::ClaimKey> {
+    let claims = actions.iter().filter_map(|action| match action {
+        CoreAction::Claim(key) => Some(key),
+        _ => None,
+    });
+    claims.collect()
+}
+
+fn is_handover(body: &Body) -> bool {
+    matches!(body, Body::Handover(_))
+}
+
+fn handovers(harness: &CoreHarness) -> Vec<u32> {
+    support::sent_to(&harness.actions, is_handover)
+}
+
+fn reason_of(harness: &CoreHarness) -> Option<(reasons::RefusalReason, reasons::Outcome)> {
+    support::refusal(&harness.actions).map(|refusal| (refusal.reason, refusal.outcome))
+}
+
+/// A keyed request that holds grant 9 of agent 0 and waits for its claim.
+fn claiming() -> CoreHarness {
+    let mut harness = CoreHarness::start(Some("k"), |_| {});
+    harness.grant(0, 9);
+    assert_eq!(claims(&harness.actions).len(), 1);
+    harness
+}
+
+/// A keyed request that follows the run of an earlier one, which is at agent 0.
+fn following() -> CoreHarness {
+    let mut harness = claiming();
+    harness.feed(claimed(false, record(FIRST, 0)));
+    harness.feed(link_up(INCARNATION));
+    harness.actions.clear();
+    harness
+}
+
+/// Guards against a hand-over without a durable claim.
+#[test]
+fn claim_comes_before_the_handover() {
+    let mut harness = claiming();
+    assert_eq!(handovers(&harness), [0_u32; 0]);
+    harness.feed(claimed(true, record(1, 0)));
+    assert_eq!(handovers(&harness), [0]);
+}
+
+/// Guards against a keyed call that runs though control can't be asked, and against a grant that
+/// is kept meanwhile.
+#[test]
+fn unobtainable_claim_is_refused() {
+    let mut harness = claiming();
+    harness.pass(Duration::from_secs(3));
+    assert_eq!(handovers(&harness), [0_u32; 0]);
+    let expected = (
+        reasons::RefusalReason::ClaimUnavailable,
+        reasons::Outcome::NotRun,
+    );
+    assert_eq!(reason_of(&harness), Some(expected));
+    let declined = support::sent_to(&harness.actions, |body| matches!(body, Body::Decline(_)));
+    assert_eq!(declined, [0]);
+}
+
+/// Guards against a claim that names another agent than the one that gets the request: after a lost
+/// grant the own claim is replaced by its epoch first.
+#[test]
+fn own_claim_of_an_earlier_grant_is_replaced() {
+    let mut harness = claiming();
+    harness.feed(CoreEvent::LinkDown {
+        agent: choice::EndpointId(0),
+    });
+    harness.pass(Duration::from_millis(50));
+    harness.grant(1, 4);
+    harness.actions.clear();
+    // The answer to the first claim comes late.
+    harness.feed(claimed(true, record(1, 0)));
+    assert_eq!(handovers(&harness), [0_u32; 0]);
+    assert_eq!(claims(&harness.actions)[0].replaces, 3);
+    harness.feed(claimed(true, record(1, 1)));
+    assert_eq!(handovers(&harness), [1]);
+}
+
+/// Guards against another body under the same key, and against running it.
+#[test]
+fn another_body_is_a_mismatch() {
+    let mut harness = claiming();
+    let mut other = record(FIRST, 0);
+    other.digest = vec![8; 32];
+    harness.feed(claimed(false, other));
+    let expected = (
+        reasons::RefusalReason::KeyMismatch,
+        reasons::Outcome::NotRun,
+    );
+    assert_eq!(reason_of(&harness), Some(expected));
+    assert_eq!(handovers(&harness), [0_u32; 0]);
+}
+
+/// Guards against a resend that runs again or gets less than the whole stored answer.
+#[test]
+fn resend_gets_the_stored_answer() {
+    let mut harness = claiming();
+    let mut record = record(FIRST, 0);
+    record.result = Some(stored(true, Some(b"recorded")));
+    harness.feed(claimed(false, record));
+    assert_eq!(support::data(&harness.actions), b"recorded");
+    assert!(support::is_finished(&harness.actions));
+    assert_eq!(handovers(&harness), [0_u32; 0]);
+    let declined = support::sent_to(&harness.actions, |body| matches!(body, Body::Decline(_)));
+    assert_eq!(declined, [0], "the grant goes back");
+}
+
+/// Guards against a resend that takes the answer away from the first caller at another entry, and
+/// against one that never gets it.
+#[test]
+fn resend_waits_for_the_result_of_a_running_call() {
+    let mut harness = following();
+    harness.message(0, 0, support::settled_message(FIRST, SettledState::Running));
+    let resumes = |harness: &CoreHarness| {
+        support::sent_to(&harness.actions, |body| matches!(body, Body::Resume(_))).len()
+    };
+    assert_eq!(resumes(&harness), 0);
+    assert!(claims(&harness.actions).iter().all(|key| key.lookup));
+    harness.feed(claimed(false, record(FIRST, 0)));
+    harness.pass(Duration::from_secs(1));
+    harness.message(
+        0,
+        0,
+        support::settled_message(FIRST, SettledState::Finished),
+    );
+    let mut done = record(FIRST, 0);
+    done.result = Some(stored(true, Some(b"recorded")));
+    harness.feed(claimed(false, done));
+    assert_eq!(support::data(&harness.actions), b"recorded");
+    assert_eq!(resumes(&harness), 0);
+}
+
+/// Guards against a resend at the same entry, or of an answer too long to be stored, that is not
+/// read from the agent from its first byte.
+#[test_case(true; "same entry")]
+#[test_case(false; "too long to be stored")]
+fn resend_reads_the_answer_from_the_agent(local: bool) {
+    let mut harness = following();
+    harness.host.local = local;
+    harness.message(
+        0,
+        0,
+        support::settled_message(FIRST, SettledState::Finished),
+    );
+    if !local {
+        let mut done = record(FIRST, 0);
+        done.result = Some(stored(true, None));
+        harness.feed(claimed(false, done));
+    }
+    let answer = b"recorded";
+    harness.message(0, 0, support::head_message(FIRST));
+    let end = support::whole_end(answer);
+    harness.message(0, 0, support::chunk_message(FIRST, 0, answer, Some(end)));
+    assert_eq!(support::data(&harness.actions), answer);
+    assert!(support::is_finished(&harness.actions));
+    assert_eq!(handovers(&harness), [0_u32; 0]);
+}
+
+/// Guards against a second run of a key whose first run can't be settled, and against losing an
+/// answer that is stored with the claim.
+#[test_case(Some(stored(true, Some(b"recorded"))), true; "stored answer")]
+#[test_case(Some(stored(false, None)), false; "stored as not whole")]
+#[test_case(None, false; "no result")]
+fn restarted_agent_leaves_the_stored_result(
+    result: Option<messages::ClaimOutcome>,
+    answered: bool,
+) {
+    let mut harness = claiming();
+    harness.feed(claimed(false, record(FIRST, 0)));
+    harness.feed(link_up(INCARNATION + 1));
+    harness.pass(Duration::ZERO);
+    let mut found = record(FIRST, 0);
+    found.result = result;
+    harness.feed(claimed(false, found));
+    harness.pass(Duration::from_secs(3));
+    assert_eq!(support::is_finished(&harness.actions), answered);
+    let expected = (
+        reasons::RefusalReason::KeyUnknown,
+        reasons::Outcome::Unknown,
+    );
+    assert_eq!(reason_of(&harness), (!answered).then_some(expected));
+    assert_eq!(handovers(&harness), [0_u32; 0]);
+}
+
+/// Guards against a key that can never be used after a claim without a hand-over.
+#[test]
+fn claim_without_a_run_is_replaced_by_its_epoch() {
+    let mut harness = following();
+    harness.message(
+        0,
+        0,
+        support::settled_message(FIRST, SettledState::NeverReceived),
+    );
+    harness.pass(Duration::from_millis(50));
+    harness.actions.clear();
+    harness.grant(1, 4);
+    assert_eq!(claims(&harness.actions)[0].replaces, 3);
+    harness.feed(claimed(true, record(1, 1)));
+    assert_eq!(handovers(&harness), [1]);
+}
+
+/// Guards against mixing a stored answer with the part that the caller already has.
+#[test]
+fn lost_agent_leaves_the_rest_of_a_stored_answer() {
+    let mut harness = claiming();
+    harness.feed(claimed(true, record(1, 0)));
+    harness.message(0, 0, support::head_message(1));
+    harness.message(0, 0, support::chunk_message(1, 0, b"reco", None));
+    harness.feed(CoreEvent::LinkDown {
+        agent: choice::EndpointId(0),
+    });
+    harness.feed(link_up(INCARNATION + 1));
+    harness.pass(Duration::ZERO);
+    let mut done = record(1, 0);
+    done.result = Some(stored(true, Some(b"recorded")));
+    harness.feed(claimed(false, done));
+    assert_eq!(support::data(&harness.actions), b"recorded");
+    assert!(support::is_finished(&harness.actions));
+}
+
+/// Guards against losing the result of a keyed call whose caller went away: a resend may want it.
+#[test]
+fn keyed_calls_are_not_cancelled() {
+    let mut harness = claiming();
+    harness.feed(claimed(true, record(1, 0)));
+    harness.feed(CoreEvent::CallerGone);
+    let cancelled = support::sent_to(&harness.actions, |body| matches!(body, Body::Cancel(_)));
+    assert_eq!(cancelled, [0_u32; 0]);
+    assert!(harness.core.is_ended());
+}
--- /dev/null
+++ b/crates/waxwing-entry/tests/requests.rs
@@ -0,0 +1,337 @@
+//! Tests of the request state machine on chosen courses, with a stepped clock and without sockets.
+
+mod support;
+
+use std::time::Duration;
+
+use support::{CoreHarness, INCARNATION};
+use test_case::test_case;
+use waxwing_core::{ids, reasons};
+use waxwing_entry::request_core::{CoreAction, CoreEvent};
+use waxwing_policy::choice;
+use waxwing_wire::messages::{self, Body, SettledState};
+
+const AGENT: choice::EndpointId = choice::EndpointId(0);
+
+fn link_up(incarnation: u64) -> CoreEvent {
+    CoreEvent::LinkUp {
+        agent: AGENT,
+        incarnation: ids::Incarnation(incarnation),
+    }
+}
+
+fn is_handover(body: &Body) -> bool {
+    matches!(body, Body::Handover(_))
+}
+
+fn is_offer(body: &Body) -> bool {
+    matches!(body, Body::Offer(_))
+}
+
+fn reason_of(actions: &[CoreAction]) -> Option<(reasons::RefusalReason, reasons::Outcome)> {
+    support::refusal(actions).map(|refusal| (refusal.reason, refusal.outcome))
+}
+
+/// A request that was handed over to agent 0 under grant 9.
+fn handed_over() -> CoreHarness {
+    let mut harness = CoreHarness::start(None, |_| {});
+    harness.grant(0, 9);
+    assert_eq!(support::sent_to(&harness.actions, is_handover), [0]);
+    harness.actions.clear();
+    harness
+}
+
+/// Guards against a grant that is lost to other requests: the first gets the request, the others
+/// are given back and the other offers end.
+#[test]
+fn first_grant_gets_the_request() {
+    let mut harness = CoreHarness::start(None, |_| {});
+    assert_eq!(support::sent_to(&harness.actions, is_offer), [0, 1]);
+    let first = harness.grant(1, 4);
+    assert_eq!(support::sent_to(&first, is_handover), [1]);
+    let withdrawn = support::sent_to(&first, |body| matches!(body, Body::Withdraw(_)));
+    assert_eq!(withdrawn, [0]);
+    let second = harness.grant(0, 9);
+    let declined = support::sent_to(&second, |body| matches!(body, Body::Decline(_)));
+    assert_eq!(declined, [0]);
+    assert!(
+        harness.grant(1, 4).is_empty(),
+        "a doubled grant is not declined: it is in use"
+    );
+}
+
+/// Guards against offers that never widen, or widen beyond the maximum.
+#[test]
+fn offers_widen_while_unanswered() {
+    let mut harness = CoreHarness::start(None, |_| {});
+    harness.pass(Duration::from_millis(99));
+    assert_eq!(support::sent_to(&harness.actions, is_offer), [0, 1]);
+    harness.pass(Duration::from_secs(5));
+    assert_eq!(support::sent_to(&harness.actions, is_offer), [0, 1, 2]);
+}
+
+/// Guards against refusals that use up the budget and leave the request waiting for ever, or that
+/// are hidden behind another reason.
+#[test]
+fn refused_offers_are_retried_within_the_budget() {
+    let mut harness = CoreHarness::start(None, |plan| plan.offers.most = 2);
+    harness.host.retries = 2;
+    harness.message(0, 0, support::refused_message("draining"));
+    let retried = harness.pass(Duration::from_millis(50));
+    assert_eq!(support::sent_to(&retried, is_offer), [2]);
+    harness.message(1, 0, support::refused_message("draining"));
+    harness.pass(Duration::from_millis(50));
+    harness.message(0, 0, support::refused_message("deadline-unreachable"));
+    harness.message(2, 0, support::refused_message("deadline-unreachable"));
+    let expected = (
+        reasons::RefusalReason::DeadlineUnreachable,
+        reasons::Outcome::NotRun,
+    );
+    assert_eq!(reason_of(&harness.actions), Some(expected));
+    assert!(harness.host.released);
+}
+
+/// Guards against a request that waits for an endpoint for ever, or doesn't wait at all.
+#[test]
+fn missing_endpoints_are_awaited_for_a_while() {
+    let mut harness = CoreHarness::start(None, |_| {});
+    harness.feed(CoreEvent::LinkDown { agent: AGENT });
+    harness.host.agents.clear();
+    harness.feed(CoreEvent::LinkDown {
+        agent: choice::EndpointId(1),
+    });
+    harness.pass(Duration::from_secs(1));
+    assert_eq!(reason_of(&harness.actions), None);
+    harness.host.agents = vec![2];
+    let found = harness.pass(Duration::from_millis(200));
+    assert_eq!(support::sent_to(&found, is_offer), [2]);
+    harness.host.agents.clear();
+    harness.feed(CoreEvent::LinkDown {
+        agent: choice::EndpointId(2),
+    });
+    harness.pass(Duration::from_secs(4));
+    let expected = (reasons::RefusalReason::NoEndpoint, reasons::Outcome::NotRun);
+    assert_eq!(reason_of(&harness.actions), Some(expected));
+}
+
+/// Guards against a second dispatch while the first may still have arrived, and against waiting
+/// for ever for an agent that is gone.
+#[test_case(None, None, reasons::Outcome::Unknown; "agent never comes back")]
+#[test_case(Some(INCARNATION + 1), None, reasons::Outcome::Unknown; "another incarnation answers")]
+#[test_case(Some(INCARNATION), Some(SettledState::Forgotten), reasons::Outcome::Unknown; "answer is not kept")]
+#[test_case(Some(INCARNATION), Some(SettledState::OtherIncarnation), reasons::Outcome::Unknown; "agent can not know")]
+#[test_case(Some(INCARNATION), None, reasons::Outcome::Unknown; "no settlement comes")]
+fn lost_handover_is_settled_or_unknown(
+    incarnation: Option<u64>,
+    state: Option<SettledState>,
+    outcome: reasons::Outcome,
+) {
+    let mut harness = handed_over();
+    harness.feed(CoreEvent::LinkDown { agent: AGENT });
+    if let Some(incarnation) = incarnation {
+        harness.feed(link_up(incarnation));
+    }
+    if let Some(state) = state {
+        harness.message(0, 9, support::settled_message(1, state));
+    }
+    harness.pass(Duration::from_secs(11));
+    assert_eq!(support::sent_to(&harness.actions, is_offer), [0_u32; 0]);
+    let expected = (reasons::RefusalReason::AgentLost, outcome);
+    assert_eq!(reason_of(&harness.actions), Some(expected));
+}
+
+/// Guards against giving a request up that is proved never to have arrived.
+#[test]
+fn never_received_goes_elsewhere() {
+    let mut harness = handed_over();
+    let asked = harness.pass(Duration::from_secs(1));
+    let settles = support::sent_to(&asked, |body| matches!(body, Body::Settle(_)));
+    assert_eq!(
+        settles,
+        [0],
+        "an acknowledgement that doesn't come is settled"
+    );
+    harness.message(
+        0,
+        9,
+        support::settled_message(1, SettledState::NeverReceived),
+    );
+    harness.pass(Duration::from_millis(50));
+    harness.grant(1, 2);
+    assert_eq!(support::sent_to(&harness.actions, is_handover), [1]);
+}
+
+/// Guards against believing a settlement or refusal that belongs to an earlier hand-over.
+#[test_case(support::settled_message(1, SettledState::NeverReceived); "settlement")]
+#[test_case(support::ack_message(false); "refusal")]
+fn late_proof_of_an_earlier_grant_is_ignored(late: Body) {
+    let mut harness = handed_over();
+    harness.message(0, 9, support::ack_message(false));
+    harness.host.agents = vec![0];
+    harness.pass(Duration::from_millis(50));
+    harness.grant(0, 10);
+    assert_eq!(harness.core.handovers(), 2);
+    harness.pass(Duration::from_secs(1));
+    harness.actions.clear();
+    for correlation in [9, 0] {
+        harness.message(0, correlation, late.clone());
+    }
+    harness.pass(Duration::from_secs(1));
+    assert_eq!(support::sent_to(&harness.actions, is_offer), [0_u32; 0]);
+}
+
+/// Guards against truncated, doubled or mixed answers over a replaced link.
+#[test]
+fn answer_resumes_at_the_offset() {
+    let mut harness = handed_over();
+    harness.message(0, 9, support::ack_message(true));
+    harness.message(0, 0, support::head_message(1));
+    harness.message(0, 0, support::chunk_message(1, 0, b"abc", None));
+    harness.feed(CoreEvent::LinkDown { agent: AGENT });
+    let resumed = harness.feed(link_up(INCARNATION));
+    let offsets: Vec<_> = support::sent(&resumed)
+        .into_iter()
+        .filter_map(|(_, body)| match body {
+            Body::Resume(resume) => Some(resume.offset),
+            _ => None,
+        })
+        .collect();
+    assert_eq!(offsets, [3]);
+    harness.message(0, 0, support::chunk_message(1, 1, b"bcde", None));
+    let end = support::whole_end(b"abcdefg");
+    harness.message(0, 0, support::chunk_message(1, 6, b"g", Some(end.clone())));
+    assert!(!support::is_finished(&harness.actions), "bytes are missing");
+    harness.message(0, 0, support::chunk_message(1, 5, b"fg", Some(end)));
+    assert_eq!(support::data(&harness.actions), b"abcdefg");
+    assert!(support::is_finished(&harness.actions));
+}
+
+/// Guards against an answer that is passed on as whole though it isn't.
+#[test_case(|end| end.checksum ^= 1; "checksum")]
+#[test_case(|end| end.total_bytes = 2; "too long")]
+#[test_case(|end| { end.whole = false; end.outcome = "not-run".into(); }; "not whole")]
+fn broken_answers_end_unknown(spoil: fn(&mut messages::AnswerEnd)) {
+    let mut harness = handed_over();
+    let mut end = support::whole_end(b"abc");
+    spoil(&mut end);
+    harness.message(0, 0, support::head_message(1));
+    harness.message(0, 0, support::chunk_message(1, 0, b"abc", Some(end)));
+    assert!(!support::is_finished(&harness.actions));
+    let expected = (
+        reasons::RefusalReason::EndpointFailed,
+        reasons::Outcome::Unknown,
+    );
+    assert_eq!(reason_of(&harness.actions), Some(expected));
+    assert!(matches!(harness.actions.last(), Some(CoreAction::Break(_))));
+}
+
+/// Guards against a plain answer whose failure the caller could have learned from a proper refusal.
+#[test]
+fn short_plain_answers_are_held_until_whole() {
+    let mut harness = CoreHarness::start(None, |plan| plan.stream = false);
+    harness.grant(0, 9);
+    harness.message(0, 0, support::head_message(1));
+    harness.message(0, 0, support::chunk_message(1, 0, b"abc", None));
+    assert_eq!(support::data(&harness.actions), b"");
+    let mut end = support::whole_end(b"abc");
+    end.checksum ^= 1;
+    let failed = harness.message(0, 0, support::chunk_message(1, 3, b"", Some(end)));
+    assert!(matches!(failed.last(), Some(CoreAction::Refuse(_))));
+}
+
+fn acknowledged(actions: &[CoreAction]) -> Vec<u64> {
+    let acks = support::sent(actions).into_iter();
+    acks.filter_map(|(_, body)| match body {
+        Body::AnswerAck(ack) => Some(ack.offset),
+        _ => None,
+    })
+    .collect()
+}
+
+/// Guards against a slow caller for whom more and more is buffered: only what the caller has taken
+/// is acknowledged, and all of it at the end.
+#[test]
+fn only_taken_bytes_are_acknowledged() {
+    static ANSWER: [u8; 100_000] = [b'x'; 100_000];
+    let mut harness = handed_over();
+    harness.message(0, 0, support::head_message(1));
+    let end = support::whole_end(&ANSWER);
+    harness.message(0, 0, support::chunk_message(1, 0, &ANSWER, Some(end)));
+    assert_eq!(acknowledged(&harness.actions), [0_u64; 0]);
+    assert_eq!(
+        acknowledged(&harness.feed(CoreEvent::Delivered(10))),
+        [0_u64; 0]
+    );
+    assert_eq!(
+        acknowledged(&harness.feed(CoreEvent::Delivered(60_000))),
+        [60_000]
+    );
+    assert!(!harness.core.is_ended());
+    assert_eq!(
+        acknowledged(&harness.feed(CoreEvent::Delivered(100_000))),
+        [100_000]
+    );
+    assert!(harness.core.is_ended());
+}
+
+/// Guards against work that goes on for a caller that is gone.
+#[test]
+fn gone_callers_are_cancelled_at_once() {
+    let mut waiting = CoreHarness::start(None, |_| {});
+    let actions = waiting.feed(CoreEvent::CallerGone);
+    let withdrawn = support::sent_to(&actions, |body| matches!(body, Body::Withdraw(_)));
+    assert_eq!(withdrawn, [0, 1]);
+    let expected = (reasons::RefusalReason::CallerGone, reasons::Outcome::NotRun);
+    assert_eq!(reason_of(&actions), Some(expected));
+    let mut running = handed_over();
+    let actions = running.feed(CoreEvent::CallerGone);
+    let cancelled = support::sent_to(&actions, |body| matches!(body, Body::Cancel(_)));
+    assert_eq!(cancelled, [0]);
+    let expected = (
+        reasons::RefusalReason::CallerGone,
+        reasons::Outcome::Unknown,
+    );
+    assert_eq!(reason_of(&actions), Some(expected));
+    assert!(running.core.is_ended());
+}
+
+/// Guards against an eviction that drops a request which is being handed over, and against one that
+/// leaves its offers behind.
+#[test]
+fn eviction_ends_waiting_requests_only() {
+    let mut waiting = CoreHarness::start(None, |_| {});
+    let actions = waiting.feed(CoreEvent::Evicted);
+    let expected = (reasons::RefusalReason::Evicted, reasons::Outcome::NotRun);
+    assert_eq!(reason_of(&actions), Some(expected));
+    assert_eq!(
+        support::sent(&actions).len(),
+        2,
+        "both offers are withdrawn"
+    );
+    let mut running = handed_over();
+    assert!(running.feed(CoreEvent::Evicted).is_empty());
+    let mut evicted = CoreHarness::start(None, |_| {});
+    evicted.host.in_room = false;
+    let actions = evicted.grant(0, 9);
+    assert_eq!(support::sent_to(&actions, is_handover), [0_u32; 0]);
+}
+
+/// Guards against work that starts, or is awaited, after its deadline.
+#[test]
+fn deadlines_end_requests() {
+    let mut waiting = CoreHarness::start(None, |_| {});
+    waiting.pass(Duration::from_secs(30));
+    let expected = (
+        reasons::RefusalReason::DeadlinePassed,
+        reasons::Outcome::NotRun,
+    );
+    assert_eq!(reason_of(&waiting.actions), Some(expected));
+    let mut running = handed_over();
+    running.message(0, 9, support::ack_message(true));
+    running.pass(Duration::from_secs(36));
+    let expected = (
+        reasons::RefusalReason::DeadlinePassed,
+        reasons::Outcome::Unknown,
+    );
+    assert_eq!(reason_of(&running.actions), Some(expected));
+}
