Never name an agent twice in the claims of a request

Cause: a property test over random message orders found two runs of one key. Another entry had settled the first claim on an agent as never received; before it replaced the claim, this request got a second grant of the same agent. The renewed claim was equal to the first, so its epoch stayed and the replacement succeeded beside the hand-over.

Change: a second grant of an agent that a claim has named is declined.

--- a/crates/waxwing-entry/src/request_core.rs
+++ b/crates/waxwing-entry/src/request_core.rs
@@ -233,6 +233,10 @@
     phase: CorePhase,
     /// Grants that were used or declined; none of them is used again.
     spent: Vec<(choice::EndpointId, ids::Incarnation, u64)>,
+    /// Agents, with their incarnations, that a claim of this request has named. A claim never names
+    /// one of them again: another entry may have settled that run as never received and be about
+    /// to replace the claim, and only a claim that differs makes its replacement fail.
+    claimed: Vec<(choice::EndpointId, ids::Incarnation)>,
     /// Agents in the order in which they got the request, with repeats.
     handed: Vec<choice::EndpointId>,
     /// The epoch of the claim that the next one replaces.
@@ -254,6 +258,7 @@
             plan,
             timing,
             spent: Vec::new(),
+            claimed: Vec::new(),
             handed: Vec::new(),
             claim_epoch: 0,
             attempts: 0,
--- a/crates/waxwing-entry/src/request_core/attaching.rs
+++ b/crates/waxwing-entry/src/request_core/attaching.rs
@@ -12,6 +12,7 @@
     /// Asks control for the claim while the grant is held.
     pub(super) fn claim<H: CoreHost>(&mut self, now: Instant, hold: GrantHold, host: &mut H) {
         let place = host.describe(hold.agent);
+        self.claimed.push((hold.agent, hold.incarnation));
         self.phase = CorePhase::Claiming {
             hold,
             place,
--- a/crates/waxwing-entry/src/request_core/offering.rs
+++ b/crates/waxwing-entry/src/request_core/offering.rs
@@ -214,6 +214,11 @@
         }
         self.spent.push(key);
         let wanted = matches!(&self.phase, CorePhase::Offering(set) if set.open.contains(&agent));
+        if wanted && self.claimed.contains(&(agent, incarnation)) {
+            self.decline(agent, grant.grant);
+            self.skip_claimed(now, agent, host);
+            return;
+        }
         if !wanted || now >= self.plan.deadline || !host.pin() {
             self.decline(agent, grant.grant);
             return;
@@ -233,6 +238,16 @@
         }
     }
 
+    /// Looks for another agent, since the claim can't name this one again.
+    fn skip_claimed<H: CoreHost>(&mut self, now: Instant, agent: choice::EndpointId, host: &mut H) {
+        if let CorePhase::Offering(set) = &mut self.phase
+            && set.close(agent)
+        {
+            set.reason = reasons::RefusalReason::ClaimUnavailable;
+            self.plan_retry(now, reasons::RetryReason::Refused, host);
+        }
+    }
+
     fn other_offers(&self, agent: choice::EndpointId) -> Vec<choice::EndpointId> {
         let CorePhase::Offering(set) = &self.phase else {
             return Vec::new();
--- a/crates/waxwing-entry/tests/claims.rs
+++ b/crates/waxwing-entry/tests/claims.rs
@@ -283,3 +283,23 @@
     assert_eq!(cancelled, [0_u32; 0]);
     assert!(harness.core.is_ended());
 }
+
+/// Guards against two runs of a key: another entry may have settled the first claim on an agent as
+/// never received and be about to replace it. A second claim on the same agent would not differ, so
+/// that the replacement would succeed beside the hand-over.
+#[test]
+fn claim_names_an_agent_only_once() {
+    let mut harness = claiming();
+    harness.feed(CoreEvent::LinkDown {
+        agent: choice::EndpointId(0),
+    });
+    harness.host.agents = vec![0];
+    harness.pass(Duration::from_millis(50));
+    harness.actions.clear();
+    harness.grant(0, 10);
+    assert!(claims(&harness.actions).is_empty());
+    let declined = support::sent_to(&harness.actions, |body| matches!(body, Body::Decline(_)));
+    assert_eq!(declined, [0]);
+    harness.feed(claimed(true, record(1, 0)));
+    assert_eq!(handovers(&harness), [0_u32; 0]);
+}
