--- a/crates/waxwing-load/src/fleets.rs
+++ b/crates/waxwing-load/src/fleets.rs
@@ -7,7 +7,7 @@
 use serde::de::DeserializeOwned;
 use smol_str::SmolStr;
 use waxwing_core::clock::Clock;
-use waxwing_standin::callers;
+use waxwing_standin::{callers, servers::EndpointInfo};
 
 use crate::tallies::StandinTotals;
 
@@ -47,10 +47,11 @@
     pub async fn totals<C: Clock>(&self, clock: &C) -> StandinTotals {
         let mut totals = StandinTotals::default();
         for engine in &self.engines {
+            let info: Option<EndpointInfo> = read_page(*engine, "/info", clock).await;
             let counts = read_page(*engine, "/counts", clock).await;
             let runs = read_page(*engine, "/runs", clock).await;
-            if let (Some(counts), Some(runs)) = (counts, runs) {
-                totals.add_engine(&counts, &runs);
+            if let (Some(info), Some(counts), Some(runs)) = (info, counts, runs) {
+                totals.add_engine(&info.hardware, &counts, &runs);
             }
         }
         for register in &self.registers {
--- a/crates/waxwing-load/src/pages.rs
+++ b/crates/waxwing-load/src/pages.rs
@@ -90,7 +90,7 @@
             tier.goodput(),
             tier.late,
             tier.wrong,
-            tier.cut,
+            escape(&format!("{:?}", tier.cut)),
             tier.gave_up,
             tier.failed,
             escape(&format!("{:?}", tier.not_run)),
@@ -103,8 +103,12 @@
     let runs = &variant.runs;
     let _ = write!(
         page,
-        "</table><p>prefill: {prefill:?}, wasted {:.3}%</p><p>runs: {}</p><p>counters: {}</p>",
+        "</table><p>prefill: {prefill:?}, wasted {:.3}%</p><p>output tokens: {}, cancelled {}</p>\
+         <p>hardware: {}</p><p>runs: {}</p><p>counters: {}</p>",
         100.0 * prefill.wasted_share(),
+        variant.output,
+        variant.output_cancelled,
+        escape(&format!("{:?}", variant.hardware)),
         escape(&format!("{runs:?}")),
         escape(&format!("{:?}", variant.counters)),
     );
@@ -144,7 +148,7 @@
         for tier in &variant.tiers {
             let _ = writeln!(
                 text,
-                "    {:<10} goodput {:.4} of {:<5} late {} cut {} gave-up {} failed {} not-run {:?} \
+                "    {:<10} goodput {:.4} of {:<5} late {} cut {:?} gave-up {} failed {} not-run {:?} \
                  unknown {:?} first {} between {}",
                 tier.tier,
                 tier.goodput(),
@@ -159,6 +163,18 @@
                 quantiles(&tier.between_tokens),
             );
         }
+        for (name, class) in &variant.hardware {
+            let _ = writeln!(
+                text,
+                "    {name:<10} runners {} finished {} prefill {} output {} peak running {} waiting {}",
+                class.runners,
+                class.finished,
+                class.computed,
+                class.output,
+                class.running_peak,
+                class.waiting_peak,
+            );
+        }
         for example in &variant.runs.examples {
             let _ = writeln!(text, "    breach: {example}");
         }
--- a/crates/waxwing-load/src/runs.rs
+++ b/crates/waxwing-load/src/runs.rs
@@ -181,6 +181,9 @@
             tiers: tallies::tally_tiers(&self.experiment, &self.ranks, records),
             prefill: tallies::tally_prefill(&self.experiment, records, totals),
             runs: tallies::tally_runs(&self.experiment, &self.ranks, records, totals),
+            output: totals.work.output,
+            output_cancelled: totals.work.output_cancelled,
+            hardware: totals.hardware.clone(),
             good_by_second: tallies::good_by_second(records),
             counters,
         }
@@ -208,8 +211,9 @@
     let mut totals = StandinTotals::default();
     for runner in &fleet.runners {
         if let StandinSite::Engine(engine) = &runner.site {
-            let counts: simulation::PrefillCounts = engine.counts();
-            totals.add_engine(&counts, &engine.runs());
+            let counts: simulation::EngineCounts = engine.counts();
+            let hardware = engine.options().hardware.as_str();
+            totals.add_engine(hardware, &counts, &engine.runs());
         }
     }
     totals.add_register(&fleet.book.counts());
--- a/crates/waxwing-load/src/tallies.rs
+++ b/crates/waxwing-load/src/tallies.rs
@@ -14,7 +14,7 @@
     calls::{self, ExpectedAnswer},
     drivers::CallRecord,
     experiments::{CallPlan, Experiment},
-    reports::{PrefillReport, QuantileReport, RunsReport, TierReport},
+    reports::{HardwareReport, PrefillReport, QuantileReport, RunsReport, TierReport},
     verdicts::CallVerdict,
 };
 
@@ -24,8 +24,10 @@
 /// A `StandinTotals` sums the counts of all stand-ins of a fleet.
 #[derive(Debug, Clone, Default)]
 pub struct StandinTotals {
-    /// Prefill of all engines.
-    pub prefill: simulation::PrefillCounts,
+    /// Work of all engines.
+    pub work: simulation::EngineCounts,
+    /// Work of the engines of each hardware class.
+    pub hardware: BTreeMap<SmolStr, HardwareReport>,
     /// Submissions by request id over all engines.
     pub runs: BTreeMap<SmolStr, simulation::RunCount>,
     /// Records by name over all registers.
@@ -36,18 +38,28 @@
     /// Adds the counts of one engine.
     pub fn add_engine(
         &mut self,
-        counts: &simulation::PrefillCounts,
+        hardware: &str,
+        counts: &simulation::EngineCounts,
         runs: &BTreeMap<SmolStr, simulation::RunCount>,
     ) {
-        let prefill = &mut self.prefill;
-        prefill.admitted += counts.admitted;
-        prefill.finished += counts.finished;
-        prefill.cancelled += counts.cancelled;
-        prefill.computed += counts.computed;
-        prefill.cached += counts.cached;
-        prefill.wasted_cancelled += counts.wasted_cancelled;
-        prefill.wasted_repeated += counts.wasted_repeated;
-        prefill.wasted_lost += counts.wasted_lost;
+        let work = &mut self.work;
+        work.admitted += counts.admitted;
+        work.finished += counts.finished;
+        work.cancelled += counts.cancelled;
+        work.computed += counts.computed;
+        work.cached += counts.cached;
+        work.wasted_cancelled += counts.wasted_cancelled;
+        work.wasted_repeated += counts.wasted_repeated;
+        work.wasted_lost += counts.wasted_lost;
+        work.output += counts.output;
+        work.output_cancelled += counts.output_cancelled;
+        let class = self.hardware.entry(SmolStr::new(hardware)).or_default();
+        class.runners += 1;
+        class.finished += counts.finished;
+        class.computed += counts.computed;
+        class.output += counts.output;
+        class.running_peak = class.running_peak.max(counts.running_peak);
+        class.waiting_peak = class.waiting_peak.max(counts.waiting_peak);
         for (id, run) in runs {
             let sum = self.runs.entry(id.clone()).or_default();
             sum.fresh += run.fresh;
@@ -59,7 +71,7 @@
     /// not there before.
     #[must_use]
     pub fn since(mut self, before: &Self) -> Self {
-        let (now, old) = (&mut self.prefill, &before.prefill);
+        let (now, old) = (&mut self.work, &before.work);
         now.admitted -= old.admitted;
         now.finished -= old.finished;
         now.cancelled -= old.cancelled;
@@ -68,6 +80,8 @@
         now.wasted_cancelled = now.wasted_cancelled.saturating_sub(old.wasted_cancelled);
         now.wasted_repeated -= old.wasted_repeated;
         now.wasted_lost -= old.wasted_lost;
+        now.output -= old.output;
+        now.output_cancelled = now.output_cancelled.saturating_sub(old.output_cancelled);
         self.runs.retain(|id, _| !before.runs.contains_key(id));
         self.bodies
             .retain(|name, _| !before.bodies.contains_key(name));
@@ -146,7 +160,7 @@
         CallVerdict::Good => report.good += 1,
         CallVerdict::Late => report.late += 1,
         CallVerdict::Wrong => report.wrong += 1,
-        CallVerdict::Cut { .. } => report.cut += 1,
+        CallVerdict::Cut { reason } => *report.cut.entry(reason.clone()).or_default() += 1,
         CallVerdict::GaveUp => report.gave_up += 1,
         CallVerdict::Failed => report.failed += 1,
         CallVerdict::NotRun { reason } => *report.not_run.entry(reason.clone()).or_default() += 1,
@@ -201,11 +215,11 @@
         }
     }
     PrefillReport {
-        computed: totals.prefill.computed,
-        cached: totals.prefill.cached,
-        wasted_cancelled: totals.prefill.wasted_cancelled,
-        wasted_repeated: totals.prefill.wasted_repeated,
-        wasted_lost: totals.prefill.wasted_lost,
+        computed: totals.work.computed,
+        cached: totals.work.cached,
+        wasted_cancelled: totals.work.wasted_cancelled,
+        wasted_repeated: totals.work.wasted_repeated,
+        wasted_lost: totals.work.wasted_lost,
         wasted_late: late.map(|record| record.computed_tokens).sum(),
         ideal,
     }
--- a/crates/waxwing-solo/src/demo.rs
+++ b/crates/waxwing-solo/src/demo.rs
@@ -39,7 +39,7 @@
     /// Faults in words.
     pub faults: Vec<String>,
     /// Prefill of all engines.
-    pub prefill: simulation::PrefillCounts,
+    pub prefill: simulation::EngineCounts,
 }
 
 impl DemoResult {
--- a/crates/waxwing-standin/src/engines.rs
+++ b/crates/waxwing-standin/src/engines.rs
@@ -185,7 +185,7 @@
 
     /// Returns the counts of prefill work.
     #[must_use]
-    pub fn counts(&self) -> simulation::PrefillCounts {
+    pub fn counts(&self) -> simulation::EngineCounts {
         self.lock().batch.counts()
     }
 
--- a/crates/waxwing-standin/src/simulation.rs
+++ b/crates/waxwing-standin/src/simulation.rs
@@ -58,9 +58,9 @@
     Done(TokenUsage),
 }
 
-/// `PrefillCounts` tell how much prefill was done, spared and wasted, in tokens.
+/// `EngineCounts` tell how much work was done, spared and wasted, in tokens.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct PrefillCounts {
+pub struct EngineCounts {
     /// Requests that were admitted to the batch.
     pub admitted: u64,
     /// Requests that ended whole.
@@ -77,10 +77,18 @@
     pub wasted_repeated: u64,
     /// Tokens computed for requests that ended with the engine.
     pub wasted_lost: u64,
+    /// Output tokens generated.
+    pub output: u64,
+    /// Output tokens generated for requests that were cancelled and not resumed here.
+    pub output_cancelled: u64,
+    /// The most requests that ran at one time.
+    pub running_peak: u64,
+    /// The most requests that waited for admission at one time.
+    pub waiting_peak: u64,
 }
 
-impl PrefillCounts {
-    /// Returns the tokens wasted by all causes.
+impl EngineCounts {
+    /// Returns the prefill tokens wasted by all causes.
     #[must_use]
     pub fn wasted(&self) -> u64 {
         self.wasted_cancelled + self.wasted_repeated + self.wasted_lost
@@ -96,6 +104,12 @@
     pub resumed: u64,
 }
 
+#[derive(Debug, Clone, Copy)]
+struct CancelledWork {
+    computed: u64,
+    output: u64,
+}
+
 #[derive(Debug)]
 struct Sequence {
     spec: SequenceSpec,
@@ -130,9 +144,9 @@
     waiting: VecDeque<SequenceKey>,
     running: Vec<SequenceKey>,
     sequences: BTreeMap<SequenceKey, Sequence>,
-    cancels: HashMap<SmolStr, u64>,
+    cancels: HashMap<SmolStr, CancelledWork>,
     cancel_order: VecDeque<SmolStr>,
-    counts: PrefillCounts,
+    counts: EngineCounts,
     runs: BTreeMap<SmolStr, RunCount>,
     next_key: u64,
 }
@@ -150,7 +164,7 @@
             sequences: BTreeMap::new(),
             cancels: HashMap::new(),
             cancel_order: VecDeque::new(),
-            counts: PrefillCounts::default(),
+            counts: EngineCounts::default(),
             runs: BTreeMap::new(),
             next_key: 0,
         }
@@ -158,7 +172,7 @@
 
     /// Returns the counts of prefill work.
     #[must_use]
-    pub fn counts(&self) -> PrefillCounts {
+    pub fn counts(&self) -> EngineCounts {
         self.counts
     }
 
@@ -232,8 +246,13 @@
         self.waiting.retain(|held| *held != key);
         self.running.retain(|held| *held != key);
         self.counts.cancelled += 1;
-        self.counts.wasted_cancelled += sequence.computed;
-        self.remember_cancel(sequence.spec.id.clone(), sequence.computed);
+        let work = CancelledWork {
+            computed: sequence.computed,
+            output: sequence.produced - sequence.spec.resume,
+        };
+        self.counts.wasted_cancelled += work.computed;
+        self.counts.output_cancelled += work.output;
+        self.remember_cancel(sequence.spec.id.clone(), work);
         self.release(sequence);
     }
 
@@ -259,6 +278,9 @@
     /// Admits waiting requests, plans the next step and returns its length; none if nothing runs.
     pub fn begin_step(&mut self) -> Option<Duration> {
         self.admit();
+        let counts = &mut self.counts;
+        counts.running_peak = counts.running_peak.max(self.running.len() as u64);
+        counts.waiting_peak = counts.waiting_peak.max(self.waiting.len() as u64);
         if self.running.is_empty() {
             return None;
         }
@@ -360,6 +382,7 @@
             return None;
         }
         sequence.produced += 1;
+        self.counts.output += 1;
         Some(sequence.produced - 1)
     }
 
@@ -406,8 +429,8 @@
         }
     }
 
-    fn remember_cancel(&mut self, id: SmolStr, computed: u64) {
-        if self.cancels.insert(id.clone(), computed).is_none() {
+    fn remember_cancel(&mut self, id: SmolStr, work: CancelledWork) {
+        if self.cancels.insert(id.clone(), work).is_none() {
             self.cancel_order.push_back(id);
         }
         if self.cancel_order.len() > REMEMBERED_CANCELS
@@ -418,11 +441,12 @@
     }
 
     fn forget_cancel(&mut self, id: &SmolStr) -> bool {
-        let Some(computed) = self.cancels.remove(id) else {
+        let Some(work) = self.cancels.remove(id) else {
             return false;
         };
         self.cancel_order.retain(|held| held != id);
-        self.counts.wasted_cancelled -= computed;
+        self.counts.wasted_cancelled -= work.computed;
+        self.counts.output_cancelled -= work.output;
         true
     }
 }
