Found a group only when every listed peer knows none

A founder that lost its disk would found a second group with its first settings file beside the surviving one, and processes that start then would take old settings. It now asks every peer first and joins if one knows a group.

--- a/crates/waxwing-control/src/decider.rs
+++ b/crates/waxwing-control/src/decider.rs
@@ -42,7 +42,10 @@
                     tracing::info!(%reason, "decider left office");
                 }
             }
-            self.host.clock.sleep(LOOK_INTERVAL).await;
+            tokio::select! {
+                () = shutdown.cancelled() => return,
+                () = self.host.clock.sleep(LOOK_INTERVAL) => {}
+            }
         }
     }
 
--- a/crates/waxwing-control/src/driver.rs
+++ b/crates/waxwing-control/src/driver.rs
@@ -24,7 +24,7 @@
 
 /// Bytes of log entries behind the last snapshot from which on a new one is taken; it bounds the
 /// work of a restart.
-const COMPACT_BYTES: u64 = 8 * 1024 * 1024;
+pub(crate) const SNAPSHOT_BYTES: u64 = 8 * 1024 * 1024;
 
 /// Requests that are taken together, so that they share one write and one message.
 const BATCH_REQUESTS: usize = 256;
@@ -56,6 +56,7 @@
     next_promotion: Instant,
     /// The log time at which this host took office, and when that was.
     office: (u64, Instant),
+    snapshot_bytes: u64,
     compact_at: u64,
 }
 
@@ -67,6 +68,7 @@
         network: Arc<peers::PeerNetwork>,
         counters: CounterSet,
         clock: C,
+        snapshot_bytes: u64,
     ) -> Result<(Self, log::LogHandle), errors::ControlError> {
         let started = clock.now();
         let shared = Arc::new(log::LogShared::default());
@@ -104,9 +106,13 @@
             next_tick: started,
             next_promotion: started,
             office: (0, started),
-            compact_at: COMPACT_BYTES,
+            snapshot_bytes,
+            compact_at: snapshot_bytes,
             clock,
         };
+        // Published before any link is served: a host that doesn't yet know its own group must
+        // not tell a founder that there is none.
+        driver.publish_status();
         Ok((driver, handle))
     }
 
@@ -115,7 +121,6 @@
         mut self,
         shutdown: CancellationToken,
     ) -> Result<(), errors::ControlError> {
-        self.publish_status();
         loop {
             self.carry_out();
             let now = self.clock.now();
@@ -373,7 +378,7 @@
         let (index, data) = (machine.applied(), machine.to_snapshot());
         drop(machine);
         // A large state is written less often, so that writing it stays a small share of the work.
-        self.compact_at = COMPACT_BYTES.max(data.len() as u64);
+        self.compact_at = self.snapshot_bytes.max(data.len() as u64);
         if let Err(error) = self.node.compact(index, data.into()) {
             tracing::warn!(%error, "the log could not be compacted");
         }
--- a/crates/waxwing-control/src/hosts.rs
+++ b/crates/waxwing-control/src/hosts.rs
@@ -61,6 +61,11 @@
                     let _ = sender.send(envelope.correlation, answer).await;
                 });
             }
+            Some(messages::Body::AskGroup(_)) => {
+                let founded = !host.log.shared.status.borrow().members.is_empty();
+                let info = messages::Body::GroupInfo(messages::GroupInfo { founded });
+                sender.send(envelope.correlation, info).await?;
+            }
             Some(messages::Body::RelayOrder(relay)) => {
                 // Without a listener, no agent has a link to this host.
                 let _ = host.orders.send(relay);
--- a/crates/waxwing-control/src/lib.rs
+++ b/crates/waxwing-control/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod directory;
 mod driver;
 pub mod errors;
+mod founding;
 mod host;
 mod hosts;
 mod log;
--- a/crates/waxwing-control/src/roles.rs
+++ b/crates/waxwing-control/src/roles.rs
@@ -13,7 +13,8 @@
 use waxwing_wire::{links, messages, security};
 
 use crate::{
-    commands, decider, driver, errors, host, hosts, operators, options, peers, processes, storage,
+    commands, decider, driver, errors, founding, host, hosts, operators, options, peers, processes,
+    storage,
 };
 
 /// Engine orders and results that may wait for a slow link; lost ones are given again.
@@ -30,6 +31,7 @@
     http_address: SocketAddr,
     incarnation: ids::Incarnation,
     first_tree: Option<serde_json::Value>,
+    snapshot_bytes: u64,
     counters: counters::CounterSet,
 }
 
@@ -65,6 +67,7 @@
         security,
         incarnation,
         first_tree,
+        snapshot_bytes: driver::SNAPSHOT_BYTES,
         counters: counters::CounterSet::new(),
     })
 }
@@ -109,6 +112,11 @@
         self.options.peers = peers;
     }
 
+    /// Replaces the length of the log in bytes after which a snapshot is taken, 8 MiB by default.
+    pub fn set_snapshot_bytes(&mut self, bytes: u64) {
+        self.snapshot_bytes = bytes;
+    }
+
     /// Sets the first settings tree, in place of the file in the options.
     ///
     /// # Errors
@@ -128,7 +136,16 @@
     /// Fails if the stored state can't be read or can't be written any more.
     pub async fn run(self, shutdown: CancellationToken) -> Result<(), errors::ControlError> {
         let network = Arc::new(peers::PeerNetwork::default());
-        let storage = open_storage(&self.options)?;
+        let probe = founding::FoundingProbe {
+            peers: self.options.peers.clone(),
+            hello: host::hello(&self.options, self.incarnation),
+            security: self.security.clone(),
+            clock: self.clock.clone(),
+        };
+        let storage = tokio::select! {
+            () = shutdown.cancelled() => return Ok(()),
+            storage = open_storage(&self.options, probe.may_found()) => storage?,
+        };
         let store = storage.identity.store;
         let (driver, handle) = driver::LogDriver::open(
             &self.options,
@@ -136,6 +153,7 @@
             network.clone(),
             self.counters.clone(),
             self.clock.clone(),
+            self.snapshot_bytes,
         )?;
         let own = hosts::describe(&self.options, self.link_address, self.http_address, store);
         let state = Arc::new(host::HostState {
@@ -204,17 +222,18 @@
     }
 }
 
-fn open_storage(
+async fn open_storage(
     options: &options::ControlOptions,
+    may_found: impl Future<Output = bool>,
 ) -> Result<storage::OpenedStorage, errors::ControlError> {
     let Some(folder) = &options.data else {
-        return Ok(storage::open(memory::MemoryDisk::new(), options)?);
+        return Ok(storage::open(memory::MemoryDisk::new(), options, may_found).await?);
     };
     let disk = disk::FolderDisk::open(folder).map_err(|error| errors::ControlError::Folder {
         folder: folder.display().to_string(),
         error,
     })?;
-    Ok(storage::open(disk, options)?)
+    Ok(storage::open(disk, options, may_found).await?)
 }
 
 async fn accept_links<C: Clock>(
--- a/crates/waxwing-control/src/storage.rs
+++ b/crates/waxwing-control/src/storage.rs
@@ -29,10 +29,11 @@
 }
 
 /// Opens a data folder and starts its thread, which ends when the handle is dropped. The founder
-/// of a group writes the first snapshot into a fresh folder.
-pub(crate) fn open<D: disk::Disk>(
+/// of a group writes the first snapshot into a fresh folder, if the probe allows it.
+pub(crate) async fn open<D: disk::Disk>(
     disk: D,
     host: &options::ControlOptions,
+    may_found: impl Future<Output = bool>,
 ) -> Result<OpenedStorage, StoreError>
 where
     store::LogStore<D>: Send,
@@ -42,7 +43,7 @@
     let (mut store, mut recovered) =
         store::LogStore::open(disk, member, ids::StoreId::random(), options)?;
     let identity = store.identity();
-    if store.is_fresh() && host.found {
+    if store.is_fresh() && host.found && may_found.await {
         let voters = members::Membership::of_voters(&[identity]);
         let data = Bytes::from(machine::StateMachine::default().to_snapshot());
         recovered = store.found(ready::Snapshot::founding(voters, data))?;
--- a/crates/waxwing-control/tests/processes.rs
+++ b/crates/waxwing-control/tests/processes.rs
@@ -17,7 +17,6 @@
 /// A `HostProcess` is a running control host; it is killed when the test ends.
 struct HostProcess {
     child: process::Child,
-    link: SocketAddr,
     http: SocketAddr,
 }
 
@@ -28,17 +27,22 @@
     }
 }
 
-/// Starts a host; ports of zero are chosen by the system and read from its first log line.
-fn start(folder: &Path, number: usize, ports: (u16, u16), founder: u16) -> HostProcess {
+/// Reserves ports for the links of three hosts, which must know each other before they start.
+fn reserve_ports() -> [u16; 3] {
+    let any = SocketAddr::from(([127, 0, 0, 1], 0));
+    let sockets = [(); 3].map(|()| std::net::TcpListener::bind(any).unwrap());
+    sockets.map(|socket| socket.local_addr().unwrap().port())
+}
+
+/// Starts a host; a port of zero for operators is chosen by the system and read from its log.
+fn start(folder: &Path, number: usize, links: [u16; 3], http: u16) -> HostProcess {
     let settings = folder.join(format!("host-{number}.json"));
     let peers: Vec<_> = (0..3)
         .filter(|other| *other != number)
         .map(|other| {
-            // Hosts that joined describe their address in the log; the founder's must be known.
-            let port = if other == 0 { founder } else { 1 };
             serde_json::json!({
                 "name": format!("control-{other}"),
-                "link": format!("127.0.0.1:{port}"),
+                "link": format!("127.0.0.1:{}", links[other]),
             })
         })
         .collect();
@@ -46,8 +50,8 @@
         "name": format!("control-{number}"),
         "data_centre": "a",
         "region": "north",
-        "link": format!("127.0.0.1:{}", ports.0),
-        "http": format!("127.0.0.1:{}", ports.1),
+        "link": format!("127.0.0.1:{}", links[number]),
+        "http": format!("127.0.0.1:{http}"),
         "data": folder.join(format!("data-{number}")),
         "found": number == 0,
         "settings": folder.join("tree.json"),
@@ -73,7 +77,6 @@
         rest.split_whitespace().next().unwrap().parse().unwrap()
     };
     HostProcess {
-        link: address("link"),
         http: address("http"),
         child,
     }
@@ -107,12 +110,10 @@
     let folder = tempfile::tempdir().unwrap();
     let tree = serde_json::to_vec(&support::tree()).unwrap();
     std::fs::write(folder.path().join("tree.json"), tree).unwrap();
-    let founder = start(folder.path(), 0, (0, 0), 1);
-    let founder_port = founder.link.port();
-    let mut hosts = vec![founder];
-    for number in 1..3 {
-        hosts.push(start(folder.path(), number, (0, 0), founder_port));
-    }
+    let links = reserve_ports();
+    let mut hosts: Vec<_> = (0..3)
+        .map(|number| start(folder.path(), number, links, 0))
+        .collect();
     wait_voters(hosts[0].http).await;
     let addresses: Vec<_> = hosts.iter().map(|host| host.http).collect();
     let mut accepted: Vec<(ids::ChangeId, u64)> = Vec::new();
@@ -122,7 +123,6 @@
             let leader = status(addresses[(round as usize) % 3]).await.leader;
             let victim = (0..3).find(|number| Some(format!("control-{number}")) == leader);
             let victim = victim.unwrap_or(0);
-            let (link, http) = (hosts[victim].link, hosts[victim].http);
             hosts[victim].child.kill().unwrap();
             hosts[victim].child.wait().unwrap();
             let live = addresses[(victim + 1) % 3];
@@ -133,8 +133,8 @@
                 panic!("unexpected answer {answer:?}");
             };
             accepted.push((request.id, version.0));
-            let ports = (link.port(), http.port());
-            hosts[victim] = start(folder.path(), victim, ports, founder_port);
+            let http = hosts[victim].http.port();
+            hosts[victim] = start(folder.path(), victim, links, http);
         }
         let base = history(addresses[0]).await.version.0;
         let request = change(base, "/policy/first_token_target_ms", (500 + round).into());
--- a/crates/waxwing-control/tests/three_hosts.rs
+++ b/crates/waxwing-control/tests/three_hosts.rs
@@ -4,6 +4,7 @@
 
 use std::{collections::BTreeSet, net::SocketAddr, path, time::Duration};
 
+use test_case::test_case;
 use tokio::task::JoinHandle;
 use tokio_util::sync::CancellationToken;
 use waxwing_control::{errors, options, roles};
@@ -50,6 +51,8 @@
             .collect();
         for (number, mut host) in bound.into_iter().enumerate() {
             host.set_peers(group.peers(number));
+            // Snapshots every few changes, so that restarts and new members start from them.
+            host.set_snapshot_bytes(2_048);
             if number == 0 {
                 host.set_first_tree(support::tree()).unwrap();
             }
@@ -91,13 +94,9 @@
 
     async fn restart(&mut self, number: usize) {
         let options = self.options(number, self.links[number]);
-        // The founder's flag stays in its file; a wiped founder must not found a second group.
-        let options = options::ControlOptions {
-            found: false,
-            ..options
-        };
         let mut host = roles::bind(options, clock::SystemClock).await.unwrap();
         host.set_peers(self.peers(number));
+        host.set_snapshot_bytes(2_048);
         self.hosts[number] = Some(run(host));
     }
 
@@ -222,24 +221,33 @@
     );
 }
 
-/// Guards against a host that votes with a wiped disk under its former identity, and against one
-/// that never comes back.
+/// Guards against a host that votes with a wiped disk under its former identity, one that never
+/// comes back, and a wiped founder that founds a second group with the first settings.
+#[test_case(0; "the founder")]
+#[test_case(1; "another host")]
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
-async fn takes_a_host_with_a_wiped_disk_back() {
+async fn takes_a_host_with_a_wiped_disk_back(lost: usize) {
     let mut group = TestGroup::start().await;
-    let lost = (group.leader().await + 1) % 3;
-    let other = (lost + 1) % 3;
+    let (other, third) = ((lost + 1) % 3, (lost + 2) % 3);
+    let hosts = [group.http(other)];
+    for round in 0..10 {
+        let base = history(hosts[0]).await.version.0;
+        let request = change(base, "/policy/offers_max", (8 + round % 2).into());
+        let answer = submit(&hosts, &request).await;
+        assert!(matches!(answer, operations::ChangeAnswer::Changed { .. }));
+    }
     group.stop(lost).await;
     std::fs::remove_dir_all(group.folder(lost)).unwrap();
     group.restart(lost).await;
     group.wait_voters(lost, 3).await;
-    let store = |status: &operations::StatusAnswer| status.members.len();
-    assert_eq!(store(&group.status(lost).await), 3);
     // With the repaired host, the group survives the loss of another one.
     group.stop(other).await;
-    let base = history(group.http(lost)).await.version.0;
+    let found = history(group.http(lost)).await;
+    assert_eq!(found.changes.len(), 10);
+    assert_eq!(found, history(group.http(third)).await);
     let hosts = [group.http(lost)];
-    let answer = submit(&hosts, &change(base, "/policy/offers", 3.into())).await;
+    let request = change(found.version.0, "/policy/offers", 3.into());
+    let answer = submit(&hosts, &request).await;
     assert!(matches!(answer, operations::ChangeAnswer::Changed { .. }));
 }
 
--- a/crates/waxwing-wire/src/messages.rs
+++ b/crates/waxwing-wire/src/messages.rs
@@ -22,7 +22,7 @@
     /// The message itself.
     #[prost(
         oneof = "Body",
-        tags = "3,4,5,10,11,12,13,14,15,16,17,18,19,20,21,22,23,24,30,31,32,33,34,35,36,37,38,39,40,41,42,43,44,45,46,47,50,51,52"
+        tags = "3,4,5,10,11,12,13,14,15,16,17,18,19,20,21,22,23,24,30,31,32,33,34,35,36,37,38,39,40,41,42,43,44,45,46,47,50,51,52,53,54"
     )]
     pub body: Option<Body>,
 }
@@ -147,6 +147,12 @@
     /// Control to control: the command's result.
     #[prost(message, tag = "52")]
     Submitted(Submitted),
+    /// Control to control: do you know a group?
+    #[prost(message, tag = "53")]
+    AskGroup(AskGroup),
+    /// Control to control: whether a group is known.
+    #[prost(message, tag = "54")]
+    GroupInfo(GroupInfo),
 }
 
 /// A `ProcessKind` tells the roles apart.
@@ -914,3 +920,15 @@
     #[prost(bytes = "bytes", tag = "2")]
     pub result: bytes::Bytes,
 }
+
+/// An `AskGroup` asks whether the receiver knows a group, before the sender founds one.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct AskGroup {}
+
+/// A `GroupInfo` answers an `AskGroup`.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct GroupInfo {
+    /// Whether the sender's log names members.
+    #[prost(bool, tag = "1")]
+    pub founded: bool,
+}
