--- /dev/null
+++ b/crates/waxwing-settings/examples/settings_page.rs
@@ -0,0 +1,5 @@
+//! Prints the operators' page of all settings; its output is `docs/operations/settings.md`.
+
+fn main() {
+    print!("{}", waxwing_settings::pages::settings_page());
+}
--- a/crates/waxwing-settings/src/lib.rs
+++ b/crates/waxwing-settings/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod files;
 pub mod operations;
 pub mod ownership;
+pub mod pages;
 pub mod patches;
 mod references;
 pub mod schema;
--- a/crates/waxwing-settings/tests/checks.rs
+++ b/crates/waxwing-settings/tests/checks.rs
@@ -226,3 +226,10 @@
         }
     }
 }
+
+/// Guards against an operators' page that differs from what the checks allow.
+#[test]
+fn the_page_of_settings_is_current() {
+    let page = include_str!("../../../docs/operations/settings.md");
+    assert_eq!(page, waxwing_settings::pages::settings_page());
+}
