--- a/crates/waxwing-control/tests/machine.rs
+++ b/crates/waxwing-control/tests/machine.rs
@@ -399,3 +399,22 @@
         let _ = machine::StateMachine::from_snapshot(&bytes);
     }
 }
+
+/// Guards against a host that an operator removed and that joins again by itself.
+#[test]
+fn a_removed_host_is_barred_until_it_is_added() {
+    let mut log = TestLog::start();
+    let info = commands::MemberInfo {
+        name: "control-2".to_owned(),
+        ..commands::MemberInfo::default()
+    };
+    let name = info.name.clone();
+    log.apply(commands::LogAction::Describe(info.clone()));
+    assert!(!log.machine.is_barred(&name));
+    let forget = commands::ForgetMember { name: name.clone() };
+    log.apply(commands::LogAction::Forget(forget));
+    log.restart();
+    assert!(log.machine.is_barred(&name));
+    log.apply(commands::LogAction::Describe(info));
+    assert!(!log.machine.is_barred(&name));
+}
--- a/crates/waxwing-control/tests/three_hosts.rs
+++ b/crates/waxwing-control/tests/three_hosts.rs
@@ -10,7 +10,11 @@
 use waxwing_control::{errors, options, roles};
 use waxwing_core::{clock, ids};
 use waxwing_settings::operations;
-use waxwing_wire::messages::{self, ProcessKind};
+use waxwing_wire::{
+    links,
+    messages::{self, ProcessKind},
+    security,
+};
 
 use support::{change, history, request, submit};
 
@@ -301,3 +305,73 @@
     assert_eq!(order.kind, messages::OrderKind::LoadModel as i32);
     shutdown.cancel();
 }
+
+/// Guards against a control host that is cut off from the others and still gives settings to a
+/// process that starts, or takes claims.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn an_isolated_host_gives_nothing() {
+    let mut group = TestGroup::start().await;
+    let isolated = group.hosts[2].as_ref().unwrap().link;
+    group.stop(0).await;
+    group.stop(1).await;
+    let hello = messages::Hello {
+        kind: ProcessKind::Entry as i32,
+        name: "entry-1".to_owned(),
+        ..messages::Hello::default()
+    };
+    let options = links::LinkOptions::default();
+    let security = security::LinkSecurity::Plain;
+    let opened = links::connect(isolated, hello, options, security, clock::SystemClock);
+    let mut link = opened.await.unwrap();
+    let watch = messages::Body::WatchSettings(messages::WatchSettings { version: 0 });
+    link.sender.send(5, watch).await.unwrap();
+    let claim = messages::Body::ClaimKey(support::claim("k", 1));
+    link.sender.send(6, claim).await.unwrap();
+    let mut answered = BTreeSet::new();
+    while answered.len() < 2 {
+        let envelope = link.receiver.recv().await.unwrap();
+        match envelope.body.unwrap() {
+            messages::Body::Heartbeat(_) => {}
+            messages::Body::Unavailable(_) => {
+                answered.insert(envelope.correlation);
+            }
+            other => panic!("unexpected message {other:?}"),
+        }
+    }
+    assert_eq!(answered, BTreeSet::from([5, 6]));
+}
+
+/// Guards against a removed host that still counts for a quorum.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn operators_remove_hosts() {
+    let mut group = TestGroup::start().await;
+    let leader = group.leader().await;
+    let removed = (leader + 1) % 3;
+    let member = serde_json::json!({"action": "remove", "name": name(removed)});
+    let body = serde_json::to_vec(&member).unwrap();
+    loop {
+        let answer = request(group.http(leader), "POST", "/v1/members", body.clone()).await;
+        if matches!(answer, Some((200, _))) {
+            break;
+        }
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    group.wait_voters(leader, 2).await;
+    // Two voters need both; the removed host doesn't count. The leader's lease ends first.
+    group.stop((leader + 2) % 3).await;
+    loop {
+        let answer = request(group.http(leader), "GET", "/readyz", Vec::new()).await;
+        if answer.unwrap().0 == 503 {
+            break;
+        }
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    let body = serde_json::to_vec(&change(0, "/policy/offers", 3.into())).unwrap();
+    let path = "/v1/settings/changes";
+    let answer = request(group.http(leader), "POST", path, body).await;
+    assert_eq!(
+        answer.unwrap().0,
+        503,
+        "nothing is accepted without a quorum"
+    );
+}
