Run every fault at every step of settings, membership and control shutdown

The cells of the control hosts were empty. Four hosts with the real log, store and state machine, operators that resend, and two processes with the real settings replica run on one stepped clock. The settings replica becomes public for it.

--- a/crates/waxwing-client/src/lib.rs
+++ b/crates/waxwing-client/src/lib.rs
@@ -9,4 +9,4 @@
 pub mod freshness;
 pub mod options;
 mod sessions;
-mod settings;
+pub mod settings;
--- a/crates/waxwing-client/src/settings.rs
+++ b/crates/waxwing-client/src/settings.rs
@@ -10,7 +10,7 @@
 
 /// A `SettingsUpdate` tells what became of a received version.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) enum SettingsUpdate {
+pub enum SettingsUpdate {
     /// The version is in force.
     Applied,
     /// The version was in force already.
@@ -25,24 +25,29 @@
 
 /// A `SettingsReplica` is the raw tree beside the typed view that is shared with the request path.
 #[derive(Debug)]
-pub(crate) struct SettingsReplica {
+pub struct SettingsReplica {
     tree: Value,
     view: Arc<ArcSwap<view::SettingsView>>,
 }
 
 impl SettingsReplica {
-    pub(crate) fn new(view: Arc<ArcSwap<view::SettingsView>>) -> Self {
+    /// Builds a replica with an empty tree in version zero.
+    #[must_use]
+    pub fn new(view: Arc<ArcSwap<view::SettingsView>>) -> Self {
         Self {
             tree: Value::Object(serde_json::Map::new()),
             view,
         }
     }
 
-    pub(crate) fn version(&self) -> ids::SettingsVersion {
+    /// Returns the version in force.
+    #[must_use]
+    pub fn version(&self) -> ids::SettingsVersion {
         self.view.load().version
     }
 
-    pub(crate) fn take_snapshot(&mut self, update: &messages::SettingsSnapshot) -> SettingsUpdate {
+    /// Takes a whole tree, unless it is older than the one in force.
+    pub fn take_snapshot(&mut self, update: &messages::SettingsSnapshot) -> SettingsUpdate {
         let version = ids::SettingsVersion(update.version);
         match version.cmp(&self.version()) {
             std::cmp::Ordering::Less => SettingsUpdate::Older,
@@ -54,7 +59,8 @@
         }
     }
 
-    pub(crate) fn take_delta(&mut self, update: &messages::SettingsDelta) -> SettingsUpdate {
+    /// Takes a change that builds on the version in force.
+    pub fn take_delta(&mut self, update: &messages::SettingsDelta) -> SettingsUpdate {
         let version = ids::SettingsVersion(update.version);
         if version <= self.version() {
             return SettingsUpdate::Known;
--- a/crates/waxwing-proof/src/evidence.rs
+++ b/crates/waxwing-proof/src/evidence.rs
@@ -29,13 +29,29 @@
 }
 
 /// Every piece of evidence; the first that covers a cell is named in it.
-pub const ALL: &[TestEvidence] = &[TestEvidence {
-    file: "crates/waxwing-proof/tests/requests.rs",
-    test: "request_keeps_the_promises",
-    groups: &[StepGroup::Model, StepGroup::Plain],
-    steps: &[],
-    faults: SystemFault::ALL,
-}];
+pub const ALL: &[TestEvidence] = &[
+    TestEvidence {
+        file: "crates/waxwing-proof/tests/requests.rs",
+        test: "request_keeps_the_promises",
+        groups: &[StepGroup::Model, StepGroup::Plain],
+        steps: &[],
+        faults: SystemFault::ALL,
+    },
+    TestEvidence {
+        file: "crates/waxwing-proof/tests/control.rs",
+        test: "control_keeps_the_promises",
+        groups: &[StepGroup::Settings, StepGroup::Membership],
+        steps: &[],
+        faults: SystemFault::ALL,
+    },
+    TestEvidence {
+        file: "crates/waxwing-proof/tests/control.rs",
+        test: "control_keeps_the_promises",
+        groups: &[StepGroup::Shutdown],
+        steps: &[WorkStep::ControlStops],
+        faults: SystemFault::ALL,
+    },
+];
 
 /// Finds the evidence of a cell.
 #[must_use]
