--- a/crates/waxwing-quorum/src/entries.rs
+++ b/crates/waxwing-quorum/src/entries.rs
@@ -11,6 +11,9 @@
     base_index: units::LogIndex,
     base_term: units::Term,
     entries: VecDeque<messages::LogEntry>,
+    /// The index of the latest snapshot, and the bytes of the entries behind it.
+    snapshot_index: units::LogIndex,
+    bytes_behind: u64,
 }
 
 impl EntryLog {
@@ -19,6 +22,8 @@
             base_index,
             base_term,
             entries: VecDeque::new(),
+            snapshot_index: base_index,
+            bytes_behind: 0,
         }
     }
 
@@ -75,6 +80,7 @@
 
     pub(crate) fn push(&mut self, entry: messages::LogEntry) {
         debug_assert_eq!(entry.index, self.last_index() + 1);
+        self.bytes_behind += entry_bytes(&entry);
         self.entries.push_back(entry);
     }
 
@@ -83,6 +89,18 @@
         let kept = from.saturating_sub(self.base_index + 1);
         self.entries
             .truncate(usize::try_from(kept).unwrap_or(usize::MAX));
+        self.bytes_behind = self.bytes_above(self.snapshot_index);
+    }
+
+    /// Takes the news of a snapshot up to `index`.
+    pub(crate) fn mark_snapshot(&mut self, index: units::LogIndex) {
+        self.snapshot_index = index;
+        self.bytes_behind = self.bytes_above(index);
+    }
+
+    /// Returns the bytes of the entries behind the latest snapshot.
+    pub(crate) fn bytes_behind(&self) -> u64 {
+        self.bytes_behind
     }
 
     /// Returns the lowest index from which on the entries up to `to` have at most `max_count`
--- a/crates/waxwing-quorum/src/node.rs
+++ b/crates/waxwing-quorum/src/node.rs
@@ -319,6 +319,7 @@
         self.writes.compact(snapshot.clone());
         self.snapshot = Some(snapshot);
         self.history.compact(index);
+        self.log.mark_snapshot(index);
         let (count, bytes) = (self.options.retained_entries, self.options.retained_bytes.0);
         let base = self.log.retained_from(index, count, bytes);
         self.log.compact(base);
@@ -425,7 +426,7 @@
             applied: self.applied,
             last: self.log.last_index(),
             snapshot: self.snapshot_index(),
-            log_bytes: self.log.bytes_above(self.snapshot_index()),
+            log_bytes: self.log.bytes_behind(),
             uncommitted_bytes: self
                 .leading
                 .as_ref()
--- a/crates/waxwing-quorum/src/writes.rs
+++ b/crates/waxwing-quorum/src/writes.rs
@@ -4,6 +4,10 @@
 
 use crate::{messages, ready, units};
 
+/// The most messages that wait for a slow disk. Older ones are dropped as if the network had lost
+/// them, so that a disk that hangs doesn't fill the memory.
+const MAX_HELD_MESSAGES: usize = 4096;
+
 /// A `WriteQueue` orders writes and holds back the messages that depend on them. A message of a
 /// follower or candidate states what its disk holds, so it leaves only after every earlier write.
 #[derive(Debug)]
@@ -101,6 +105,9 @@
         if self.is_persisted(required) {
             self.outbox.push(message);
         } else {
+            if self.held.len() >= MAX_HELD_MESSAGES {
+                self.held.pop_front();
+            }
             self.held.push_back((required, message));
         }
     }
--- a/crates/waxwing-store/src/frames.rs
+++ b/crates/waxwing-store/src/frames.rs
@@ -2,6 +2,9 @@
 //!
 //! The checksum of the header also covers the segment's number and the frame's offset, so that
 //! bytes of another segment, or a frame inside a command's payload, are never taken for a frame.
+//!
+//! Damage to the very last frame of the log looks like a write that never finished, and is
+//! truncated; the frame then comes back from the leader. Damage anywhere else is refused.
 
 /// The first bytes of every frame.
 const MAGIC: [u8; 4] = *b"WXLG";
--- a/crates/waxwing-store/tests/cluster/harness.rs
+++ b/crates/waxwing-store/tests/cluster/harness.rs
@@ -589,6 +589,11 @@
         leaders.max_by_key(|host| term(host))
     }
 
+    pub(crate) fn leads(&self, host: usize) -> bool {
+        let life = self.hosts[host].life.as_ref();
+        life.is_some_and(|life| life.node.status().role == ready::NodeRole::Leader)
+    }
+
     pub(crate) fn transfer(&mut self, target: usize) {
         if let Some(leader) = self.leader() {
             let member = self.hosts[target].member;
@@ -714,7 +719,7 @@
     }
 
     /// Tells whether every host lists every host as a voter.
-    fn is_repaired(&self) -> bool {
+    pub(crate) fn is_repaired(&self) -> bool {
         self.hosts.iter().all(|host| {
             let members = host.life.as_ref().map(|life| life.node.members());
             let voters = |host: &Host| members.is_some_and(|list| list.is_voter(host.identity));
