Run every fault at every step of endpoints, orders and shutdowns

The remaining cells were empty. Endpoint life and the shutdown of entries and agents use the world of the requests; engine orders use the real agent and state machine with an engine that checks fencing numbers and one that does not.

--- a/crates/waxwing-proof/src/evidence.rs
+++ b/crates/waxwing-proof/src/evidence.rs
@@ -33,10 +33,17 @@
     TestEvidence {
         file: "crates/waxwing-proof/tests/requests.rs",
         test: "request_keeps_the_promises",
-        groups: &[StepGroup::Model, StepGroup::Plain],
+        groups: &[StepGroup::Model, StepGroup::Plain, StepGroup::Endpoint],
         steps: &[],
         faults: SystemFault::ALL,
     },
+    TestEvidence {
+        file: "crates/waxwing-proof/tests/requests.rs",
+        test: "request_keeps_the_promises",
+        groups: &[StepGroup::Shutdown],
+        steps: &[WorkStep::EntryStops, WorkStep::AgentStops],
+        faults: SystemFault::ALL,
+    },
     TestEvidence {
         file: "crates/waxwing-proof/tests/control.rs",
         test: "control_keeps_the_promises",
@@ -51,6 +58,13 @@
         steps: &[WorkStep::ControlStops],
         faults: SystemFault::ALL,
     },
+    TestEvidence {
+        file: "crates/waxwing-proof/tests/orders.rs",
+        test: "orders_obey_the_fencing_number",
+        groups: &[StepGroup::Order],
+        steps: &[],
+        faults: SystemFault::ALL,
+    },
 ];
 
 /// Finds the evidence of a cell.
--- a/crates/waxwing-proof/tests/control.rs
+++ b/crates/waxwing-proof/tests/control.rs
@@ -39,6 +39,10 @@
     if let Err(violation) = checkers::check_all(&world.record) {
         panic!("{name}: {violation}\n{:#?}", world.record.events);
     }
+    assert!(
+        !world.has_two_winners(),
+        "{name}: two racing changes were accepted"
+    );
     assert!(
         world.was_answered(MAIN),
         "{name}: the operator never got an answer"
--- a/crates/waxwing-proof/tests/quorum_world/mod.rs
+++ b/crates/waxwing-proof/tests/quorum_world/mod.rs
@@ -216,6 +216,17 @@
             .any(|ask| ask.change == wanted && ask.answered)
     }
 
+    /// Tells whether two changes that build on one version were both accepted.
+    pub(crate) fn has_two_winners(&self) -> bool {
+        let accepted: Vec<_> = self
+            .operators
+            .iter()
+            .filter(|ask| self.was_accepted(ask.change))
+            .filter_map(|ask| ask.base)
+            .collect();
+        accepted.iter().collect::<BTreeSet<_>>().len() < accepted.len()
+    }
+
     /// Tells whether the group has exactly the wanted members, all of them voters.
     pub(crate) fn has_wanted_members(&self) -> bool {
         let life = self
--- a/crates/waxwing-proof/tests/quorum_world/operators.rs
+++ b/crates/waxwing-proof/tests/quorum_world/operators.rs
@@ -17,7 +17,7 @@
 /// An `OperatorAsk` is a change that an operator wants.
 pub(super) struct OperatorAsk {
     pub(super) change: ids::ChangeId,
-    base: Option<u64>,
+    pub(super) base: Option<u64>,
     next_try: Duration,
     target: usize,
     pub(super) answered: bool,
--- a/crates/waxwing-proof/tests/requests.rs
+++ b/crates/waxwing-proof/tests/requests.rs
@@ -56,6 +56,13 @@
         world.occupy(Duration::from_millis(50));
     }
     world.ask(Duration::from_millis(100), 0, spec);
+    match plan.map(|plan| plan.step) {
+        Some(WorkStep::Leaving | WorkStep::Gone | WorkStep::AgentStops) => {
+            world.leave(Duration::from_millis(125));
+        }
+        Some(WorkStep::EntryStops) => world.stop_first_entry(Duration::from_millis(125)),
+        _ => {}
+    }
     world.run(Duration::from_secs(45));
     if group == StepGroup::Plain {
         world.resend(Duration::from_millis(1));
@@ -100,6 +107,12 @@
 #[test_case(WorkStep::Streaming)]
 #[test_case(WorkStep::LastByte)]
 #[test_case(WorkStep::Acknowledged)]
+#[test_case(WorkStep::Announcing)]
+#[test_case(WorkStep::Serving)]
+#[test_case(WorkStep::Leaving)]
+#[test_case(WorkStep::Gone)]
+#[test_case(WorkStep::EntryStops)]
+#[test_case(WorkStep::AgentStops)]
 fn request_keeps_the_promises(step: WorkStep) {
     let cells = matrix::proved_by("request_keeps_the_promises");
     let of_step: Vec<_> = cells.iter().filter(|cell| cell.step == step).collect();
--- a/crates/waxwing-proof/tests/world/agents.rs
+++ b/crates/waxwing-proof/tests/world/agents.rs
@@ -6,7 +6,7 @@
 use waxwing_agent::{events, options, state};
 use waxwing_control::commands;
 use waxwing_core::{counters, ids};
-use waxwing_proof::events::RunEvent;
+use waxwing_proof::{events::RunEvent, steps::WorkStep};
 use waxwing_wire::messages;
 
 use super::{Delivery, HOP, World, endpoints};
@@ -106,6 +106,18 @@
         });
         self.note(RunEvent::ShutdownBegan { process: endpoint });
         self.agent_input(agent, events::AgentInput::Leave);
+        if agent == 0 {
+            self.strike_if_due(self.main, WorkStep::Leaving);
+            self.strike_if_due(self.main, WorkStep::AgentStops);
+        }
+    }
+
+    /// Records the calls that still run when a process ends by itself.
+    fn note_cuts(&mut self, agent: usize) {
+        let cut: Vec<_> = self.agents[agent].runs.values().copied().collect();
+        for request in cut {
+            self.note(RunEvent::CutByShutdown { request });
+        }
     }
 
     /// The endpoint dies with all its calls; its agent notices.
@@ -137,8 +149,12 @@
         let slot = &self.agents[agent];
         let drained = slot.core.as_ref().is_some_and(state::AgentCore::is_drained);
         if slot.restart_when_drained && drained {
+            self.note_cuts(agent);
             self.kill_agent(agent);
             self.later(Duration::from_millis(500), Delivery::AgentStart { agent });
+            if agent == 0 {
+                self.strike_if_due(self.main, WorkStep::Gone);
+            }
         }
     }
 
--- a/crates/waxwing-proof/tests/world/entries.rs
+++ b/crates/waxwing-proof/tests/world/entries.rs
@@ -17,6 +17,7 @@
 /// An `EntrySlot` is an entry with its requests.
 pub(crate) struct EntrySlot {
     pub(crate) alive: bool,
+    stopping: bool,
     requests: BTreeMap<ids::RequestId, OpenRequest>,
 }
 
@@ -24,6 +25,7 @@
     fn default() -> Self {
         Self {
             alive: true,
+            stopping: false,
             requests: BTreeMap::new(),
         }
     }
@@ -100,6 +102,12 @@
     }
 
     pub(super) fn accept(&mut self, entry: usize, spec: RequestSpec) {
+        // The balancer sends new requests elsewhere once readiness fails.
+        let entry = if self.entries[entry].stopping {
+            1 - entry
+        } else {
+            entry
+        };
         if !self.entries[entry].alive {
             return;
         }
@@ -402,6 +410,23 @@
         }
     }
 
+    /// Begins the graceful shutdown of an entry: it ends when its requests have ended.
+    pub(super) fn stop_entry(&mut self, entry: usize) {
+        if !self.entries[entry].stopping {
+            self.entries[entry].stopping = true;
+            self.note(RunEvent::ShutdownBegan {
+                process: smol_str::format_smolstr!("entry-{entry}"),
+            });
+            self.strike_if_due(self.main, WorkStep::EntryStops);
+        }
+        let slot = &self.entries[entry];
+        if slot.requests.values().all(|open| open.core.is_ended()) {
+            self.kill_entry(entry);
+        } else if slot.alive {
+            self.later(Duration::from_millis(50), Delivery::EntryStop { entry });
+        }
+    }
+
     /// The process dies with all its requests.
     pub(super) fn kill_entry(&mut self, entry: usize) {
         self.entries[entry].alive = false;
--- a/crates/waxwing-proof/tests/world/inject.rs
+++ b/crates/waxwing-proof/tests/world/inject.rs
@@ -18,7 +18,36 @@
     pub(crate) fault: SystemFault,
 }
 
+/// How late a message is. A hand-over comes after its settlement and before its grant ends, so that
+/// only the settlement's fence can stop it.
+pub(super) fn lateness(step: Option<WorkStep>) -> Duration {
+    match step {
+        Some(WorkStep::HandedOver) => Duration::from_millis(1_500),
+        _ => Duration::from_secs(3),
+    }
+}
+
+/// Tells whether a step belongs to the life of an endpoint or to a shutdown, and not to a message.
+fn is_life_step(step: WorkStep) -> bool {
+    matches!(
+        step,
+        WorkStep::Announcing
+            | WorkStep::Serving
+            | WorkStep::Leaving
+            | WorkStep::Gone
+            | WorkStep::EntryStops
+            | WorkStep::AgentStops
+    )
+}
+
 impl World {
+    /// Takes a fault for a message of the first link, if some are left.
+    pub(super) fn take_mood(&mut self, link: usize) -> Option<SystemFault> {
+        let (fault, left) = self.mood.filter(|_| link == 0)?;
+        self.mood = (left > 1).then_some((fault, left - 1));
+        Some(fault)
+    }
+
     /// Tells which step of the main request a message is part of.
     pub(super) fn step_of(&self, body: &messages::Body) -> Option<WorkStep> {
         if entries::request_of(body) != Some(self.main) {
@@ -29,6 +58,9 @@
             messages::Body::Grant(_) => Some(WorkStep::Granted),
             messages::Body::Handover(_) => Some(WorkStep::HandedOver),
             messages::Body::HandoverAck(_) => Some(WorkStep::Admitted),
+            messages::Body::AnswerHead(_) if self.is_due(WorkStep::Serving) => {
+                Some(WorkStep::Serving)
+            }
             messages::Body::AnswerHead(_) => Some(WorkStep::Prefill),
             messages::Body::AnswerChunk(chunk) if chunk.end.is_some() => Some(WorkStep::LastByte),
             messages::Body::AnswerChunk(_) => Some(WorkStep::Streaming),
@@ -86,6 +118,17 @@
             SystemFault::MessageLost if plan.step == WorkStep::Claimed => {
                 self.lose_claim_reply = true;
             }
+            SystemFault::MessageLost
+            | SystemFault::MessageDoubled
+            | SystemFault::MessageReordered
+            | SystemFault::MessageLate
+                if is_life_step(plan.step) =>
+            {
+                self.mood = Some((plan.fault, 3));
+            }
+            SystemFault::LeaderKilled | SystemFault::FollowerKilled if is_life_step(plan.step) => {
+                self.control_down_until = self.now + ELECTION;
+            }
             fault => self.inject_control(fault),
         }
     }
@@ -175,6 +218,31 @@
         self.ask(delay, 1, spec);
     }
 
+    /// Lets the first agent leave after a delay; it comes back as a new incarnation.
+    pub(crate) fn leave(&mut self, delay: Duration) {
+        self.later(delay, Delivery::AgentDrain { agent: 0 });
+        self.keep_asking(delay);
+    }
+
+    /// Shuts the first entry down after a delay.
+    pub(crate) fn stop_first_entry(&mut self, delay: Duration) {
+        self.later(delay, Delivery::EntryStop { entry: 0 });
+    }
+
+    /// Sends a request each second through the entry that never hears of drains.
+    fn keep_asking(&mut self, delay: Duration) {
+        for number in 0..14_u128 {
+            let request = ids::RequestId(2_000 + 100 * self.now.as_millis() + number);
+            let spec = RequestSpec {
+                request,
+                rank: 1,
+                key: None,
+                read_millis: 0,
+            };
+            self.ask(delay + Duration::from_secs(1) * number as u32, 1, spec);
+        }
+    }
+
     /// Fills both agents, so that a request of the same tier has to wait.
     pub(crate) fn occupy(&mut self, delay: Duration) {
         for agent in &mut self.agents {
@@ -204,15 +272,6 @@
         }
         // A long generation keeps the first agent from ending at once, and new work goes on coming.
         self.agents[0].slow = 80;
-        for number in 0..14_u128 {
-            let request = ids::RequestId(2_000 + number);
-            let spec = RequestSpec {
-                request,
-                rank: 1,
-                key: None,
-                read_millis: 0,
-            };
-            self.ask(Duration::from_secs(1) * number as u32, 1, spec);
-        }
+        self.keep_asking(Duration::ZERO);
     }
 }
--- a/crates/waxwing-proof/tests/world/mod.rs
+++ b/crates/waxwing-proof/tests/world/mod.rs
@@ -96,6 +96,9 @@
     AgentDrain {
         agent: usize,
     },
+    EntryStop {
+        entry: usize,
+    },
     Ask {
         entry: usize,
         spec: RequestSpec,
@@ -143,6 +146,8 @@
     lose_claim_reply: bool,
     drop_claim: bool,
     healing: Vec<(Duration, usize)>,
+    /// The fault that strikes the next messages of the first link, and how many.
+    mood: Option<(SystemFault, u32)>,
     wall_jump: bool,
     plan: Option<FaultPlan>,
     fired: bool,
@@ -172,6 +177,7 @@
             lose_claim_reply: false,
             drop_claim: false,
             healing: Vec::new(),
+            mood: None,
             wall_jump: false,
             plan,
             fired: false,
@@ -284,6 +290,7 @@
             Delivery::AgentStart { agent } => self.start_agent(agent),
             Delivery::AgentKill { agent } => self.kill_agent(agent),
             Delivery::AgentDrain { agent } => self.drain_agent(agent),
+            Delivery::EntryStop { entry } => self.stop_entry(entry),
             Delivery::Ask { entry, spec } => self.accept(entry, spec),
             Delivery::Inject => self.inject(None),
         }
@@ -299,17 +306,19 @@
     /// Sends a message over a link; the fault of the plan may lose, double or delay it.
     fn send_on(&mut self, link: usize, to_agent: bool, correlation: u64, body: messages::Body) {
         let step = self.step_of(&body);
-        let mut delay = HOP;
-        let mut copies = 1;
-        if let Some(step) = step.filter(|step| self.is_due(*step)) {
-            match self.plan.map(|plan| plan.fault) {
-                Some(SystemFault::MessageLost) => copies = 0,
-                Some(SystemFault::MessageDoubled) => copies = 2,
-                Some(SystemFault::MessageReordered) => delay = 20 * HOP,
-                Some(SystemFault::MessageLate) => delay = Duration::from_secs(3),
-                _ => {}
-            }
-            let _ = step;
+        let due = step.is_some_and(|step| self.is_due(step));
+        let fault = match due {
+            true => self.plan.map(|plan| plan.fault),
+            false => self.take_mood(link),
+        };
+        let (copies, delay) = match fault {
+            Some(SystemFault::MessageLost) => (0, HOP),
+            Some(SystemFault::MessageDoubled) => (2, HOP),
+            Some(SystemFault::MessageReordered) => (1, 20 * HOP),
+            Some(SystemFault::MessageLate) => (1, inject::lateness(step)),
+            _ => (1, HOP),
+        };
+        if due {
             self.inject(Some(link));
         }
         for copy in 0..copies {
@@ -370,6 +379,9 @@
         let life = state.life;
         self.agent_link_opened(agent, life, link);
         self.entry_link_up(entry, agent);
+        if link == 0 {
+            self.strike_if_due(self.main, WorkStep::Announcing);
+        }
     }
 
     fn link_lost(&mut self, link: usize, life: u64) {
