Suspend only calls that the endpoint has answered, and confirm cancellations

A call is now suspended only after its head has arrived, and goes on only after the engine confirmed the cancellation. Short prefill is no longer suspended. Requests that wait inside the engine lower the number that may run.

--- a/crates/waxwing-agent/src/endpoint.rs
+++ b/crates/waxwing-agent/src/endpoint.rs
@@ -95,6 +95,10 @@
         Self { address, clock }
     }
 
+    pub(crate) async fn pause(&self, length: Duration) {
+        self.clock.sleep(length).await;
+    }
+
     async fn connect(&self) -> Result<(Sender, AbortOnDropHandle<()>), errors::CallError> {
         let connecting = net::TcpStream::connect(self.address);
         let stream = limited(&self.clock, CONNECT_LIMIT, connecting).await?;
--- a/crates/waxwing-agent/src/events.rs
+++ b/crates/waxwing-agent/src/events.rs
@@ -132,10 +132,12 @@
     Info(messages::EndpointInfo),
     /// The endpoint does not answer.
     EndpointDown,
-    /// The engine's own lagging report of how many requests it holds.
+    /// The engine's own lagging report of the requests it holds.
     Load {
-        /// Requests that run or wait in the engine.
-        requests: u32,
+        /// Requests that run.
+        running: u32,
+        /// Requests that wait for admission by the engine.
+        waiting: u32,
     },
     /// Cache events arrived.
     CacheChanges(Vec<CacheChange>),
--- a/crates/waxwing-agent/src/jobs.rs
+++ b/crates/waxwing-agent/src/jobs.rs
@@ -137,7 +137,9 @@
         Some(suspension::RunningWork {
             request,
             rank: self.terms.rank,
-            can_suspend: self.can_resume(),
+            // A call that the endpoint has not answered may still be on its way to it; a
+            // cancellation could overtake it, and the request would run twice.
+            can_suspend: self.can_resume() && self.answer.head().is_some(),
             generating: self.progress.first_token.is_some(),
             context: share.context,
             prefill: share.prefill,
--- a/crates/waxwing-agent/src/pollers.rs
+++ b/crates/waxwing-agent/src/pollers.rs
@@ -19,6 +19,13 @@
 /// The time between load reports and cache events.
 const CACHE_INTERVAL: Duration = Duration::from_millis(250);
 
+/// Attempts to have a cancellation confirmed; with the limit of a call they last over a minute,
+/// and an endpoint that is silent for so long has lost its calls.
+const CANCEL_ATTEMPTS: u32 = 30;
+
+/// The pause between two attempts.
+const CANCEL_PAUSE: Duration = Duration::from_millis(200);
+
 /// The time allowed for an export, which holds back the higher tier that needs the room.
 const EXPORT_LIMIT: Duration = Duration::from_millis(250);
 
@@ -157,8 +164,9 @@
 
     async fn poll_load(&self) {
         if let Ok(load) = self.get::<LoadAnswer>("/load").await {
-            let requests = load.running.saturating_add(load.waiting);
-            self.tell(events::AgentInput::Load { requests }).await;
+            let (running, waiting) = (load.running, load.waiting);
+            self.tell(events::AgentInput::Load { running, waiting })
+                .await;
         }
     }
 
@@ -222,11 +230,15 @@
     exported.await.ok()
 }
 
-/// Tells the engine that a call is cancelled. Closing its connection says the same, but a silent
-/// connection may keep that from the engine.
+/// Tells the engine that a call is cancelled, until it has confirmed that. Closing its connection
+/// says the same, but a silent connection may keep that from the engine.
 pub(crate) async fn cancel_call<C: Clock>(client: &endpoint::EndpointClient<C>, name: &str) {
-    let body = json!({"request_id": name});
-    if let Err(error) = client.short(Method::POST, "/cancel", Some(body)).await {
-        tracing::debug!(%error, "endpoint did not confirm a cancellation");
+    for _ in 0..CANCEL_ATTEMPTS {
+        let body = json!({"request_id": name});
+        match client.short(Method::POST, "/cancel", Some(body)).await {
+            Ok(_) | Err(errors::CallError::Status(_)) => return,
+            Err(error) => tracing::debug!(%error, "endpoint did not confirm a cancellation"),
+        }
+        client.pause(CANCEL_PAUSE).await;
     }
 }
--- a/crates/waxwing-agent/src/state.rs
+++ b/crates/waxwing-agent/src/state.rs
@@ -147,7 +147,7 @@
             events::AgentInput::Endpoint { run, event } => self.endpoint_event(run, event),
             events::AgentInput::Info(info) => self.endpoint_info(info),
             events::AgentInput::EndpointDown => self.endpoint_down(),
-            events::AgentInput::Load { requests } => self.reported_requests = requests,
+            events::AgentInput::Load { running, waiting } => self.load(running, waiting),
             events::AgentInput::CacheChanges(changes) => self.cache_changes(&changes),
             events::AgentInput::OrderEnded { order, outcome } => self.order_ended(order, outcome),
             events::AgentInput::Stopped { run, kv } => self.run_stopped(run, kv),
@@ -247,6 +247,14 @@
         self.cache = cache::CacheView::new(cap);
     }
 
+    fn load(&mut self, running: u32, waiting: u32) {
+        self.reported_requests = running.saturating_add(waiting);
+        // What waits inside the engine is out of the agent's order.
+        if waiting > 0 {
+            self.admission.cap_slots(running as usize);
+        }
+    }
+
     fn endpoint_down(&mut self) {
         if self.health == EndpointHealth::Down {
             return;
--- a/crates/waxwing-agent/src/state/offers.rs
+++ b/crates/waxwing-agent/src/state/offers.rs
@@ -272,6 +272,10 @@
         };
         let open = self.jobs.open();
         let running = open.filter_map(|(request, job)| job.running_work(request));
+        // Short prefill is over before its suspension would help.
+        let burst = self.admission.burst(self.pace.rate());
+        let long = matches!(wanted, suspension::RoomWanted::Prefill(_));
+        let running = running.filter(|work| !long || work.prefill > burst);
         let victims = suspension::choose_victims(running, rank, wanted);
         victims.iter().for_each(|victim| self.suspend(*victim));
         !victims.is_empty()
--- a/crates/waxwing-agent/src/state/suspensions.rs
+++ b/crates/waxwing-agent/src/state/suspensions.rs
@@ -12,7 +12,11 @@
 impl state::AgentCore {
     /// Stops the generation of a request and keeps the tokens so far.
     pub(super) fn suspend(&mut self, request: ids::RequestId) {
-        let Some(job) = self.jobs.get(request).filter(|job| job.can_resume()) else {
+        let can_suspend = |job: &&jobs::Job| {
+            job.running_work(request)
+                .is_some_and(|work| work.can_suspend)
+        };
+        let Some(job) = self.jobs.get(request).filter(can_suspend) else {
             return;
         };
         let computed = job.progress.first_token.is_some();
--- a/crates/waxwing-agent/tests/suspension.rs
+++ b/crates/waxwing-agent/tests/suspension.rs
@@ -157,6 +157,19 @@
     }
 }
 
+/// Guards against a cancellation that overtakes its call on the way to the engine, so that the
+/// request runs twice.
+#[test]
+fn unanswered_call_is_not_suspended() {
+    let mut bench = Bench::new();
+    let run = bench.admit(bulk(1));
+    bench.say(Body::Offer(urgent(2)));
+    bench.wait(3_000);
+    assert!(bench.stops().is_empty());
+    bench.head(run);
+    assert_eq!(bench.stops(), vec![run]);
+}
+
 /// Guards against suspension of an equal or higher tier.
 #[test]
 fn only_lower_tiers_are_suspended() {
--- a/crates/waxwing-policy/src/admission.rs
+++ b/crates/waxwing-policy/src/admission.rs
@@ -245,6 +245,13 @@
         self.tokens.add(sample > self.options.token_target);
     }
 
+    /// Lowers the requests that may run to what the engine runs at one time, since it said that
+    /// more than that wait inside of it.
+    pub fn cap_slots(&mut self, running: usize) {
+        self.slots = self.slots.min(running as f64);
+        self.clamp();
+    }
+
     /// Closes the window if it is long enough and adapts the limit. Returns whether it changed.
     pub fn adjust(&mut self, now: Instant) -> bool {
         if now.saturating_duration_since(self.window_start) < self.options.window {
--- a/crates/waxwing-policy/tests/limits.rs
+++ b/crates/waxwing-policy/tests/limits.rs
@@ -75,6 +75,18 @@
     assert_eq!((limit.limit(), limit.slots()), before);
 }
 
+/// Guards against requests that queue inside the engine, where no tier counts.
+#[test]
+fn queue_inside_the_engine_lowers_the_limit() {
+    let mut limit = limit(Instant::now());
+    limit.cap_slots(9);
+    assert_eq!(limit.slots(), 9);
+    limit.cap_slots(40);
+    assert_eq!(limit.slots(), 9);
+    limit.cap_slots(0);
+    assert_eq!(limit.slots(), 4);
+}
+
 /// Guards against one late token in a hundred that counts as a missed target, and against six
 /// that don't.
 #[test_case(5, false; "five in a hundred are allowed")]
