--- a/crates/waxwing-control/src/changes.rs
+++ b/crates/waxwing-control/src/changes.rs
@@ -22,6 +22,15 @@
 /// Answers at most, which bounds memory under a flood of changes; a day has 14,000 at the target.
 pub const MAX_ANSWERS: usize = 40_000;
 
+/// Findings of a refused change that are remembered; a trial shows all.
+pub const REMEMBERED_FINDINGS: usize = 4;
+
+/// Bytes of remembered answers from which on only the last 10,000 are kept.
+pub const MAX_ANSWER_BYTES: usize = 8 * 1024 * 1024;
+
+/// The longest tree in bytes of JSON; it travels in one message.
+pub const MAX_TREE_BYTES: usize = 4 * 1024 * 1024;
+
 /// Accepted changes whose patches are kept for deltas and the history.
 pub const KEPT_CHANGES: usize = 1_000;
 
@@ -56,6 +65,7 @@
     pub(crate) answers: BTreeMap<u128, RememberedAnswer>,
     /// Change ids in the order of their first answers.
     pub(crate) answer_order: VecDeque<u128>,
+    pub(crate) answer_bytes: usize,
 }
 
 impl Default for SettingsState {
@@ -68,6 +78,7 @@
             history_bytes: 0,
             answers: BTreeMap::new(),
             answer_order: VecDeque::new(),
+            answer_bytes: 0,
         }
     }
 }
@@ -171,7 +182,8 @@
                 refused(&[finding])
             };
         }
-        let result = self.decide(moment, change);
+        let mut result = self.decide(moment, change);
+        shorten(&mut result);
         self.remember(id, moment.log_millis, fingerprint, result.clone());
         result
     }
@@ -238,6 +250,13 @@
         patch
             .apply(&mut tree)
             .map_err(|error| Box::new(refused_patch(&error)))?;
+        let length = serde_json::to_vec(&tree).map_or(usize::MAX, |bytes| bytes.len());
+        if length > MAX_TREE_BYTES {
+            let found = format!("a tree of {length} bytes");
+            let allowed = format!("at most {MAX_TREE_BYTES} bytes");
+            let finding = checks::SettingFinding::new("/", &found, &allowed);
+            return Err(Box::new(refused(&[finding])));
+        }
         let typed = checks::check_tree(&tree).map_err(|findings| Box::new(refused(&findings)))?;
         Ok(PreparedChange {
             operator,
@@ -286,6 +305,7 @@
             fingerprint,
             result: commands::CommandResult::of(kind),
         };
+        self.answer_bytes += answer.result.encoded_len();
         self.answers.insert(id.0, answer);
         self.answer_order.push_back(id.0);
         while self.answer_order.len() > REMEMBERED_ANSWERS {
@@ -295,10 +315,14 @@
             let age = self.answers.get(oldest).map_or(u64::MAX, |answer| {
                 log_millis.saturating_sub(answer.log_millis)
             });
-            if age < REMEMBERED_MILLIS && self.answer_order.len() <= MAX_ANSWERS {
+            let room =
+                self.answer_order.len() <= MAX_ANSWERS && self.answer_bytes <= MAX_ANSWER_BYTES;
+            if age < REMEMBERED_MILLIS && room {
                 break;
             }
-            self.answers.remove(oldest);
+            if let Some(answer) = self.answers.remove(oldest) {
+                self.answer_bytes -= answer.result.encoded_len();
+            }
             self.answer_order.pop_front();
         }
     }
@@ -350,7 +374,9 @@
                 fingerprint: answer.fingerprint,
                 result,
             };
+            let length = stored.result.encoded_len();
             if state.answers.insert(id.0, stored).is_none() {
+                state.answer_bytes += length;
                 state.answer_order.push_back(id.0);
             }
         }
@@ -387,6 +413,22 @@
     })
 }
 
+/// Keeps the first findings of a refusal, since each answer is kept for a day.
+fn shorten(kind: &mut commands::ResultKind) {
+    let commands::ResultKind::Refused(refused) = kind else {
+        return;
+    };
+    let more = refused.findings.len().saturating_sub(REMEMBERED_FINDINGS);
+    if more > 0 {
+        refused.findings.truncate(REMEMBERED_FINDINGS);
+        refused.findings.push(commands::RefusedValue {
+            path: "/".to_owned(),
+            found: format!("{more} more values that are not allowed"),
+            allowed: "a change that passes a trial, which lists all of them".to_owned(),
+        });
+    }
+}
+
 fn refused_patch(error: &waxwing_settings::errors::PatchError) -> commands::ResultKind {
     let finding = checks::SettingFinding::new(
         error.path(),
--- a/crates/waxwing-control/src/claims.rs
+++ b/crates/waxwing-control/src/claims.rs
@@ -14,9 +14,16 @@
 /// The longest idempotency key.
 pub const MAX_KEY_BYTES: usize = 255;
 
+/// The longest headers of a stored answer, all together.
+pub const MAX_HEADER_BYTES: usize = 8 * 1024;
+
 /// Bytes of stored answers at most; the oldest lose their body first, and a resend then gets the
-/// outcome without the body. The bound keeps a control host within its 128 MB.
-pub const MAX_STORED_BYTES: usize = 32 * 1024 * 1024;
+/// outcome without the body. This bound and the next keep a snapshot below the 64 MiB that another
+/// host accepts.
+pub const MAX_STORED_BYTES: usize = 16 * 1024 * 1024;
+
+/// Bytes of claims at most, about 70,000 of them; further ones are refused until old ones end.
+pub const MAX_CLAIM_BYTES: usize = 16 * 1024 * 1024;
 
 /// A `ClaimRetention` is how long claims and answers are kept.
 #[derive(Debug, Clone, Copy)]
@@ -44,6 +51,7 @@
     /// a host that starts from a snapshot has to drop the same bodies as all others.
     bodies: BTreeSet<(u64, messages::ClaimName, usize)>,
     body_bytes: usize,
+    claim_bytes: usize,
 }
 
 impl ClaimTable {
@@ -92,8 +100,13 @@
         if wanted.request.len() != 16 || wanted.digest.len() > 64 || wanted.result.is_some() {
             return Err("the record is not that of a new claim");
         }
+        if wanted.agent.len() > longest || wanted.address.len() > longest {
+            return Err("the agent's name or address is too long");
+        }
         let epoch = match found {
-            Some(found) if is_same_run(found, wanted) => return Ok(granted(found.clone())),
+            Some(found) if found.result.is_none() && is_same_run(found, wanted) => {
+                return Ok(granted(found.clone()));
+            }
             Some(found) if found.result.is_some() || found.epoch != question.replaces => {
                 return Ok(exists(found.clone()));
             }
@@ -102,6 +115,9 @@
             // The claim that was to be replaced has expired; a new one stands in its place.
             None => question.replaces + 1,
         };
+        if self.claim_bytes + claim_bytes(name, wanted) > MAX_CLAIM_BYTES {
+            return Err("there is no room for another claim");
+        }
         let record = messages::ClaimRecord {
             epoch,
             ..wanted.clone()
@@ -135,17 +151,14 @@
             return;
         }
         let mut result = completion.result.clone().unwrap_or_default();
-        if result
-            .body
-            .as_ref()
-            .is_some_and(|body| body.len() > MAX_ANSWER_BYTES)
-        {
-            result.body = None;
+        let body = result.body.as_ref().map_or(0, bytes::Bytes::len);
+        if body > MAX_ANSWER_BYTES || header_bytes(&result) > MAX_HEADER_BYTES {
+            drop_answer(&mut result);
         }
-        let length = result.body.as_ref().map(bytes::Bytes::len);
+        let length = answer_bytes(&result);
         claim.answer_expires_at = now.saturating_add(retention.answer_millis);
         claim.record.result = Some(result);
-        if let Some(length) = length {
+        if length > 0 {
             self.bodies
                 .insert((claim.answer_expires_at, name.clone(), length));
             self.body_bytes += length;
@@ -174,10 +187,9 @@
         let Some(claim) = self.claims.remove(&name) else {
             return;
         };
-        let body = claim.record.result.and_then(|result| result.body);
-        if let Some(length) = body.map(|body| body.len())
-            && self.bodies.remove(&(claim.answer_expires_at, name, length))
-        {
+        self.claim_bytes -= claim_bytes(&name, &claim.record);
+        let length = claim.record.result.as_ref().map_or(0, answer_bytes);
+        if self.bodies.remove(&(claim.answer_expires_at, name, length)) {
             self.body_bytes -= length;
         }
     }
@@ -192,13 +204,15 @@
             && claim.answer_expires_at == end
             && let Some(result) = &mut claim.record.result
         {
-            result.body = None;
+            drop_answer(result);
         }
     }
 
     fn insert(&mut self, name: messages::ClaimName, claim: StoredClaim) {
         let expires_at = claim.expires_at;
+        self.claim_bytes += claim_bytes(&name, &claim.record);
         if let Some(old) = self.claims.insert(name.clone(), claim) {
+            self.claim_bytes -= claim_bytes(&name, &old.record);
             self.expiry.remove(&(old.expires_at, name.clone()));
         }
         self.expiry.insert((expires_at, name));
@@ -222,15 +236,10 @@
             let (Some(name), Some(record)) = (stored.name, stored.record) else {
                 return Err(snapshots::SnapshotError::Malformed("claim"));
             };
-            let body = record
-                .result
-                .as_ref()
-                .and_then(|result| result.body.as_ref());
-            if let Some(length) = body.map(bytes::Bytes::len) {
-                let body = (stored.answer_expires_at, name.clone(), length);
-                if table.bodies.insert(body) {
-                    table.body_bytes += length;
-                }
+            let length = record.result.as_ref().map_or(0, answer_bytes);
+            let body = (stored.answer_expires_at, name.clone(), length);
+            if length > 0 && table.bodies.insert(body) {
+                table.body_bytes += length;
             }
             let claim = StoredClaim {
                 record,
@@ -243,6 +252,36 @@
     }
 }
 
+/// Counts a claim without its answer; the constant stands for the fields of fixed size.
+fn claim_bytes(name: &messages::ClaimName, record: &messages::ClaimRecord) -> usize {
+    let texts = [
+        &name.account,
+        &name.service,
+        &name.key,
+        &record.agent,
+        &record.address,
+    ];
+    let texts: usize = texts.iter().map(|text| text.len()).sum();
+    texts + record.request.len() + record.digest.len() + 64
+}
+
+fn header_bytes(result: &messages::ClaimOutcome) -> usize {
+    let headers = result.headers.iter();
+    headers
+        .map(|header| header.name.len() + header.value.len())
+        .sum()
+}
+
+fn answer_bytes(result: &messages::ClaimOutcome) -> usize {
+    header_bytes(result) + result.body.as_ref().map_or(0, bytes::Bytes::len)
+}
+
+/// Keeps the outcome of an answer and drops its content.
+fn drop_answer(result: &mut messages::ClaimOutcome) {
+    result.body = None;
+    result.headers.clear();
+}
+
 fn is_same_run(found: &messages::ClaimRecord, wanted: &messages::ClaimRecord) -> bool {
     found.request == wanted.request
         && found.agent == wanted.agent
--- a/crates/waxwing-control/src/processes.rs
+++ b/crates/waxwing-control/src/processes.rs
@@ -366,8 +366,8 @@
             });
             Ok(messages::Body::ClaimResult(result))
         }
-        // A malformed claim is not granted and names no other one.
-        _ => Ok(messages::Body::ClaimResult(messages::ClaimResult::default())),
+        // The claim is malformed or there is no room for it; nothing may be handed over.
+        _ => Ok(unavailable()),
     }
 }
 
--- a/crates/waxwing-control/tests/machine.rs
+++ b/crates/waxwing-control/tests/machine.rs
@@ -348,6 +348,66 @@
     assert_eq!(log.machine.to_snapshot(), restarted.machine.to_snapshot());
 }
 
+/// Guards against claims that make a snapshot longer than another host accepts.
+#[test]
+fn claims_are_bounded() {
+    let mut log = TestLog::start();
+    let key = |number: usize| format!("{number:0255}");
+    let mut count = 0;
+    while let commands::ResultKind::Claim(result) =
+        log.apply(commands::LogAction::Claim(support::claim(&key(count), 1)))
+    {
+        assert!(result.granted);
+        count += 1;
+    }
+    assert!(log.machine.to_snapshot().len() < 2 * claims::MAX_CLAIM_BYTES);
+    log.restart();
+    let refused = log.apply(commands::LogAction::Claim(support::claim(&key(count), 1)));
+    assert!(matches!(refused, commands::ResultKind::Malformed(_)));
+    log.log_millis = 86_400_000;
+    assert!(log.claim(&support::claim(&key(count), 1)).granted);
+    assert_eq!(log.machine.claims().len(), 1);
+}
+
+/// Guards against refusals that fill the memory for answers, and against a tree that no message
+/// can carry.
+#[test]
+fn refusals_and_trees_are_bounded() {
+    let mut log = TestLog::start();
+    let many: serde_json::Map<_, _> = (0..100)
+        .map(|number| (format!("t{number}"), serde_json::json!({})))
+        .collect();
+    let bad = change(1, log.version(), "/tiers", many.into(), support::ROOT_TOKEN);
+    let commands::ResultKind::Refused(refused) = log.change(&bad) else {
+        panic!("a tier needs a rank");
+    };
+    assert_eq!(refused.findings.len(), changes::REMEMBERED_FINDINGS + 1);
+    for id in 2..10 {
+        let accounts: serde_json::Map<_, _> = (0..9_000)
+            .map(|number| {
+                let name = format!("{id}-{number:050}");
+                (
+                    name,
+                    serde_json::json!({"token_digests": [], "weight_millis": 1_000}),
+                )
+            })
+            .collect();
+        let path = format!("/teams/team{id}/accounts");
+        let large = change(
+            id,
+            log.version(),
+            &path,
+            accounts.into(),
+            support::ROOT_TOKEN,
+        );
+        if let commands::ResultKind::Refused(refused) = log.change(&large) {
+            assert!(refused.findings[0].found.contains("bytes"), "{refused:?}");
+            return;
+        }
+    }
+    panic!("eight teams of 900 kB each were accepted");
+}
+
 /// Guards against a decider that was replaced and goes on placing models.
 #[test]
 fn an_old_decider_places_nothing() {
