Pass announcements on within the region and reload keys on SIGHUP

With 20 control hosts, passing every announcement to all of them would cost each host several hundred kilobytes a second at the target; only the hosts of the region need them. Keys are read again on SIGHUP without a restart.

--- a/crates/waxwing-control/src/commands.rs
+++ b/crates/waxwing-control/src/commands.rs
@@ -179,6 +179,9 @@
     /// The store id of its data folder, 16 bytes.
     #[prost(bytes = "vec", tag = "5")]
     pub store: Vec<u8>,
+    /// The region; empty where it is not known.
+    #[prost(string, tag = "6")]
+    pub region: String,
 }
 
 /// A `ForgetMember` removes a description.
--- a/crates/waxwing-control/src/hosts.rs
+++ b/crates/waxwing-control/src/hosts.rs
@@ -143,18 +143,25 @@
     /// addresses are newer.
     fn keep_links(&self) {
         let peers = self.host.options.peers.iter();
-        let mut wanted: HashMap<String, SocketAddr> = peers
-            .map(|peer| (peer.name.to_string(), peer.link))
+        let mut wanted: HashMap<String, peers::PeerPlace> = peers
+            .map(|peer| {
+                let region = String::new();
+                let address = peer.link;
+                (peer.name.to_string(), peers::PeerPlace { address, region })
+            })
             .collect();
         let described = self.host.log.shared.read().members().clone();
         for info in described.values() {
             if let Ok(address) = info.link.parse() {
-                wanted.insert(info.name.clone(), address);
+                let region = info.region.clone();
+                let place = peers::PeerPlace { address, region };
+                wanted.insert(info.name.clone(), place);
             }
         }
         wanted.remove(&self.own.name);
         self.network.keep(&wanted, &self.dialer);
-        let mut control: Vec<_> = wanted.values().map(ToString::to_string).collect();
+        let places = wanted.values();
+        let mut control: Vec<_> = places.map(|place| place.address.to_string()).collect();
         control.push(self.own.link.clone());
         control.sort_unstable();
         self.host.control.send_if_modified(|known| {
@@ -222,5 +229,6 @@
         http: http.to_string(),
         data_centre: options.data_centre.to_string(),
         store: store.to_bytes().to_vec(),
+        region: options.region.to_string(),
     }
 }
--- a/crates/waxwing-control/src/main.rs
+++ b/crates/waxwing-control/src/main.rs
@@ -9,6 +9,7 @@
 use waxwing_control::{errors, options, roles};
 use waxwing_core::clock;
 use waxwing_settings::files;
+use waxwing_wire::security;
 
 /// The exit code for settings that were refused.
 const BAD_SETTINGS: u8 = 2;
@@ -58,6 +59,7 @@
         .build()
         .context("the runtime could not be started")?;
     runtime.block_on(async {
+        let tls = options.tls.clone();
         let bound = roles::bind(options, clock::SystemClock).await?;
         tracing::info!(
             link = %bound.link_address(),
@@ -66,11 +68,27 @@
         );
         let shutdown = CancellationToken::new();
         tokio::spawn(cancel_on_signal(shutdown.clone()));
+        if let Some(files) = tls {
+            tokio::spawn(reload_on_signal(bound.security(), files));
+        }
         bound.run(shutdown).await?;
         Ok(())
     })
 }
 
+/// Reads the keys again at each SIGHUP; on failure the keys in use stay.
+async fn reload_on_signal(security: security::LinkSecurity, files: security::TlsFiles) {
+    let Ok(mut hangup) = signal::unix::signal(signal::unix::SignalKind::hangup()) else {
+        return;
+    };
+    while hangup.recv().await.is_some() {
+        match security.reload(&files) {
+            Ok(()) => tracing::info!("keys replaced"),
+            Err(error) => tracing::error!(%error, "keys could not be replaced"),
+        }
+    }
+}
+
 async fn cancel_on_signal(shutdown: CancellationToken) {
     let terminate = signal::unix::signal(signal::unix::SignalKind::terminate());
     match terminate {
--- a/crates/waxwing-control/src/peers.rs
+++ b/crates/waxwing-control/src/peers.rs
@@ -30,11 +30,20 @@
     Ask(messages::Body, oneshot::Sender<messages::Body>),
 }
 
+/// A `PeerPlace` is where another control host is.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct PeerPlace {
+    /// The address for links.
+    pub(crate) address: SocketAddr,
+    /// The region; empty until the host has described itself.
+    pub(crate) region: String,
+}
+
 /// A `PeerHandle` is the queue to one other host.
 #[derive(Debug)]
 struct PeerHandle {
     member: ids::MemberId,
-    address: SocketAddr,
+    place: PeerPlace,
     queue: mpsc::Sender<PeerOutgoing>,
     stop: CancellationToken,
 }
@@ -79,6 +88,15 @@
         }
     }
 
+    /// Sends a message to the other hosts of a region; it may be lost.
+    pub(crate) fn tell_region(&self, region: &str, body: &messages::Body) {
+        for peer in self.lock().values() {
+            if peer.place.region.is_empty() || peer.place.region == region {
+                let _ = peer.queue.try_send(PeerOutgoing::Tell(body.clone()));
+            }
+        }
+    }
+
     /// Asks a host; `None` if it can't be reached or the link ends before the answer.
     pub(crate) async fn ask(&self, name: &str, body: messages::Body) -> Option<messages::Body> {
         let (answer, receiver) = oneshot::channel();
@@ -95,31 +113,33 @@
     /// Starts and stops links until exactly `wanted` are kept.
     pub(crate) fn keep<C: Clock>(
         &self,
-        wanted: &HashMap<String, SocketAddr>,
+        wanted: &HashMap<String, PeerPlace>,
         dialer: &PeerDialer<C>,
     ) {
         let mut peers = self.lock();
         peers.retain(|name, peer| {
-            let stays = wanted.get(name) == Some(&peer.address);
-            if !stays {
-                peer.stop.cancel();
+            let place = wanted.get(name);
+            let stays = place.is_some_and(|place| place.address == peer.place.address);
+            match place {
+                Some(place) if stays => peer.place.clone_from(place),
+                _ => peer.stop.cancel(),
             }
             stays
         });
-        for (name, address) in wanted {
+        for (name, place) in wanted {
             if !peers.contains_key(name) {
                 let (queue, receiver) = mpsc::channel(QUEUE_LENGTH);
                 let stop = dialer.shutdown.child_token();
                 let task = PeerTask {
                     name: name.clone(),
-                    address: *address,
+                    address: place.address,
                     queue: receiver,
                     dialer: dialer.clone(),
                 };
                 dialer.tasks.spawn(task.run(stop.clone()));
                 let handle = PeerHandle {
                     member: log::member_id(name),
-                    address: *address,
+                    place: place.clone(),
                     queue,
                     stop,
                 };
--- a/crates/waxwing-control/src/processes.rs
+++ b/crates/waxwing-control/src/processes.rs
@@ -141,10 +141,11 @@
         Ok(())
     }
 
-    /// Tells the other control hosts; the process has a link to this one only.
+    /// Tells the other control hosts of the region; the process has a link to this one only.
     fn pass_on(&self, announce: &messages::Announce) {
         let body = messages::Body::Announce(announce.clone());
-        self.host.network.tell_all(&body);
+        let region = self.host.options.region.as_str();
+        self.host.network.tell_region(region, &body);
     }
 
     fn take_goodbye(&self) {
--- a/crates/waxwing-control/src/roles.rs
+++ b/crates/waxwing-control/src/roles.rs
@@ -107,6 +107,12 @@
         self.counters.clone()
     }
 
+    /// Returns the protection of the links, whose keys can be read again while the host runs.
+    #[must_use]
+    pub fn security(&self) -> security::LinkSecurity {
+        self.security.clone()
+    }
+
     /// Replaces the list of the other control hosts, for hosts whose ports the system chose.
     pub fn set_peers(&mut self, peers: Vec<options::PeerOptions>) {
         self.options.peers = peers;
--- a/crates/waxwing-control/tests/three_hosts.rs
+++ b/crates/waxwing-control/tests/three_hosts.rs
@@ -2,11 +2,12 @@
 
 mod support;
 
-use std::{collections::BTreeSet, net::SocketAddr, path, time::Duration};
+use std::{collections::BTreeSet, net::SocketAddr, path, sync::Arc, time::Duration};
 
 use test_case::test_case;
 use tokio::task::JoinHandle;
 use tokio_util::sync::CancellationToken;
+use waxwing_client::directory::DirectoryView;
 use waxwing_control::{errors, options, roles};
 use waxwing_core::{clock, ids};
 use waxwing_settings::operations;
@@ -375,3 +376,36 @@
         "nothing is accepted without a quorum"
     );
 }
+
+/// Guards against entries that know only the endpoints whose link their own control host has, or
+/// lose them all when they come to another host.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn announcements_reach_the_watchers_of_every_host() {
+    let mut group = TestGroup::start().await;
+    let (shutdown, agent_shutdown) = (CancellationToken::new(), CancellationToken::new());
+    let links: Vec<_> = (0..3)
+        .map(|number| group.hosts[number].as_ref().unwrap().link)
+        .collect();
+    let entry = support::start_client(ProcessKind::Entry, "entry-1", &links[..2], &shutdown);
+    let agent = support::start_client(ProcessKind::Agent, "agent-1", &links[2..], &agent_shutdown);
+    agent.wait_confirmed().await.unwrap();
+    let mut directory = entry.watch_directory();
+    let knows = |view: &Arc<DirectoryView>| view.members.contains_key("agent-1");
+    directory.wait_for(|view| knows(view)).await.unwrap();
+    // The entry's host stops; the member must not leave the view on the way to the next one.
+    let mut connected = entry.watch_connected();
+    connected.wait_for(|connected| *connected).await.unwrap();
+    group.stop(0).await;
+    connected.wait_for(|connected| !connected).await.unwrap();
+    connected.wait_for(|connected| *connected).await.unwrap();
+    assert!(knows(&directory.borrow_and_update()));
+    let base = history(group.http(1)).await.version.0;
+    let hosts = [group.http(1), group.http(2)];
+    submit(&hosts, &change(base, "/policy/offers", 3.into())).await;
+    let mut versions = entry.watch_version();
+    versions.wait_for(|version| version.0 > base).await.unwrap();
+    assert!(knows(&directory.borrow_and_update()));
+    agent_shutdown.cancel();
+    directory.wait_for(|view| !knows(view)).await.unwrap();
+    shutdown.cancel();
+}
