Estimate the pace with the batch, and keep lower tiers from endangering higher ones

The time to the end of a request took the last token times without prefill, so work started that missed its deadline. The agent now averages all token times over some seconds, follows the batch in a straight line, and learns which share of the offered output is used. Generations that could be suspended don't count for the pace of a higher tier; one that would make a running request of a higher tier late is not started, or is suspended. Long prefill is stopped only from two bursts on. Work of the baselines takes no part in this.

--- a/crates/waxwing-agent/src/jobs.rs
+++ b/crates/waxwing-agent/src/jobs.rs
@@ -18,6 +18,8 @@
     pub(crate) link: events::LinkId,
     pub(crate) idempotent: bool,
     pub(crate) prefixes: Vec<u64>,
+    /// Granted at once for a baseline policy; such work takes no part in suspension.
+    pub(crate) immediate: bool,
 }
 
 /// A `LiveGrant` is a promise of room that ends by itself.
@@ -29,8 +31,6 @@
     pub(crate) note: OfferNote,
     pub(crate) cached: units::TokenCount,
     pub(crate) share: admission::Reservation,
-    /// Whether the account was charged in the queue; an immediate grant never was.
-    pub(crate) charged: bool,
 }
 
 /// A `JobStage` tells how far a request has come.
@@ -127,7 +127,9 @@
 
     pub(crate) fn can_resume(&self) -> bool {
         let format = self.call.as_ref().map(|call| &call.format);
-        self.note.idempotent && format.is_some_and(formats::CallFormat::can_resume)
+        self.note.idempotent
+            && !self.note.immediate
+            && format.is_some_and(formats::CallFormat::can_resume)
     }
 
     /// Returns what the choice of a suspension needs to know.
@@ -147,11 +149,10 @@
         })
     }
 
-    /// Returns the output tokens that are still expected; a request that ran past its estimate
-    /// is expected to end soon.
-    pub(crate) fn remaining_output(&self) -> units::TokenCount {
-        let expected = self.terms.output_tokens.0;
-        units::TokenCount(expected.saturating_sub(self.tokens).max(1))
+    /// Returns the output tokens that are still to come where all of the request's are expected
+    /// to be `expected`; a request that ran past that is expected to end soon.
+    pub(crate) fn remaining_output(&self, expected: units::TokenCount) -> units::TokenCount {
+        units::TokenCount(expected.0.saturating_sub(self.tokens).max(1))
     }
 }
 
--- a/crates/waxwing-agent/src/state.rs
+++ b/crates/waxwing-agent/src/state.rs
@@ -25,6 +25,9 @@
 
 use crate::{events, jobs, options, pace};
 
+/// Requests that wait inside the engine from which on they count as a queue.
+const QUEUED_INSIDE: u32 = 4;
+
 /// An `EndpointHealth` tells whether the endpoint takes calls.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum EndpointHealth {
@@ -249,8 +252,9 @@
 
     fn load(&mut self, running: u32, waiting: u32) {
         self.reported_requests = running.saturating_add(waiting);
-        // What waits inside the engine is out of the agent's order.
-        if waiting > 0 {
+        // What waits inside the engine is out of the agent's order. A few that wait for the end of
+        // the step in progress are no queue.
+        if waiting >= QUEUED_INSIDE && waiting * 4 >= running {
             self.admission.cap_slots(running as usize);
         }
     }
@@ -329,6 +333,12 @@
         &self.info
     }
 
+    /// Returns the admission limit: context tokens, and requests.
+    #[must_use]
+    pub fn limit(&self) -> (units::TokenCount, usize) {
+        (self.admission.limit(), self.admission.slots())
+    }
+
     /// Returns the requests whose calls run at the endpoint now.
     #[must_use]
     pub fn running(&self) -> usize {
--- a/crates/waxwing-agent/src/state/offers.rs
+++ b/crates/waxwing-agent/src/state/offers.rs
@@ -12,6 +12,10 @@
 /// The longest time that counts for a deadline or for waiting; it bounds sums with the clock.
 const LONGEST: Duration = Duration::from_secs(86_400);
 
+/// Bursts of prefill, each as long as the first-token target allows, from which on the prefill of
+/// a lower tier is stopped for a higher one.
+const LONG_PREFILL: u64 = 2;
+
 /// The most prefix hashes of an offer that are looked at.
 const MAX_PREFIXES: usize = 32;
 
@@ -58,9 +62,10 @@
             link,
             idempotent: offer.idempotent,
             prefixes,
+            immediate: offer.immediate,
         };
         match offer.immediate {
-            true => self.grant(request, terms, note, false),
+            true => self.grant(request, terms, note),
             false => self.enqueue(request, terms, note),
         }
         self.reports.mark();
@@ -109,7 +114,8 @@
     }
 
     /// Refuses what can't end by its deadline. The queue ahead counts only where no lower tier
-    /// waits or could be suspended, since a higher tier is never shed before a lower one.
+    /// waits or could be suspended, and generations that could be suspended don't count for the
+    /// pace, since a higher tier is never shed before a lower one.
     pub(super) fn deadline_refusal(
         &self,
         terms: &queue::OfferTerms,
@@ -118,32 +124,29 @@
         if terms.deadline <= self.now {
             return Some(reasons::RefusalReason::DeadlinePassed);
         }
-        let above = self.queue.tokens_above(terms.rank);
-        let ahead = match above > units::TokenCount::ZERO && self.has_lower_work(terms.rank) {
+        if !self.is_engine() {
+            return None;
+        }
+        let lower = self.lower_generations(terms.rank);
+        let waits = self.queue.loads().any(|(other, _)| other > terms.rank);
+        let ahead = match lower > 0 || waits {
             true => units::TokenCount::ZERO,
-            false => above,
+            false => self.queue.tokens_above(terms.rank),
         };
         let prefill = ahead + terms.prompt_tokens.saturating_sub(cached);
-        let end = self.now + self.service_time(prefill, terms.output_tokens);
+        let beside = self.runs.len() + self.grants.len() - lower;
+        let output = self.pace.expected_output(terms.output_tokens);
+        let end = self.now
+            + self.pace.prefill_time(prefill)
+            + self.pace.generation_time_of(output, beside + 1);
         (end > terms.deadline).then_some(reasons::RefusalReason::DeadlineUnreachable)
     }
 
-    pub(super) fn service_time(
-        &self,
-        prefill: units::TokenCount,
-        output: units::TokenCount,
-    ) -> Duration {
-        if !self.is_engine() {
-            return Duration::ZERO;
-        }
-        self.pace.prefill_time(prefill) + self.pace.generation_time(output)
-    }
-
-    /// Tells whether an offer of a lower tier waits or a generation of one could be suspended.
-    fn has_lower_work(&self, rank: ids::TierRank) -> bool {
-        let waits = self.queue.loads().any(|(other, _)| other > rank);
+    /// Returns how many generations of lower tiers run that could be suspended.
+    pub(super) fn lower_generations(&self, rank: ids::TierRank) -> usize {
+        let running = self.jobs.open().filter(|(_, job)| job.run().is_some());
         let lower = |job: &jobs::Job| job.terms.rank > rank && job.can_resume();
-        waits || self.jobs.open().any(|(_, job)| lower(job))
+        running.filter(|(_, job)| lower(job)).count()
     }
 
     fn enqueue(
@@ -198,6 +201,9 @@
             return false;
         };
         let share = self.resume_share(job);
+        if self.would_endanger(rank, share.prefill) {
+            return false;
+        }
         let waited = self.now.saturating_duration_since(job.terms.waiting_since);
         match self.admission.verdict(share, self.pace.rate()) {
             admission::FitVerdict::Fits => {
@@ -220,11 +226,14 @@
             return true;
         }
         let share = self.share(&head.terms, cached);
+        if self.would_endanger(rank, share.prefill) {
+            return false;
+        }
         let waited = self.now.saturating_duration_since(head.terms.waiting_since);
         match self.admission.verdict(share, self.pace.rate()) {
             admission::FitVerdict::Fits => {
                 if let Some(offer) = self.queue.take_head() {
-                    self.grant(offer.request, offer.terms, offer.payload, true);
+                    self.grant(offer.request, offer.terms, offer.payload);
                 }
                 true
             }
@@ -270,12 +279,21 @@
                 suspension::RoomWanted::Prefill(excess.min(self.admission.pending()))
             }
         };
+        self.suspend_for(rank, wanted)
+    }
+
+    /// Suspends generations below `rank` until there is enough room; returns whether it did.
+    pub(super) fn suspend_for(
+        &mut self,
+        rank: ids::TierRank,
+        wanted: suspension::RoomWanted,
+    ) -> bool {
         let open = self.jobs.open();
         let running = open.filter_map(|(request, job)| job.running_work(request));
-        // Short prefill is over before its suspension would help.
+        // Prefill that is soon over is worth waiting for, and stopping it would throw it away.
         let burst = self.admission.burst(self.pace.rate());
-        let long = matches!(wanted, suspension::RoomWanted::Prefill(_));
-        let running = running.filter(|work| !long || work.prefill > burst);
+        let long = units::TokenCount(burst.0.saturating_mul(LONG_PREFILL));
+        let running = running.filter(|work| work.generating || work.prefill > long);
         let victims = suspension::choose_victims(running, rank, wanted);
         victims.iter().for_each(|victim| self.suspend(*victim));
         !victims.is_empty()
@@ -284,17 +302,14 @@
     /// Returns the time until the first running request is expected to end by itself.
     fn next_release(&self) -> Duration {
         let running = self.jobs.open().filter(|(_, job)| job.run().is_some());
-        let remaining = running.map(|(_, job)| self.pace.generation_time(job.remaining_output()));
+        let remaining = running.map(|(_, job)| {
+            let expected = self.pace.expected_output(job.terms.output_tokens);
+            self.pace.generation_time(job.remaining_output(expected))
+        });
         remaining.min().unwrap_or_default()
     }
 
-    fn grant(
-        &mut self,
-        request: ids::RequestId,
-        terms: queue::OfferTerms,
-        note: jobs::OfferNote,
-        charged: bool,
-    ) {
+    fn grant(&mut self, request: ids::RequestId, terms: queue::OfferTerms, note: jobs::OfferNote) {
         let cached = self.cache.expected_tokens(&note.prefixes);
         let share = self.share(&terms, cached);
         self.admission.admit(share);
@@ -315,7 +330,6 @@
             note,
             cached,
             share,
-            charged,
         };
         self.grants.insert(request, live);
         self.reports.mark();
@@ -327,7 +341,7 @@
             return false;
         };
         self.admission.release(live.share);
-        if live.charged {
+        if !live.note.immediate {
             self.queue.refund(&live.terms);
         }
         self.reports.mark();
--- a/crates/waxwing-agent/src/state/runs.rs
+++ b/crates/waxwing-agent/src/state/runs.rs
@@ -204,16 +204,17 @@
         match progress.last_token.replace(now) {
             Some(last) => {
                 let interval = now.saturating_duration_since(last) / tokens.max(1) as u32;
-                if self.admission.pending() == units::TokenCount::ZERO {
+                let prefilling = self.admission.pending() > units::TokenCount::ZERO;
+                if !prefilling {
                     self.admission.token(interval);
-                    self.pace.token(interval, running);
                 }
+                self.pace.token(interval, running, prefilling);
             }
             None => {
                 progress.first_token = Some(now);
                 let elapsed = now.saturating_duration_since(progress.started);
                 let (ahead, own) = (progress.ahead, progress.own);
-                self.pace.prefill(ahead, elapsed);
+                self.pace.prefill(ahead, elapsed, running);
                 self.admission
                     .first_token(elapsed, self.pace.nominal_prefill(own));
                 if let Some(share) = job.share.as_mut() {
@@ -237,6 +238,7 @@
         self.close_run(request);
         if let Some(job) = self.jobs.get_mut(request) {
             let repeated = job.tally.computed.saturating_sub(job.tally.needed);
+            self.pace.output(job.tokens, job.terms.output_tokens);
             let event = counters::CounterEvent::WastedPrefillSuspended;
             self.counters.add(event, repeated);
             job.answer.finish_whole();
--- a/crates/waxwing-agent/src/state/sweeps.rs
+++ b/crates/waxwing-agent/src/state/sweeps.rs
@@ -3,7 +3,8 @@
 
 use std::time::Duration;
 
-use waxwing_core::{ids, reasons};
+use waxwing_core::{ids, reasons, units};
+use waxwing_policy::suspension;
 
 use crate::{jobs, state};
 
@@ -32,6 +33,7 @@
         self.last_sweep = self.now;
         self.refuse_unreachable();
         self.end_overdue();
+        self.protect_deadlines();
         self.end_detached();
         self.detect_stall();
         self.forget_ended();
@@ -54,6 +56,46 @@
         }
     }
 
+    /// Suspends one generation of a lower tier if a running one would miss its deadline with it
+    /// and meets it without the lower tiers. One at a time, since each changes the pace.
+    fn protect_deadlines(&mut self) {
+        let running = self.runs.len();
+        let mut open = self.jobs.open().map(|(_, job)| job);
+        let saved = open.find(|job| self.lower_would_save(job, running, Duration::ZERO));
+        let rank = saved.map(|job| job.terms.rank);
+        drop(open);
+        if let Some(rank) = rank {
+            self.suspend_for(rank, suspension::RoomWanted::Slot);
+        }
+    }
+
+    /// Tells whether a job misses its deadline if `running` requests share the engine after a
+    /// `delay`, and meets it if the generations of lower tiers are suspended instead.
+    fn lower_would_save(&self, job: &jobs::Job, running: usize, delay: Duration) -> bool {
+        if job.run().is_none() || job.progress.first_token.is_none() || job.note.immediate {
+            return false;
+        }
+        let left = job.deadline.saturating_duration_since(self.now);
+        let expected = self.pace.expected_output(job.terms.output_tokens);
+        let output = job.remaining_output(expected);
+        if delay + self.pace.generation_time_of(output, running) <= left {
+            return false;
+        }
+        let lower = self.lower_generations(job.terms.rank);
+        let beside = self.runs.len() - lower;
+        self.pace.generation_time_of(output, beside) <= left
+    }
+
+    /// Tells whether one more request of `rank` with so much prefill would make a running one of
+    /// a higher tier miss its deadline; it would only be suspended again.
+    pub(super) fn would_endanger(&self, rank: ids::TierRank, prefill: units::TokenCount) -> bool {
+        let delay = self.pace.prefill_time(prefill);
+        let running = self.runs.len() + self.grants.len() + 1;
+        let higher = self.jobs.open().map(|(_, job)| job);
+        let mut higher = higher.filter(|job| job.terms.rank < rank);
+        higher.any(|job| self.lower_would_save(job, running, delay))
+    }
+
     /// Cancels idempotent work whose entry has been gone for too long. Other work goes on, and
     /// its answer is kept for a resend.
     fn end_detached(&mut self) {
