--- a/crates/waxwing-control/src/roles.rs
+++ b/crates/waxwing-control/src/roles.rs
@@ -2,14 +2,23 @@
 
 use std::{net::SocketAddr, sync::Arc};
 
-use tokio::{net, sync::watch};
+use tokio::{
+    net,
+    sync::{broadcast, watch},
+};
 use tokio_util::{sync::CancellationToken, task::TaskTracker};
 use waxwing_core::{clock::Clock, counters, ids};
 use waxwing_settings::{checks, files};
 use waxwing_store::{disk, memory};
 use waxwing_wire::{links, messages, security};
 
-use crate::{commands, driver, errors, host, hosts, operators, options, peers, processes, storage};
+use crate::{
+    commands, decider, driver, errors, founding, host, hosts, operators, options, peers, processes,
+    storage,
+};
+
+/// Engine orders and results that may wait for a slow link; lost ones are given again.
+const ORDER_QUEUE: usize = 256;
 
 /// A `BoundControl` is a control host whose sockets are open.
 pub struct BoundControl<C> {
@@ -22,6 +31,7 @@
     http_address: SocketAddr,
     incarnation: ids::Incarnation,
     first_tree: Option<serde_json::Value>,
+    snapshot_bytes: u64,
     counters: counters::CounterSet,
 }
 
@@ -57,6 +67,7 @@
         security,
         incarnation,
         first_tree,
+        snapshot_bytes: driver::SNAPSHOT_BYTES,
         counters: counters::CounterSet::new(),
     })
 }
@@ -101,6 +112,11 @@
         self.options.peers = peers;
     }
 
+    /// Replaces the length of the log in bytes after which a snapshot is taken, 8 MiB by default.
+    pub fn set_snapshot_bytes(&mut self, bytes: u64) {
+        self.snapshot_bytes = bytes;
+    }
+
     /// Sets the first settings tree, in place of the file in the options.
     ///
     /// # Errors
@@ -120,7 +136,16 @@
     /// Fails if the stored state can't be read or can't be written any more.
     pub async fn run(self, shutdown: CancellationToken) -> Result<(), errors::ControlError> {
         let network = Arc::new(peers::PeerNetwork::default());
-        let storage = open_storage(&self.options)?;
+        let probe = founding::FoundingProbe {
+            peers: self.options.peers.clone(),
+            hello: host::hello(&self.options, self.incarnation),
+            security: self.security.clone(),
+            clock: self.clock.clone(),
+        };
+        let storage = tokio::select! {
+            () = shutdown.cancelled() => return Ok(()),
+            storage = open_storage(&self.options, probe.may_found()) => storage?,
+        };
         let store = storage.identity.store;
         let (driver, handle) = driver::LogDriver::open(
             &self.options,
@@ -128,6 +153,7 @@
             network.clone(),
             self.counters.clone(),
             self.clock.clone(),
+            self.snapshot_bytes,
         )?;
         let own = hosts::describe(&self.options, self.link_address, self.http_address, store);
         let state = Arc::new(host::HostState {
@@ -140,6 +166,8 @@
             directory: std::sync::Mutex::default(),
             directory_changes: watch::Sender::new(0),
             confirmations: watch::Sender::new(0),
+            orders: broadcast::Sender::new(ORDER_QUEUE),
+            order_results: broadcast::Sender::new(ORDER_QUEUE),
             control: watch::Sender::new(vec![own.link.clone()]),
             options: self.options,
         });
@@ -165,6 +193,10 @@
         tasks.spawn(operators::serve(state.clone(), self.http, shutdown.clone()));
         tasks.spawn(sweep_directory(state.clone(), shutdown.clone()));
         tasks.spawn(confirm_settings(state.clone(), shutdown.clone()));
+        let decider = decider::FleetDecider {
+            host: state.clone(),
+        };
+        tasks.spawn(decider.run(shutdown.clone()));
         if let Some(tree) = self.first_tree {
             tasks.spawn(bootstrap(state.clone(), tree, shutdown.clone()));
         }
@@ -190,17 +222,18 @@
     }
 }
 
-fn open_storage(
+async fn open_storage(
     options: &options::ControlOptions,
+    may_found: impl Future<Output = bool>,
 ) -> Result<storage::OpenedStorage, errors::ControlError> {
     let Some(folder) = &options.data else {
-        return Ok(storage::open(memory::MemoryDisk::new(), options)?);
+        return Ok(storage::open(memory::MemoryDisk::new(), options, may_found).await?);
     };
     let disk = disk::FolderDisk::open(folder).map_err(|error| errors::ControlError::Folder {
         folder: folder.display().to_string(),
         error,
     })?;
-    Ok(storage::open(disk, options)?)
+    Ok(storage::open(disk, options, may_found).await?)
 }
 
 async fn accept_links<C: Clock>(
