Protect links by keys and ask again for stalled answers

Cause: an agent sends an answer to the reader that asked last, so a resend at another entry could leave the first caller's stream hanging; the entry had no setting for the keys of links; a refused hand-over lost its reason.

Change: an answer without a byte for 10 s is asked for again, unless the caller is slow itself. link_tls names the keys, read again on the signal HUP. The last reason of an agent reaches the caller when no retry is left.

--- a/crates/waxwing-entry/src/errors.rs
+++ b/crates/waxwing-entry/src/errors.rs
@@ -3,6 +3,7 @@
 use std::{io, sync::Arc};
 
 use waxwing_settings::errors;
+use waxwing_wire::errors as wire_errors;
 
 /// An `EntryError` tells why an entry can't start or go on.
 #[derive(Debug, thiserror::Error)]
@@ -18,6 +19,9 @@
         /// What the operating system said.
         error: io::Error,
     },
+    /// The keys for links can't be used.
+    #[error("keys for links: {0}")]
+    Security(#[from] wire_errors::SecurityError),
     /// The certificate for callers can't be used.
     #[error("{file}: {detail}")]
     Certificate {
--- a/crates/waxwing-entry/src/main.rs
+++ b/crates/waxwing-entry/src/main.rs
@@ -6,8 +6,9 @@
 use tokio::signal::unix;
 use tokio_util::sync::CancellationToken;
 use waxwing_core::clock;
-use waxwing_entry::{options, server};
+use waxwing_entry::{errors, options, server};
 use waxwing_settings::files;
+use waxwing_wire::security;
 
 /// The exit code for settings that are not valid.
 const SETTINGS_EXIT: u8 = 2;
@@ -27,8 +28,27 @@
     Ok(options)
 }
 
+/// Reads the keys for links again on each signal; keys that can't be used leave the former ones.
+async fn reload_keys(
+    mut hangup: unix::Signal,
+    security: security::LinkSecurity,
+    files: security::TlsFiles,
+) {
+    while hangup.recv().await.is_some() {
+        match security.reload(&files) {
+            Ok(()) => tracing::info!("keys for links were replaced"),
+            Err(error) => tracing::error!(%error, "keys for links were kept"),
+        }
+    }
+}
+
 async fn run(options: options::EntryOptions) -> Result<(), anyhow::Error> {
+    let link_tls = options.link_tls.clone();
     let entry = server::bind(options, clock::SystemClock).await?;
+    if let Some(files) = link_tls {
+        let hangup = unix::signal(unix::SignalKind::hangup())?;
+        tokio::spawn(reload_keys(hangup, entry.link_security(), files));
+    }
     let shutdown = CancellationToken::new();
     let mut terminate = unix::signal(unix::SignalKind::terminate())?;
     let mut interrupt = unix::signal(unix::SignalKind::interrupt())?;
@@ -69,7 +89,15 @@
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             tracing::error!("{error:#}");
-            ExitCode::FAILURE
+            exit_code(&error)
         }
     }
 }
+
+/// Tells files that the settings name, and that can't be used, from failures of the machine.
+fn exit_code(error: &anyhow::Error) -> ExitCode {
+    match error.downcast_ref() {
+        Some(errors::EntryError::Bind { .. }) | None => ExitCode::FAILURE,
+        Some(_) => ExitCode::from(SETTINGS_EXIT),
+    }
+}
--- a/crates/waxwing-entry/src/options.rs
+++ b/crates/waxwing-entry/src/options.rs
@@ -6,6 +6,7 @@
 use smol_str::SmolStr;
 use waxwing_core::{ids, units};
 use waxwing_settings::errors;
+use waxwing_wire::security;
 
 /// `EntryOptions` are the settings with which an entry process starts.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -34,6 +35,10 @@
     /// The certificate for callers; absent for plain HTTP behind a balancer that ends TLS.
     #[serde(default)]
     pub tls: Option<CallerTls>,
+    /// The keys for links to agents and control hosts; absent for no protection, on a trusted
+    /// loopback only. They are read again on the signal HUP.
+    #[serde(default)]
+    pub link_tls: Option<security::TlsFiles>,
 }
 
 /// `CallerTls` names the certificate that callers see.
--- a/crates/waxwing-entry/src/request_core.rs
+++ b/crates/waxwing-entry/src/request_core.rs
@@ -171,6 +171,9 @@
     /// Time after which an agent that can't be asked counts as lost; 10 s, twice the time after
     /// which an agent cancels the work of an entry that is gone.
     pub settle_limit: Duration,
+    /// Time without a byte after which an answer is asked for again; 10 s, the time after which an
+    /// agent takes an endpoint without progress for failed.
+    pub stall_interval: Duration,
     /// Time past the deadline for which the end of a running request is awaited; 5 s.
     pub deadline_grace: Duration,
 }
@@ -185,6 +188,7 @@
             claim_interval: Duration::from_millis(200),
             settle_interval: Duration::from_secs(1),
             settle_limit: Duration::from_secs(10),
+            stall_interval: Duration::from_secs(10),
             deadline_grace: Duration::from_secs(5),
         }
     }
@@ -365,7 +369,7 @@
             messages::Body::Settled(settled) => {
                 self.on_settled(now, agent, correlation, &settled, host);
             }
-            messages::Body::AnswerHead(head) => self.on_head(agent, head, host),
+            messages::Body::AnswerHead(head) => self.on_head(now, agent, head, host),
             messages::Body::AnswerChunk(chunk) => self.on_chunk(now, agent, chunk, host),
             _ => {}
         }
--- a/crates/waxwing-entry/src/request_core/binding.rs
+++ b/crates/waxwing-entry/src/request_core/binding.rs
@@ -33,6 +33,8 @@
     pub(super) finished: bool,
     settle_at: Option<Instant>,
     give_up_at: Option<Instant>,
+    /// When the answer is asked for again, while the caller waits for more of it.
+    stalled_at: Option<Instant>,
     acked: u64,
 }
 
@@ -50,6 +52,7 @@
             finished: false,
             settle_at: Some(settle_at),
             give_up_at: None,
+            stalled_at: None,
             acked: 0,
         }
     }
@@ -73,6 +76,7 @@
             finished: false,
             settle_at: None,
             give_up_at: Some(give_up_at),
+            stalled_at: None,
             acked: 0,
         }
     }
@@ -80,6 +84,7 @@
     /// Stops asking, since there is no link, and sets the time at which the agent counts as lost.
     pub(super) fn lose_link(&mut self, now: Instant, limit: Duration) {
         self.settle_at = None;
+        self.stalled_at = None;
         self.give_up_at = Some(self.give_up_at.unwrap_or(now + limit));
     }
 
@@ -129,10 +134,13 @@
 
 impl RequestCore {
     pub(super) fn bound_wake(&self, run: &BoundRun) -> Instant {
-        [run.settle_at, run.give_up_at].into_iter().flatten().fold(
-            self.plan.deadline + self.timing.deadline_grace,
-            Instant::min,
-        )
+        [run.settle_at, run.give_up_at, run.stalled_at]
+            .into_iter()
+            .flatten()
+            .fold(
+                self.plan.deadline + self.timing.deadline_grace,
+                Instant::min,
+            )
     }
 
     pub(super) fn on_bound_timer<H: CoreHost>(&mut self, now: Instant, host: &mut H) {
@@ -149,6 +157,26 @@
             self.lose_run(now, host);
         } else if run.settle_at.is_some_and(|due| now >= due) {
             self.ask_settlement(now);
+        } else if run.stalled_at.is_some_and(|due| now >= due) {
+            self.ask_stalled(now);
+        }
+    }
+
+    /// Asks again for an answer of which nothing has come for a while: an agent sends an answer to
+    /// one reader, and another entry may have asked for it. A caller that is slow itself has no
+    /// need of more.
+    fn ask_stalled(&mut self, now: Instant) {
+        self.expect_more(now);
+        if self.delivered >= self.answer.received() {
+            self.resume();
+        }
+    }
+
+    /// Sets the time at which an answer that doesn't go on counts as stalled.
+    fn expect_more(&mut self, now: Instant) {
+        let due = now + self.timing.stall_interval;
+        if let CorePhase::Bound(run) = &mut self.phase {
+            run.stalled_at = Some(due);
         }
     }
 
@@ -162,6 +190,7 @@
         } else if run.taken {
             run.give_up_at = None;
             self.resume();
+            self.expect_more(now);
         } else {
             self.ask_settlement(now);
         }
@@ -245,8 +274,10 @@
         }
         if ack.taken {
             self.take_run(host);
+            self.expect_more(now);
         } else {
-            self.offer_again(now, reasons::RetryReason::Refused, host);
+            let reason = parse_reason(&ack.reason, reasons::RefusalReason::GrantExpired);
+            self.offer_after(now, reasons::RetryReason::Refused, reason, host);
         }
     }
 
@@ -293,6 +324,7 @@
                 if shared {
                     self.take_run(host);
                     self.resume();
+                    self.expect_more(now);
                 } else {
                     self.wait_for_result(now, finished);
                 }
@@ -312,12 +344,14 @@
 
     pub(super) fn on_head<H: CoreHost>(
         &mut self,
+        now: Instant,
         agent: choice::EndpointId,
         head: messages::AnswerHead,
         host: &mut H,
     ) {
         if self.is_answer(agent, &head.request) {
             self.take_run(host);
+            self.expect_more(now);
             let actions = &mut self.actions;
             self.answer.push_head(head.status, head.headers, actions);
         }
@@ -334,6 +368,7 @@
             return;
         }
         self.take_run(host);
+        self.expect_more(now);
         // An agent that has nothing of the answer ends it without a head.
         if let Some(end) = chunk.end.as_ref().filter(|end| !end.whole) {
             let not_kept = end.reason == reasons::RefusalReason::UnknownRequest.as_str();
--- a/crates/waxwing-entry/src/request_core/offering.rs
+++ b/crates/waxwing-entry/src/request_core/offering.rs
@@ -192,12 +192,25 @@
     pub(super) fn offer_again<H: CoreHost>(
         &mut self,
         now: Instant,
-        reason: reasons::RetryReason,
+        retry: reasons::RetryReason,
+        host: &mut H,
+    ) {
+        self.offer_after(now, retry, reasons::RefusalReason::NoEndpoint, host);
+    }
+
+    /// Waits for another grant; `reason` is what the caller learns if the budget allows none.
+    pub(super) fn offer_after<H: CoreHost>(
+        &mut self,
+        now: Instant,
+        retry: reasons::RetryReason,
+        reason: reasons::RefusalReason,
         host: &mut H,
     ) {
         host.unpin();
-        self.phase = CorePhase::Offering(OfferSet::new(now));
-        self.plan_retry(now, reason, host);
+        let mut set = OfferSet::new(now);
+        set.reason = reason;
+        self.phase = CorePhase::Offering(set);
+        self.plan_retry(now, retry, host);
     }
 
     pub(super) fn on_grant<H: CoreHost>(
--- a/crates/waxwing-entry/src/server.rs
+++ b/crates/waxwing-entry/src/server.rs
@@ -47,6 +47,7 @@
 ) -> Result<BoundEntry<C>, errors::EntryError> {
     options.check("entry options")?;
     let tls = options.tls.as_ref().map(caller_tls::load).transpose()?;
+    let security = security::LinkSecurity::from_files(options.link_tls.as_ref())?;
     let address = options.http_address;
     let bind_error = |error| errors::EntryError::Bind { address, error };
     let listener = net::TcpListener::bind(address).await.map_err(bind_error)?;
@@ -57,7 +58,7 @@
         listener,
         address,
         tls,
-        security: security::LinkSecurity::Plain,
+        security,
     })
 }
 
@@ -68,13 +69,19 @@
         self.address
     }
 
-    /// Protects the links to other processes.
+    /// Protects the links to other processes by keys that the caller has loaded.
     #[must_use]
     pub fn with_security(mut self, security: security::LinkSecurity) -> Self {
         self.security = security;
         self
     }
 
+    /// Returns the protection of the links, by which keys are replaced while the entry runs.
+    #[must_use]
+    pub fn link_security(&self) -> security::LinkSecurity {
+        self.security.clone()
+    }
+
     /// Serves until `shutdown`. Then readiness fails at once, requests are accepted for the
     /// readiness delay, and those in progress end before this returns.
     pub async fn run(self, shutdown: CancellationToken) {
--- a/crates/waxwing-entry/tests/requests.rs
+++ b/crates/waxwing-entry/tests/requests.rs
@@ -335,3 +335,34 @@
     );
     assert_eq!(reason_of(&running.actions), Some(expected));
 }
+
+/// Guards against a stream that hangs because another entry asked for it, and against a window that
+/// opens further for a caller who doesn't read.
+#[test_case(3, true; "caller has read all")]
+#[test_case(1, false; "caller is slow")]
+fn stalled_answers_are_asked_for_again(taken: u64, again: bool) {
+    let mut harness = handed_over();
+    harness.message(0, 0, support::head_message(1));
+    harness.message(0, 0, support::chunk_message(1, 0, b"abc", None));
+    harness.feed(CoreEvent::Delivered(taken));
+    harness.pass(Duration::from_secs(9));
+    assert!(harness.pass(Duration::ZERO).is_empty());
+    let asked = harness.pass(Duration::from_secs(2));
+    let resumed = support::sent_to(&asked, |body| matches!(body, Body::Resume(_)));
+    assert_eq!(resumed.len(), usize::from(again));
+}
+
+/// Guards against a refusal that hides why an agent refused the hand-over.
+#[test]
+fn refused_handover_keeps_its_reason() {
+    let mut harness = handed_over();
+    harness.host.retries = 0;
+    let ack = messages::HandoverAck {
+        request: support::id_bytes(1),
+        taken: false,
+        reason: "draining".into(),
+    };
+    let actions = harness.message(0, 9, Body::HandoverAck(ack));
+    let expected = (reasons::RefusalReason::Draining, reasons::Outcome::NotRun);
+    assert_eq!(reason_of(&actions), Some(expected));
+}
--- a/crates/waxwing-solo/src/fleets.rs
+++ b/crates/waxwing-solo/src/fleets.rs
@@ -238,6 +238,7 @@
                 readiness_delay_ms: 0,
                 watch_limit: 160,
                 tls: None,
+                link_tls: None,
             };
             let bound = cell.bind(waxwing_entry::bind(options, SystemClock)).await?;
             self.entry_addresses.push(bound.http_address());
