--- a/crates/waxwing-entry/src/request_core/offering.rs
+++ b/crates/waxwing-entry/src/request_core/offering.rs
@@ -11,6 +11,9 @@
 /// The longest time for which an agent's hint delays the next offer; the bound of the backoff.
 const MAX_HINT: Duration = Duration::from_secs(2);
 
+/// The least head start of the best agent; below it a timer is not worth its cost.
+const MIN_HEAD_START: Duration = Duration::from_millis(1);
+
 /// An `OfferSet` holds the offers of a request that waits.
 #[derive(Debug)]
 pub(super) struct OfferSet {
@@ -95,6 +98,15 @@
             host.choose(&self.plan, &[], count, &mut picks);
         }
         set.widen_at = now + self.timing.widen_after;
+        if let ([first, second, ..], true) = (picks.as_slice(), set.open.is_empty()) {
+            // Otherwise an idle endpoint that is slower, or has none of the prompt cached, would
+            // win the race of the grants against a better one.
+            let lead = host.head_start(&self.plan, *first, *second);
+            if lead >= MIN_HEAD_START {
+                picks.truncate(1);
+                set.widen_at = now + lead.min(self.timing.widen_after);
+            }
+        }
         set.open.extend(&picks);
         let offer = self.plan.offer(now);
         for agent in picks {
@@ -192,12 +204,25 @@
     pub(super) fn offer_again<H: CoreHost>(
         &mut self,
         now: Instant,
-        reason: reasons::RetryReason,
+        retry: reasons::RetryReason,
+        host: &mut H,
+    ) {
+        self.offer_after(now, retry, reasons::RefusalReason::NoEndpoint, host);
+    }
+
+    /// Waits for another grant; `reason` is what the caller learns if the budget allows none.
+    pub(super) fn offer_after<H: CoreHost>(
+        &mut self,
+        now: Instant,
+        retry: reasons::RetryReason,
+        reason: reasons::RefusalReason,
         host: &mut H,
     ) {
         host.unpin();
-        self.phase = CorePhase::Offering(OfferSet::new(now));
-        self.plan_retry(now, reason, host);
+        let mut set = OfferSet::new(now);
+        set.reason = reason;
+        self.phase = CorePhase::Offering(set);
+        self.plan_retry(now, retry, host);
     }
 
     pub(super) fn on_grant<H: CoreHost>(
