--- a/crates/waxwing-quorum/tests/rules.rs
+++ b/crates/waxwing-quorum/tests/rules.rs
@@ -356,3 +356,108 @@
     spoil(&mut options);
     assert!(options.check().is_err());
 }
+
+fn entries(indexes: std::ops::RangeInclusive<u64>, term: u64) -> Vec<messages::LogEntry> {
+    let entry = |index| messages::LogEntry {
+        index,
+        term,
+        kind: messages::EntryKind::Command as i32,
+        payload: Bytes::from_static(b"command"),
+    };
+    indexes.map(entry).collect()
+}
+
+fn append(entries: Vec<messages::LogEntry>, commit: u64) -> messages::PeerBody {
+    messages::PeerBody::AppendRequest(messages::AppendRequest {
+        previous_index: 1,
+        previous_term: 1,
+        commit,
+        round: 1,
+        entries,
+    })
+}
+
+/// Guards against the commit of an older leader's entry by counting its copies: a later leader
+/// without it could still replace it.
+#[test]
+fn older_entry_is_committed_only_with_one_of_the_own_term() {
+    let mut recovered = founded(3);
+    recovered.entries = entries(2..=2, 1);
+    let options = options::NodeOptions::default();
+    let mut node = node::QuorumNode::new(identity(1), options, recovered, 1, Duration::ZERO)
+        .expect("the state is right");
+    node.tick(START);
+    settle(&mut node);
+    for pre_vote in [true, false] {
+        let body = vote(pre_vote, 2);
+        node.receive(
+            START,
+            ids::MemberId(2),
+            message(identity(2), 2 - u64::from(pre_vote), body),
+        )
+        .expect("the vote is taken");
+        settle(&mut node);
+    }
+    acknowledge(&mut node, START, 2, 1);
+    assert_eq!(node.status().commit, 1);
+    acknowledge(&mut node, START, 3, 1);
+    assert_eq!(node.status().commit, 3);
+}
+
+/// Guards against a state that is ahead of the disk: entries that a new leader replaced were
+/// synced, and the ones in their place are not.
+#[test]
+fn sync_of_replaced_entries_says_nothing_about_the_new_ones() {
+    let mut node = node(3);
+    let old = message(identity(2), 2, append(entries(2..=5, 2), 1));
+    node.receive(START, ids::MemberId(2), old)
+        .expect("it is taken");
+    let first = node.take_ready().writes.expect("entries are written");
+    let new = message(identity(3), 3, append(entries(2..=3, 3), 3));
+    node.receive(START, ids::MemberId(3), new)
+        .expect("it is taken");
+    let second = node.take_ready().writes.expect("entries are written");
+    node.persisted(first.sequence);
+    assert_eq!(node.take_ready().committed, []);
+    node.persisted(second.sequence);
+    assert_eq!(node.take_ready().committed, entries(2..=3, 3));
+}
+
+/// Guards against a state from a snapshot that a crash could take back.
+#[test]
+fn snapshot_is_given_out_and_acknowledged_after_its_sync() {
+    let mut node = node(3);
+    let data = Bytes::from_static(b"state");
+    let members = Some(node.members().to_message());
+    for (offset, part) in [(0, data.slice(..2)), (2, data.slice(2..))] {
+        let body = messages::PeerBody::SnapshotChunk(messages::SnapshotChunk {
+            index: 40,
+            term: 2,
+            members: members.clone(),
+            total: 5,
+            offset,
+            data: part,
+            round: 1,
+        });
+        node.take_ready();
+        node.receive(START, ids::MemberId(2), message(identity(2), 2, body))
+            .expect("the chunk is taken");
+    }
+    let ready = node.take_ready();
+    assert!(ready.install.is_none() && ready.messages.is_empty());
+    node.persisted(ready.writes.expect("the snapshot is written").sequence);
+    let ready = node.take_ready();
+    assert_eq!(
+        ready
+            .install
+            .map(|snapshot| (snapshot.index, snapshot.data)),
+        Some((40, data))
+    );
+    let installed = |message: &ready::OutgoingMessage| {
+        let Some(messages::PeerBody::SnapshotAnswer(answer)) = &message.message.body else {
+            return false;
+        };
+        answer.installed
+    };
+    assert!(ready.messages.iter().any(installed));
+}
