--- a/crates/waxwing-agent/src/jobs.rs
+++ b/crates/waxwing-agent/src/jobs.rs
@@ -137,7 +137,9 @@
         Some(suspension::RunningWork {
             request,
             rank: self.terms.rank,
-            can_suspend: self.can_resume(),
+            // A call that the endpoint has not answered may still be on its way to it; a
+            // cancellation could overtake it, and the request would run twice.
+            can_suspend: self.can_resume() && self.answer.head().is_some(),
             generating: self.progress.first_token.is_some(),
             context: share.context,
             prefill: share.prefill,
@@ -208,6 +210,60 @@
     }
 }
 
-/// A `JobTable` holds the requests that were handed over. It is ordered, so that decisions which
-/// walk over it are the same in every run of a test.
-pub(crate) type JobTable = BTreeMap<ids::RequestId, Job>;
+/// A `JobTable` holds the requests that were handed over. Ended ones are kept apart: there are far
+/// more of them, and decisions look only at open ones. Both are ordered, so that a decision which
+/// walks over them is the same in every run of a test.
+#[derive(Debug, Default)]
+pub(crate) struct JobTable {
+    open: BTreeMap<ids::RequestId, Job>,
+    ended: BTreeMap<ids::RequestId, Job>,
+}
+
+impl JobTable {
+    pub(crate) fn insert(&mut self, request: ids::RequestId, job: Job) {
+        self.open.insert(request, job);
+    }
+
+    pub(crate) fn contains(&self, request: ids::RequestId) -> bool {
+        self.get(request).is_some()
+    }
+
+    pub(crate) fn get(&self, request: ids::RequestId) -> Option<&Job> {
+        self.open.get(&request).or_else(|| self.ended.get(&request))
+    }
+
+    pub(crate) fn get_mut(&mut self, request: ids::RequestId) -> Option<&mut Job> {
+        match self.open.get_mut(&request) {
+            Some(job) => Some(job),
+            None => self.ended.get_mut(&request),
+        }
+    }
+
+    /// Moves a request to the ended ones.
+    pub(crate) fn close(&mut self, request: ids::RequestId) {
+        if let Some(job) = self.open.remove(&request) {
+            self.ended.insert(request, job);
+        }
+    }
+
+    pub(crate) fn forget(&mut self, request: ids::RequestId) {
+        self.ended.remove(&request);
+    }
+
+    /// Returns the requests that run or are suspended.
+    pub(crate) fn open(&self) -> impl Iterator<Item = (ids::RequestId, &Job)> + Clone {
+        self.open.iter().map(|(request, job)| (*request, job))
+    }
+
+    pub(crate) fn ended(&self) -> impl Iterator<Item = (ids::RequestId, &Job)> {
+        self.ended.iter().map(|(request, job)| (*request, job))
+    }
+
+    pub(crate) fn all(&self) -> impl Iterator<Item = &Job> {
+        self.open.values().chain(self.ended.values())
+    }
+
+    pub(crate) fn all_mut(&mut self) -> impl Iterator<Item = &mut Job> {
+        self.open.values_mut().chain(self.ended.values_mut())
+    }
+}
--- a/crates/waxwing-agent/src/state.rs
+++ b/crates/waxwing-agent/src/state.rs
@@ -106,7 +106,7 @@
             queue: queue::OfferQueue::new(queue::QueueOptions { max_offers }),
             grants: BTreeMap::new(),
             next_grant: 1,
-            jobs: jobs::JobTable::new(),
+            jobs: jobs::JobTable::default(),
             runs: HashMap::new(),
             stopping: HashMap::new(),
             next_run: 1,
@@ -147,7 +147,7 @@
             events::AgentInput::Endpoint { run, event } => self.endpoint_event(run, event),
             events::AgentInput::Info(info) => self.endpoint_info(info),
             events::AgentInput::EndpointDown => self.endpoint_down(),
-            events::AgentInput::Load { requests } => self.reported_requests = requests,
+            events::AgentInput::Load { running, waiting } => self.load(running, waiting),
             events::AgentInput::CacheChanges(changes) => self.cache_changes(&changes),
             events::AgentInput::OrderEnded { order, outcome } => self.order_ended(order, outcome),
             events::AgentInput::Stopped { run, kv } => self.run_stopped(run, kv),
@@ -195,7 +195,7 @@
         // A grant can't be delivered any more; the entry offers again over its next link.
         self.queue.remove_where(|offer| offer.payload.link == link);
         let now = self.now;
-        for job in self.jobs.values_mut() {
+        for job in self.jobs.all_mut() {
             if job.link == Some(link) {
                 job.link = None;
                 job.detached = Some(now);
@@ -247,6 +247,14 @@
         self.cache = cache::CacheView::new(cap);
     }
 
+    fn load(&mut self, running: u32, waiting: u32) {
+        self.reported_requests = running.saturating_add(waiting);
+        // What waits inside the engine is out of the agent's order.
+        if waiting > 0 {
+            self.admission.cap_slots(running as usize);
+        }
+    }
+
     fn endpoint_down(&mut self) {
         if self.health == EndpointHealth::Down {
             return;
@@ -312,7 +320,7 @@
             _ => true,
         };
         let claimed = self.claims.is_settled(self.now);
-        self.grants.is_empty() && claimed && !self.jobs.values().any(waits)
+        self.grants.is_empty() && claimed && !self.jobs.all().any(waits)
     }
 
     /// Returns the description of the endpoint, once it is known.
@@ -330,7 +338,7 @@
     /// Returns the bytes of answers that are kept.
     #[must_use]
     pub fn kept_bytes(&self) -> units::ByteCount {
-        let kept = self.jobs.values().map(|job| job.answer.kept_bytes());
+        let kept = self.jobs.all().map(|job| job.answer.kept_bytes());
         units::ByteCount(kept.sum())
     }
 
