--- a/crates/waxwing-entry/src/agents.rs
+++ b/crates/waxwing-entry/src/agents.rs
@@ -17,7 +17,7 @@
 use waxwing_policy::{choice, prefixes};
 use waxwing_wire::{links, messages, security};
 
-use crate::{agent_links, request_core::plan, routes};
+use crate::{agent_links, routes};
 
 /// Cancellations that wait for the link to an agent at most. The agent ends the work of a lost link
 /// by itself after 5 s, so that one that is dropped costs little.
@@ -100,15 +100,16 @@
 }
 
 impl AgentSnapshot {
-    /// Returns the endpoints that can serve a request: those with its model loaded, or those that
-    /// offer its plain service; sorted by number.
+    /// Returns the endpoints that have a model loaded.
     #[must_use]
-    pub fn loads(&self, plan: &plan::RequestPlan) -> &[Arc<choice::EndpointLoad>] {
-        let list = match &plan.model {
-            Some(model) => self.models.get(model.as_str()),
-            None => self.services.get(plan.service.as_str()),
-        };
-        list.map_or(&[], Vec::as_slice)
+    pub fn engines(&self, model: &str) -> &[Arc<choice::EndpointLoad>] {
+        self.models.get(model).map_or(&[], Vec::as_slice)
+    }
+
+    /// Returns the endpoints that offer a plain service.
+    #[must_use]
+    pub fn services(&self, service: &str) -> &[Arc<choice::EndpointLoad>] {
+        self.services.get(service).map_or(&[], Vec::as_slice)
     }
 }
 
--- a/crates/waxwing-entry/src/request_core.rs
+++ b/crates/waxwing-entry/src/request_core.rs
@@ -131,16 +131,6 @@
         picks: &mut Vec<choice::EndpointId>,
     );
 
-    /// Returns by how much sooner the first token of `first` is expected than that of `second`.
-    fn head_start(
-        &self,
-        _plan: &plan::RequestPlan,
-        _first: choice::EndpointId,
-        _second: choice::EndpointId,
-    ) -> Duration {
-        Duration::ZERO
-    }
-
     /// Takes a retry from the budget and returns its delay, or `None` if there is none left.
     fn allow_retry(&mut self, plan: &plan::RequestPlan, attempt: u32) -> Option<Duration>;
 
--- a/crates/waxwing-entry/src/request_core/offering.rs
+++ b/crates/waxwing-entry/src/request_core/offering.rs
@@ -11,9 +11,6 @@
 /// The longest time for which an agent's hint delays the next offer; the bound of the backoff.
 const MAX_HINT: Duration = Duration::from_secs(2);
 
-/// The least head start of the best agent; below it a timer is not worth its cost.
-const MIN_HEAD_START: Duration = Duration::from_millis(1);
-
 /// An `OfferSet` holds the offers of a request that waits.
 #[derive(Debug)]
 pub(super) struct OfferSet {
@@ -98,15 +95,6 @@
             host.choose(&self.plan, &[], count, &mut picks);
         }
         set.widen_at = now + self.timing.widen_after;
-        if let ([first, second, ..], true) = (picks.as_slice(), set.open.is_empty()) {
-            // Otherwise an idle endpoint that is slower, or has none of the prompt cached, would
-            // win the race of the grants against a better one.
-            let lead = host.head_start(&self.plan, *first, *second);
-            if lead >= MIN_HEAD_START {
-                picks.truncate(1);
-                set.widen_at = now + lead.min(self.timing.widen_after);
-            }
-        }
         set.open.extend(&picks);
         let offer = self.plan.offer(now);
         for agent in picks {
--- a/crates/waxwing-entry/src/state.rs
+++ b/crates/waxwing-entry/src/state.rs
@@ -195,15 +195,6 @@
 }
 
 impl<C: clock::Clock, P> RequestHost<'_, C, P> {
-    /// Lists the endpoints that have a prefix of the prompt cached.
-    fn affinity(&self, plan: &plan::RequestPlan) -> Vec<choice::AffinityHint> {
-        let mut hints = Vec::new();
-        if !plan.prefixes.is_empty() {
-            routes::lock(&self.shared.prefixes).affinities(&plan.prefixes, &mut hints);
-        }
-        hints
-    }
-
     fn pick<E: choice::EndpointPolicy>(
         &self,
         policy: &E,
@@ -213,11 +204,14 @@
         picks: &mut Vec<choice::EndpointId>,
     ) {
         let snapshot = self.shared.agents.snapshot();
-        let loads = snapshot.loads(plan);
-        let affinity = match E::IMMEDIATE {
-            true => Vec::new(),
-            false => self.affinity(plan),
+        let loads = match &plan.model {
+            Some(model) => snapshot.engines(model.as_str()),
+            None => snapshot.services(plan.service.as_str()),
         };
+        let mut affinity = Vec::new();
+        if !E::IMMEDIATE && !plan.prefixes.is_empty() {
+            routes::lock(&self.shared.prefixes).affinities(&plan.prefixes, &mut affinity);
+        }
         let demand = plan.demand(&affinity, excluded, count);
         policy.choose(&demand, loads, &mut rand::rng(), picks);
     }
@@ -259,18 +253,6 @@
         }
     }
 
-    fn head_start(
-        &self,
-        plan: &plan::RequestPlan,
-        first: choice::EndpointId,
-        second: choice::EndpointId,
-    ) -> Duration {
-        let snapshot = self.shared.agents.snapshot();
-        let affinity = self.affinity(plan);
-        let demand = plan.demand(&affinity, &[], 2);
-        choice::head_start(&demand, snapshot.loads(plan), first, second)
-    }
-
     fn allow_retry(&mut self, plan: &plan::RequestPlan, attempt: u32) -> Option<Duration> {
         let limits = budget_limits(&self.view.tree.policy);
         routes::lock(&self.shared.budgets)
--- a/crates/waxwing-entry/tests/requests.rs
+++ b/crates/waxwing-entry/tests/requests.rs
@@ -366,21 +366,3 @@
     let expected = (reasons::RefusalReason::Draining, reasons::Outcome::NotRun);
     assert_eq!(reason_of(&actions), Some(expected));
 }
-
-/// Guards against a slower endpoint, or one without the cached prompt, that wins the race of the
-/// grants, and against a request that waits for the best one alone.
-#[test_case(0, &[0, 1], &[0, 1]; "equal agents")]
-#[test_case(30, &[0], &[0, 1]; "better agent")]
-#[test_case(900, &[0], &[0]; "much better agent")]
-fn better_agent_has_a_head_start(millis: u64, at_once: &[u32], after_wait: &[u32]) {
-    let host = support::FakeHost {
-        head_start: Duration::from_millis(millis),
-        ..support::FakeHost::default()
-    };
-    let mut harness = CoreHarness::start_at(host, None, |_| {});
-    assert_eq!(support::sent_to(&harness.actions, is_offer), at_once);
-    harness.pass(Duration::from_millis(40));
-    assert_eq!(support::sent_to(&harness.actions, is_offer), after_wait);
-    harness.pass(Duration::from_millis(300));
-    assert_eq!(support::sent_to(&harness.actions, is_offer), [0, 1, 2]);
-}
--- a/crates/waxwing-entry/tests/support/mod.rs
+++ b/crates/waxwing-entry/tests/support/mod.rs
@@ -18,7 +18,6 @@
     pub agents: Vec<u32>,
     pub retries: u32,
     pub local: bool,
-    pub head_start: Duration,
     /// Whether the body is still in the room.
     pub in_room: bool,
     pub pinned: bool,
@@ -31,7 +30,6 @@
             agents: (0..AGENTS).collect(),
             retries: 100,
             local: false,
-            head_start: Duration::ZERO,
             in_room: true,
             pinned: false,
             released: false,
@@ -51,15 +49,6 @@
         picks.extend(agents.filter(|agent| !excluded.contains(agent)).take(count));
     }
 
-    fn head_start(
-        &self,
-        _plan: &plan::RequestPlan,
-        _first: choice::EndpointId,
-        _second: choice::EndpointId,
-    ) -> Duration {
-        self.head_start
-    }
-
     fn allow_retry(&mut self, _plan: &plan::RequestPlan, _attempt: u32) -> Option<Duration> {
         self.retries = self.retries.checked_sub(1)?;
         Some(Duration::from_millis(50))
@@ -143,15 +132,6 @@
 impl CoreHarness {
     /// Starts a request and drops the actions of the start.
     pub fn start(key: Option<&str>, change: impl FnOnce(&mut plan::RequestPlan)) -> Self {
-        Self::start_at(FakeHost::default(), key, change)
-    }
-
-    /// Starts a request at a host.
-    pub fn start_at(
-        host: FakeHost,
-        key: Option<&str>,
-        change: impl FnOnce(&mut plan::RequestPlan),
-    ) -> Self {
         let clock = ManualClock::new();
         let mut plan = plan(1, key, clock.now());
         change(&mut plan);
@@ -159,7 +139,7 @@
         let mut harness = Self {
             clock,
             core,
-            host,
+            host: FakeHost::default(),
             actions: Vec::new(),
         };
         harness.feed(request_core::CoreEvent::Start);
--- a/crates/waxwing-policy/src/choice.rs
+++ b/crates/waxwing-policy/src/choice.rs
@@ -5,12 +5,9 @@
 //! `docs/design.md`, section 5. Loads are atomics, so that a report changes one endpoint without
 //! copying the table and a decision takes no lock.
 
-use std::{
-    sync::{
-        Arc,
-        atomic::{AtomicBool, AtomicU32, AtomicUsize, Ordering},
-    },
-    time::Duration,
+use std::sync::{
+    Arc,
+    atomic::{AtomicBool, AtomicU32, AtomicUsize, Ordering},
 };
 
 use rand::{Rng, RngExt as _};
@@ -63,7 +60,11 @@
 impl EndpointLoad {
     /// Builds the load of an endpoint that has not reported yet, from its nominal rate.
     #[must_use]
-    pub fn new(id: EndpointId, distance: Duration, nominal_rate: units::TokenRate) -> Self {
+    pub fn new(
+        id: EndpointId,
+        distance: std::time::Duration,
+        nominal_rate: units::TokenRate,
+    ) -> Self {
         let load = Self {
             id,
             distance_seconds: distance.as_secs_f32(),
@@ -228,29 +229,6 @@
     }
 }
 
-/// Returns by how much sooner the first token of `first` is expected than that of `second`; zero if
-/// one of them is not in the table, which is sorted by number.
-#[must_use]
-pub fn head_start(
-    demand: &ChoiceDemand<'_>,
-    loads: &[Arc<EndpointLoad>],
-    first: EndpointId,
-    second: EndpointId,
-) -> Duration {
-    let expected = |id: EndpointId| {
-        let place = loads.binary_search_by_key(&id, |load| load.id).ok()?;
-        let hint = demand.affinity.iter().find(|hint| hint.endpoint == id);
-        let cached = hint.map_or(units::TokenCount::ZERO, |hint| hint.cached);
-        Some(loads[place].expected_seconds(demand.rank, demand.prompt.saturating_sub(cached)))
-    };
-    match (expected(first), expected(second)) {
-        (Some(first), Some(second)) => {
-            Duration::try_from_secs_f32(second - first).unwrap_or_default()
-        }
-        _ => Duration::ZERO,
-    }
-}
-
 /// A `BestList` keeps the endpoints with the shortest times, in order.
 struct BestList {
     entries: Vec<(f32, EndpointId)>,
--- a/crates/waxwing-policy/tests/choice.rs
+++ b/crates/waxwing-policy/tests/choice.rs
@@ -190,14 +190,3 @@
         check(&choice::TwoChoices, wanted, &excluded, &loads, seed);
     }
 }
-
-/// Guards against a head start for an endpoint that is not better, or that is not known.
-#[test_case(0, 1, 0; "slower first")]
-#[test_case(1, 0, 300; "faster first")]
-#[test_case(1, 7, 0; "unknown endpoint")]
-fn head_start_is_the_difference(first: u32, second: u32, millis: u64) {
-    let loads = vec![load(0, 0, 1_000.0), load(1, 0, 4_000.0)];
-    let first = choice::EndpointId(first);
-    let lead = choice::head_start(&demand(2), &loads, first, choice::EndpointId(second));
-    assert_eq!(lead.as_millis(), u128::from(millis));
-}
