Suspend only generations that have a token, and ask untried agents without a retry

Now a call without a token is never suspended, and up to 16 agents are asked before the budget decides.

--- a/crates/waxwing-agent/src/jobs.rs
+++ b/crates/waxwing-agent/src/jobs.rs
@@ -139,12 +139,10 @@
         Some(suspension::RunningWork {
             request,
             rank: self.terms.rank,
-            // A call that the endpoint has not answered may still be on its way to it; a
-            // cancellation could overtake it, and the request would run twice.
-            can_suspend: self.can_resume() && self.answer.head().is_some(),
-            generating: self.progress.first_token.is_some(),
+            // Before its first token a call can't be continued but only sent again, which would
+            // dispatch the request twice and repeat its prefill.
+            can_suspend: self.can_resume() && self.tokens > 0,
             context: share.context,
-            prefill: share.prefill,
             started: self.progress.started,
         })
     }
--- a/crates/waxwing-agent/src/state/offers.rs
+++ b/crates/waxwing-agent/src/state/offers.rs
@@ -12,10 +12,6 @@
 /// The longest time that counts for a deadline or for waiting; it bounds sums with the clock.
 const LONGEST: Duration = Duration::from_secs(86_400);
 
-/// Bursts of prefill, each as long as the first-token target allows, from which on the prefill of
-/// a lower tier is stopped for a higher one.
-const LONG_PREFILL: u64 = 2;
-
 /// The most prefix hashes of an offer that are looked at.
 const MAX_PREFIXES: usize = 32;
 
@@ -273,11 +269,8 @@
             admission::FitVerdict::Fits => return true,
             admission::FitVerdict::LacksTokens(tokens) => suspension::RoomWanted::Tokens(tokens),
             admission::FitVerdict::LacksSlot => suspension::RoomWanted::Slot,
-            admission::FitVerdict::LacksPrefill => {
-                let pending = self.admission.pending() + share.prefill;
-                let excess = pending.saturating_sub(self.admission.burst(self.pace.rate()));
-                suspension::RoomWanted::Prefill(excess.min(self.admission.pending()))
-            }
+            // Prefill is never stopped; what is ahead is bounded by the admission limit.
+            admission::FitVerdict::LacksPrefill => return false,
         };
         self.suspend_for(rank, wanted)
     }
@@ -290,10 +283,6 @@
     ) -> bool {
         let open = self.jobs.open();
         let running = open.filter_map(|(request, job)| job.running_work(request));
-        // Prefill that is soon over is worth waiting for, and stopping it would throw it away.
-        let burst = self.admission.burst(self.pace.rate());
-        let long = units::TokenCount(burst.0.saturating_mul(LONG_PREFILL));
-        let running = running.filter(|work| work.generating || work.prefill > long);
         let victims = suspension::choose_victims(running, rank, wanted);
         victims.iter().for_each(|victim| self.suspend(*victim));
         !victims.is_empty()
--- a/crates/waxwing-entry/src/request_core/offering.rs
+++ b/crates/waxwing-entry/src/request_core/offering.rs
@@ -14,6 +14,10 @@
 /// The least head start of the best agent; below it a timer is not worth its cost.
 const MIN_HEAD_START: Duration = Duration::from_millis(1);
 
+/// Agents that are asked for one request before the retry budget decides; it bounds the messages
+/// of a request that nobody can serve.
+const MAX_ASKED: usize = 16;
+
 /// An `OfferSet` holds the offers of a request that waits.
 #[derive(Debug)]
 pub(super) struct OfferSet {
@@ -161,7 +165,32 @@
         }
         set.reason = parse_reason(&refused.reason, reasons::RefusalReason::NoEndpoint);
         set.hint = Duration::from_millis(refused.retry_after_millis).min(MAX_HINT);
-        self.plan_retry(now, reasons::RetryReason::Refused, host);
+        if !self.offer_untried(now, host) {
+            self.plan_retry(now, reasons::RetryReason::Refused, host);
+        }
+    }
+
+    /// Offers the request to an agent that has not refused it yet; returns whether there was one.
+    /// Asking another agent repeats no work, so it takes nothing from the retry budget; without
+    /// it, a request was shed while an agent that was never asked served a lower tier.
+    fn offer_untried<H: CoreHost>(&mut self, now: Instant, host: &mut H) -> bool {
+        let CorePhase::Offering(set) = &mut self.phase else {
+            return false;
+        };
+        let excluded = set.excluded();
+        if set.retry_at.is_some() || excluded.len() >= MAX_ASKED {
+            return false;
+        }
+        let mut picks = Vec::with_capacity(1);
+        host.choose(&self.plan, &excluded, 1, &mut picks);
+        let Some(agent) = picks.pop() else {
+            return false;
+        };
+        set.open.push(agent);
+        let offer = self.plan.offer(now);
+        self.send(agent, 0, messages::Body::Offer(offer));
+        self.count(counters::CounterEvent::OffersSent);
+        true
     }
 
     pub(super) fn on_offer_lost<H: CoreHost>(
--- a/crates/waxwing-policy/src/suspension.rs
+++ b/crates/waxwing-policy/src/suspension.rs
@@ -15,14 +15,10 @@
     pub request: ids::RequestId,
     /// The rank of its tier.
     pub rank: ids::TierRank,
-    /// Whether it is idempotent and its endpoint can go on at a token.
+    /// Whether it is idempotent and can go on at a token that has arrived.
     pub can_suspend: bool,
-    /// Whether tokens have arrived, so that stopping it throws no half-done prefill away.
-    pub generating: bool,
     /// Context tokens that it holds.
     pub context: units::TokenCount,
-    /// Prompt tokens that are still to be computed.
-    pub prefill: units::TokenCount,
     /// When it started.
     pub started: Instant,
 }
@@ -34,8 +30,6 @@
     Tokens(units::TokenCount),
     /// One place among the running requests.
     Slot,
-    /// Prompt tokens ahead of it that must go, so that its prefill ends in time.
-    Prefill(units::TokenCount),
 }
 
 /// Tells whether waiting longer would miss the first-token target: the time waited so far, the
@@ -46,8 +40,7 @@
 }
 
 /// Chooses the requests that are suspended for a request of `rank`: the lowest tier first, inside
-/// a tier those that generate before those in prefill, and the newest first since its context is
-/// the cheapest to rebuild. Returns nothing if all of them together would not make enough room,
+/// a tier the newest first since its context is the cheapest to rebuild. Returns nothing if all of them together would not make enough room,
 /// since a suspension that helps nobody is waste.
 #[must_use]
 pub fn choose_victims(
@@ -60,11 +53,11 @@
         .filter(|work| work.can_suspend && work.rank > rank && gain(work, wanted) > 0)
         .collect();
     lower.sort_by_key(|work| {
-        let newest = Reverse((work.rank, work.generating, work.started));
+        let newest = Reverse((work.rank, work.started));
         (newest, work.request)
     });
     let needed = match wanted {
-        RoomWanted::Tokens(tokens) | RoomWanted::Prefill(tokens) => tokens.0,
+        RoomWanted::Tokens(tokens) => tokens.0,
         RoomWanted::Slot => 1,
     };
     let mut gained = 0;
@@ -85,7 +78,6 @@
 fn gain(work: &RunningWork, wanted: RoomWanted) -> u64 {
     match wanted {
         RoomWanted::Tokens(_) => work.context.0,
-        RoomWanted::Prefill(_) => work.prefill.0,
         RoomWanted::Slot => 1,
     }
 }
