Allow for clocks of different speed in the directory's leases

The lease of an announcement counts from its sending, which is found from the uptime and the earliest estimate of the start. The estimate now follows with one part in a thousand. A life whose lease ended is remembered for 10 s, so that announcements that were held up don't bring it back.

--- a/crates/waxwing-control/src/directory.rs
+++ b/crates/waxwing-control/src/directory.rs
@@ -15,6 +15,15 @@
 /// Time for which a goodbye is remembered; late announcements of the same life don't undo it.
 const GOODBYE_MEMORY: Duration = Duration::from_secs(60);
 
+/// Time for which a life whose lease ended is remembered: announcements that it sent before and
+/// that were held up on the way don't bring it back. Kept short, since a host that was suspended
+/// looks the same.
+const FORMER_MEMORY: Duration = Duration::from_secs(10);
+
+/// The clocks of two hosts may differ in speed by one part in so many. Without this allowance, the
+/// earliest estimate of a start would make a process look later every day.
+const DRIFT_DIVISOR: u32 = 1_000;
+
 /// The longest lease that an announcement may ask for.
 const MAX_LEASE: Duration = Duration::from_secs(60);
 
@@ -30,6 +39,16 @@
     lease_ends: Instant,
     /// The earliest start that fits the announcements: arrival minus uptime.
     start: Instant,
+    /// The arrival and the uptime of the newest announcement.
+    newest: (Instant, Duration),
+}
+
+/// A `FormerLife` is a life whose lease ended without a goodbye.
+#[derive(Debug, Clone, Copy)]
+struct FormerLife {
+    incarnation: u64,
+    start: Instant,
+    forgotten_at: Instant,
 }
 
 impl DirectoryEntry {
@@ -46,6 +65,7 @@
     rival: Option<DirectoryEntry>,
     /// The highest incarnation that said goodbye, and when.
     goodbye: Option<(u64, Instant)>,
+    former: Option<FormerLife>,
 }
 
 /// A `DirectoryState` holds all names of a region.
@@ -149,7 +169,8 @@
     }
 
     fn is_empty(&self) -> bool {
-        self.holder.is_none() && self.rival.is_none() && self.goodbye.is_none()
+        let alive = self.holder.is_some() || self.rival.is_some();
+        !alive && self.goodbye.is_none() && self.former.is_none()
     }
 
     fn take(&mut self, now: Instant, announce: messages::Announce, revision: u64) -> bool {
@@ -170,8 +191,17 @@
         match &mut self.holder {
             Some(holder) => holder.renew(now, announce, revision),
             None => {
-                self.holder = Some(DirectoryEntry::open(now, announce, revision));
-                true
+                let mut entry = DirectoryEntry::open(now, announce, revision);
+                if let Some(former) = self.former.filter(|former| former.incarnation == life) {
+                    entry.start = entry.start.min(former.start);
+                    let late = now.saturating_duration_since(entry.start + entry.newest.1);
+                    entry.lease_ends = entry.lease_ends.checked_sub(late).unwrap_or(now);
+                }
+                let alive = entry.lease_ends > now;
+                if alive {
+                    self.holder = Some(entry);
+                }
+                alive
             }
         }
     }
@@ -192,15 +222,18 @@
 
     fn expire(&mut self, now: Instant) -> bool {
         self.goodbye.take_if(|(_, end)| *end <= now);
+        self.former.take_if(|former| former.forgotten_at <= now);
         self.rival.take_if(|rival| rival.lease_ends <= now);
-        let ended = self
-            .holder
-            .take_if(|holder| holder.lease_ends <= now)
-            .is_some();
-        if ended {
-            self.holder = self.rival.take();
-        }
-        ended
+        let Some(ended) = self.holder.take_if(|holder| holder.lease_ends <= now) else {
+            return false;
+        };
+        self.former = Some(FormerLife {
+            incarnation: ended.incarnation(),
+            start: ended.start,
+            forgotten_at: now + FORMER_MEMORY,
+        });
+        self.holder = self.rival.take();
+        true
     }
 }
 
@@ -214,6 +247,7 @@
             announce: stable(announce),
             revision,
             start,
+            newest: (now, uptime),
         }
     }
 
@@ -222,16 +256,17 @@
     /// otherwise keep a dead process alive, or let it come and go.
     fn renew(&mut self, now: Instant, announce: messages::Announce, revision: u64) -> bool {
         let uptime = Duration::from_millis(announce.uptime_millis);
-        if let Some(start) = now.checked_sub(uptime) {
-            self.start = self.start.min(start);
-        }
-        let sent = (self.start + uptime).min(now);
-        let lease_ends = sent + lease(&announce);
-        if lease_ends < self.lease_ends {
+        let (arrival, newest) = self.newest;
+        if uptime < newest {
             // The announcement is older than one that came before it.
             return false;
         }
-        self.lease_ends = lease_ends;
+        let drift = now.saturating_duration_since(arrival) / DRIFT_DIVISOR;
+        let start = now.checked_sub(uptime).unwrap_or(now);
+        self.start = (self.start + drift).min(start);
+        self.newest = (now, uptime);
+        let lease_ends = self.start + uptime + lease(&announce);
+        self.lease_ends = self.lease_ends.max(lease_ends);
         self.settings_version = self.settings_version.max(announce.settings_version);
         let announce = stable(announce);
         let changed = announce != self.announce;
