Tell watchers of the settings version of changes only

Each confirmation, once a second, also notified the watchers of the version, which then had to find out that nothing had changed. wait_confirmed has its own mark now.

--- a/crates/waxwing-client/src/clients.rs
+++ b/crates/waxwing-client/src/clients.rs
@@ -34,6 +34,8 @@
     pub(crate) settings: Arc<ArcSwap<view::SettingsView>>,
     pub(crate) mark: freshness::ConfirmationMark,
     pub(crate) versions: watch::Sender<ids::SettingsVersion>,
+    /// Whether a quorum has confirmed any version since the start.
+    pub(crate) confirmed: watch::Sender<bool>,
     pub(crate) directory: watch::Sender<Arc<directory::DirectoryView>>,
     pub(crate) announcement: watch::Sender<messages::Announce>,
     pub(crate) connected: watch::Sender<bool>,
@@ -78,6 +80,7 @@
             settings: Arc::new(ArcSwap::from_pointee(view::SettingsView::default())),
             mark: freshness::ConfirmationMark::new(started),
             versions: watch::Sender::new(ids::SettingsVersion(0)),
+            confirmed: watch::Sender::new(false),
             directory: watch::Sender::new(Arc::default()),
             announcement: watch::Sender::new(announcement),
             connected: watch::Sender::new(false),
@@ -116,7 +119,7 @@
         self.shared.settings.clone()
     }
 
-    /// Watches the version in force.
+    /// Watches the version in force; a confirmation of the same version is no change.
     #[must_use]
     pub fn watch_version(&self) -> watch::Receiver<ids::SettingsVersion> {
         self.shared.versions.subscribe()
@@ -151,14 +154,9 @@
     /// # Errors
     /// Fails if the client has been shut down.
     pub async fn wait_confirmed(&self) -> Result<(), errors::ClientError> {
-        let mut versions = self.watch_version();
-        while self.freshness() == freshness::SettingsFreshness::Unconfirmed {
-            versions
-                .changed()
-                .await
-                .map_err(|_| errors::ClientError::Closed)?;
-        }
-        Ok(())
+        let mut confirmed = self.shared.confirmed.subscribe();
+        let waited = confirmed.wait_for(|confirmed| *confirmed).await;
+        waited.map(|_| ()).map_err(|_| errors::ClientError::Closed)
     }
 
     /// Changes the announcement; it is sent at once and again with every interval.
--- a/crates/waxwing-client/src/sessions.rs
+++ b/crates/waxwing-client/src/sessions.rs
@@ -310,6 +310,8 @@
         let now = self.shared.clock.now();
         self.shared.mark.confirm(now);
         session.confirm_by = now + self.shared.options.host_silence;
-        self.shared.versions.send_replace(self.replica.version());
+        self.shared
+            .confirmed
+            .send_if_modified(|confirmed| !std::mem::replace(confirmed, true));
     }
 }
--- a/crates/waxwing-client/tests/clients.rs
+++ b/crates/waxwing-client/tests/clients.rs
@@ -202,3 +202,15 @@
     assert_eq!(result, Err(errors::ClientError::Unavailable));
     assert!(started.elapsed() < Duration::from_secs(8));
 }
+
+/// Guards against roles that build their tables anew with every confirmation of the same version.
+#[tokio::test(start_paused = true)]
+async fn a_confirmation_is_no_change_of_version() {
+    let host = ScriptedHost::new(9, true);
+    let (client, _) = start_client(vec![host.start().await]);
+    let mut versions = client.watch_version();
+    client.wait_confirmed().await.unwrap();
+    assert_eq!(*versions.borrow_and_update(), ids::SettingsVersion(9));
+    tokio::time::sleep(Duration::from_secs(20)).await;
+    assert!(!versions.has_changed().unwrap());
+}
