--- a/crates/waxwing-control/src/operators.rs
+++ b/crates/waxwing-control/src/operators.rs
@@ -18,6 +18,9 @@
 /// The longest time for which a request for history waits for a change.
 const MAX_WAIT: Duration = Duration::from_secs(30);
 
+/// Time for the headers of a request; a silent connection is closed after it.
+const HEADER_LIMIT: Duration = Duration::from_secs(10);
+
 type OperatorResponse = Response<Full<Bytes>>;
 
 /// Serves the operators' interface until `shutdown`, then ends the requests under way.
@@ -42,6 +45,8 @@
             async move { Ok::<_, Infallible>(respond(&state, request).await) }
         });
         let connection = hyper::server::conn::http1::Builder::new()
+            .timer(rt::TokioTimer::new())
+            .header_read_timeout(HEADER_LIMIT)
             .serve_connection(rt::TokioIo::new(stream), handler);
         tokio::spawn(graceful.watch(connection));
     }
