Ask for slack before the lowest tier starts beside higher ones

A request of the lowest tier is suspended while higher tiers need the engine, and many such requests were cut off at their deadline. It starts only with twice its own time left.

--- a/crates/waxwing-agent/src/state/offers.rs
+++ b/crates/waxwing-agent/src/state/offers.rs
@@ -12,6 +12,10 @@
 /// The longest time that counts for a deadline or for waiting; it bounds sums with the clock.
 const LONGEST: Duration = Duration::from_secs(86_400);
 
+/// The multiple of its own time that the lowest tier needs until its deadline while a higher one
+/// is at work, since it will be suspended meanwhile; with less, half of it was cut off.
+const LOWEST_SLACK: u32 = 2;
+
 /// Bursts of prefill, each as long as the first-token target allows, from which on the prefill of
 /// a lower tier is stopped for a higher one.
 const LONG_PREFILL: u64 = 2;
@@ -136,9 +140,12 @@
         let prefill = ahead + terms.prompt_tokens.saturating_sub(cached);
         let beside = self.runs.len() + self.grants.len() - lower;
         let output = self.pace.expected_output(terms.output_tokens);
-        let end = self.now
-            + self.pace.prefill_time(prefill)
-            + self.pace.generation_time_of(output, beside + 1);
+        let service =
+            self.pace.prefill_time(prefill) + self.pace.generation_time_of(output, beside + 1);
+        let higher = self.jobs.open().any(|(_, job)| job.terms.rank < terms.rank);
+        let lowest = lower == 0 && !waits;
+        let slack = if higher && lowest { LOWEST_SLACK } else { 1 };
+        let end = self.now + service * slack;
         (end > terms.deadline).then_some(reasons::RefusalReason::DeadlineUnreachable)
     }
 
