Send reports for news that matter, and name only prefixes that offers name

An agent reported four times a second under load and named up to 64 blocks of any depth, which is more than 100 KB/s for an entry with 160 endpoints, and entries know prefixes only at some lengths. A report now goes out each second, and at once where entries would choose otherwise; it names at most 16 prefixes of offers. The cache test now watches the prefixes it expects to hear of, and also checks that no others are told.

An error of the engine is no stream and is not suspended.

--- a/crates/waxwing-agent/src/jobs.rs
+++ b/crates/waxwing-agent/src/jobs.rs
@@ -127,9 +127,8 @@
 
     pub(crate) fn can_resume(&self) -> bool {
         let format = self.call.as_ref().map(|call| &call.format);
-        self.note.idempotent
-            && !self.note.immediate
-            && format.is_some_and(formats::CallFormat::can_resume)
+        let reads = self.reader.is_some() && !self.note.immediate;
+        self.note.idempotent && reads && format.is_some_and(formats::CallFormat::can_resume)
     }
 
     /// Returns what the choice of a suspension needs to know.
--- a/crates/waxwing-agent/src/state/reports.rs
+++ b/crates/waxwing-agent/src/state/reports.rs
@@ -9,8 +9,7 @@
 /// The time between reports when nothing changes.
 const REPORT_INTERVAL: Duration = Duration::from_secs(1);
 
-/// The shortest time between reports; at a quarter of a second and 200 bytes, an agent sends each
-/// entry less than 1 KB/s.
+/// The shortest time between reports.
 const SHORTEST_INTERVAL: Duration = Duration::from_millis(250);
 
 /// A `ReportClock` tells when the next report is due.
@@ -18,6 +17,7 @@
 pub(super) struct ReportClock {
     changed: bool,
     last: Instant,
+    told: messages::Report,
 }
 
 impl ReportClock {
@@ -25,6 +25,7 @@
         Self {
             changed: true,
             last: now,
+            told: messages::Report::default(),
         }
     }
 
@@ -33,24 +34,46 @@
         self.changed = true;
     }
 
-    fn take_due(&mut self, now: Instant) -> bool {
-        let quiet = now.saturating_duration_since(self.last);
-        let due = quiet >= REPORT_INTERVAL || (self.changed && quiet >= SHORTEST_INTERVAL);
-        if due {
-            self.changed = false;
-            self.last = now;
-        }
-        due
+    fn quiet(&self, now: Instant) -> Duration {
+        now.saturating_duration_since(self.last)
     }
 }
 
+/// Returns the prompt tokens that are ahead of a new request.
+fn ahead(report: &messages::Report) -> f64 {
+    let waiting: u64 = report.ranks.iter().map(|load| load.waiting_tokens).sum();
+    (report.pending_prefill_tokens + waiting) as f64
+}
+
+/// Tells whether entries would choose another endpoint for the difference: work of a quarter of a
+/// second, a fifth of the speed, or whether it takes new work and which.
+fn differs(now: &messages::Report, told: &messages::Report) -> bool {
+    let work = (ahead(now) - ahead(told)).abs();
+    let speed = (now.speed_factor - told.speed_factor).abs();
+    now.draining != told.draining
+        || now.models != told.models
+        || work > now.prefill_rate * 0.25
+        || speed > 0.2
+}
+
 impl state::AgentCore {
     pub(super) fn report_if_due(&mut self) {
-        if !self.reports.take_due(self.now) {
+        let quiet = self.reports.quiet(self.now);
+        let due = quiet >= REPORT_INTERVAL;
+        let early = self.reports.changed && quiet >= SHORTEST_INTERVAL;
+        if !due && !early {
+            return;
+        }
+        let mut report = self.build_report(&[], &[]);
+        self.reports.changed = false;
+        if !due && !differs(&report, &self.reports.told) {
             return;
         }
+        self.reports.last = self.now;
+        self.reports.told = report.clone();
         let deltas = self.cache.take_deltas();
-        let report = self.build_report(&deltas.cached, &deltas.evicted);
+        report.cached = deltas.cached;
+        report.evicted = deltas.evicted;
         let links: Vec<_> = self.links.keys().copied().collect();
         for link in links {
             self.send(link, 0, messages::Body::Report(report.clone()));
--- a/crates/waxwing-agent/src/state/runs.rs
+++ b/crates/waxwing-agent/src/state/runs.rs
@@ -221,6 +221,7 @@
                     self.admission.prefill_done(share);
                 }
                 self.cache.sent(Self::block_hashes(job));
+                self.cache.watch(&job.note.prefixes);
                 self.reports.mark();
             }
         }
--- a/crates/waxwing-agent/tests/offers.rs
+++ b/crates/waxwing-agent/tests/offers.rs
@@ -291,6 +291,35 @@
     bench.granted(offer(1, 0));
 }
 
+/// Guards against reports that fill the links of an entry with hundreds of endpoints, and against
+/// news that wait for the next second.
+#[test]
+fn reports_are_few_and_timely() {
+    let mut bench = Bench::new();
+    let reports = |bench: &mut Bench| {
+        bench.take(|body| match body {
+            Body::Report(report) => Some(report.draining),
+            _ => None,
+        })
+    };
+    bench.wait(300);
+    reports(&mut bench);
+    for request in 1..=100 {
+        let grant = bench.granted(offer(request, 0));
+        let request = bytes_of(request);
+        bench.say(Body::Decline(messages::Decline { request, grant }));
+        bench.wait(100);
+    }
+    let count = reports(&mut bench).len();
+    assert!(
+        (10..=11).contains(&count),
+        "{count} reports in 10 s without news"
+    );
+    bench.step(AgentInput::Leave);
+    bench.wait(260);
+    assert_eq!(reports(&mut bench), vec![true]);
+}
+
 /// Guards against baselines that are held back by the limit and so compare unfairly.
 #[test]
 fn immediate_offers_pass_the_limit() {
--- a/crates/waxwing-agent/tests/suspension.rs
+++ b/crates/waxwing-agent/tests/suspension.rs
@@ -170,6 +170,24 @@
     assert_eq!(bench.stops(), vec![run]);
 }
 
+/// Guards against an error of the engine that is taken for a stream and started again.
+#[test]
+fn error_answer_is_not_suspended() {
+    let mut bench = Bench::new();
+    let run = bench.admit(bulk(1));
+    let (status, headers) = (400, Vec::new());
+    bench.event(run, EndpointEvent::Head { status, headers });
+    bench.data(run, "no such");
+    bench.say(Body::Offer(urgent(2)));
+    bench.wait(3_000);
+    assert!(bench.stops().is_empty());
+    bench.data(run, " field");
+    bench.event(run, EndpointEvent::Ended);
+    let (received, end) = bench.answer(1);
+    assert_eq!(received, b"no such field");
+    assert!(end.expect("an end").whole);
+}
+
 /// Guards against suspension of an equal or higher tier.
 #[test]
 fn only_lower_tiers_are_suspended() {
--- a/crates/waxwing-policy/src/cache.rs
+++ b/crates/waxwing-policy/src/cache.rs
@@ -27,6 +27,8 @@
     epoch: u64,
     /// The place in the order of use.
     used: u64,
+    /// Whether entries name this prefix in offers, and so are told when it is evicted.
+    watched: bool,
 }
 
 /// `CacheDeltas` are the prefixes that became cached or evicted since they were last taken.
@@ -42,6 +44,10 @@
 /// since they only make a choice better and never make it wrong.
 const MAX_DELTAS: usize = 64;
 
+/// The most deltas of one kind that are taken at a time. A report goes out every second to every
+/// entry that watches the endpoint, and an entry watches up to 160: 16 hashes are 20 KB/s there.
+const TAKEN_DELTAS: usize = 16;
+
 /// A `CacheView` is the agent's view of the prefix cache of its engine.
 #[derive(Debug)]
 pub struct CacheView {
@@ -149,9 +155,30 @@
         units::TokenCount((certain + more) * prompts::BLOCK_TOKENS as u64)
     }
 
-    /// Takes what became cached or evicted since the last call.
+    /// Marks the prefixes that an offer named. Entries know prefixes only at some lengths, and
+    /// hear of no others.
+    pub fn watch(&mut self, prefixes: &[u64]) {
+        for hash in prefixes {
+            let Some(block) = self.blocks.get_mut(hash).filter(|block| !block.watched) else {
+                continue;
+            };
+            block.watched = true;
+            if self.deltas.cached.len() < MAX_DELTAS {
+                self.deltas.cached.push(*hash);
+            }
+        }
+    }
+
+    /// Takes some of what became cached or evicted and was not taken yet.
     pub fn take_deltas(&mut self) -> CacheDeltas {
-        std::mem::take(&mut self.deltas)
+        let take = |hashes: &mut Vec<u64>| {
+            let count = hashes.len().min(TAKEN_DELTAS);
+            hashes.drain(..count).collect()
+        };
+        CacheDeltas {
+            cached: take(&mut self.deltas.cached),
+            evicted: take(&mut self.deltas.evicted),
+        }
     }
 
     /// Returns the number of blocks that are held for cached.
@@ -173,13 +200,16 @@
         let used = self.next_use;
         self.next_use += 1;
         let epoch = self.epoch;
-        let block = CacheBlock { depth, epoch, used };
-        match self.blocks.insert(hash, block) {
-            Some(former) => {
-                self.order.remove(&former.used);
-            }
-            None if self.deltas.cached.len() < MAX_DELTAS => self.deltas.cached.push(hash),
-            None => {}
+        let former = self.blocks.get(&hash);
+        let watched = former.is_some_and(|former| former.watched);
+        let block = CacheBlock {
+            depth,
+            epoch,
+            used,
+            watched,
+        };
+        if let Some(former) = self.blocks.insert(hash, block) {
+            self.order.remove(&former.used);
         }
         self.order.insert(used, hash);
     }
@@ -189,7 +219,8 @@
             return;
         };
         self.order.remove(&block.used);
-        if self.deltas.evicted.len() < MAX_DELTAS {
+        self.deltas.cached.retain(|cached| *cached != hash);
+        if block.watched && self.deltas.evicted.len() < MAX_DELTAS {
             self.deltas.evicted.push(hash);
         }
     }
--- a/crates/waxwing-policy/tests/limits.rs
+++ b/crates/waxwing-policy/tests/limits.rs
@@ -210,11 +210,18 @@
 #[test]
 fn evictions_are_followed() {
     let mut view = CacheView::new(units::TokenCount(16_000));
-    view.sent(&[1, 2, 3]);
-    view.event(1, false, &[3]);
+    view.sent(&[1, 2, 3, 4]);
+    view.watch(&[1, 3, 9]);
+    assert_eq!(
+        view.take_deltas().cached,
+        vec![1, 3],
+        "only prefixes that offers name"
+    );
+    view.event(1, false, &[3, 4]);
     assert_eq!(view.expected_tokens(&[1, 2, 3]).0, 32);
     let deltas = view.take_deltas();
     assert_eq!(deltas.evicted, vec![3]);
+    assert!(deltas.cached.is_empty());
     assert!(!view.observed(&[1, 2], 32));
     assert!(view.observed(&[1, 2], 16), "a miss was not noticed");
 }
