Name the fleet's parts by standard terms and bind deadlines to the targets

Private names (cell, site, book, reading) become role runtime, service, record store and parsed chat.

--- a/crates/waxwing-load/src/fleets.rs
+++ b/crates/waxwing-load/src/fleets.rs
@@ -16,7 +16,7 @@
 pub struct StandinAddresses {
     /// Engines.
     pub engines: Vec<SocketAddr>,
-    /// Registers, each with a book of its own.
+    /// Registers, each with records of its own.
     pub registers: Vec<SocketAddr>,
 }
 
--- a/crates/waxwing-load/src/main.rs
+++ b/crates/waxwing-load/src/main.rs
@@ -57,14 +57,14 @@
         .retain(|variant| chosen.is_empty() || chosen.contains(&variant.name));
     experiment.seed = arguments.seed.unwrap_or(experiment.seed);
     let folder = arguments.experiment.parent().unwrap_or(Path::new("."));
-    let site = runs::RunSite {
+    let external = runs::ExternalFleet {
         entries: arguments.entries,
         standins: fleets::StandinAddresses {
             engines: arguments.engines,
             registers: arguments.registers,
         },
     };
-    let report = runs::run(experiment, folder, &site).await?;
+    let report = runs::run(experiment, folder, &external).await?;
     print!("{}", pages::summary(&report));
     let file = |kind: &str| arguments.out.join(format!("{}.{kind}", report.experiment));
     let json = serde_json::to_string_pretty(&report)?;
--- a/crates/waxwing-load/src/runs.rs
+++ b/crates/waxwing-load/src/runs.rs
@@ -9,7 +9,7 @@
 };
 use waxwing_settings::{files, view};
 use waxwing_solo::{deployments::Deployment, fleets::SoloFleet};
-use waxwing_standin::{options, servers::StandinSite, simulation};
+use waxwing_standin::{options, servers::StandinService, simulation};
 
 use crate::{
     arrivals, drivers,
@@ -27,9 +27,9 @@
 /// The time in which cancelled work ends at the stand-ins after the last call.
 const DRAIN_TIME: Duration = Duration::from_secs(1);
 
-/// A `RunSite` is where a run goes.
+/// An `ExternalFleet` is a fleet that runs elsewhere; without entries, none.
 #[derive(Debug, Clone, Default)]
-pub struct RunSite {
+pub struct ExternalFleet {
     /// Entries that run elsewhere; empty to start a fleet in this process for each variant.
     pub entries: Vec<SocketAddr>,
     /// The stand-ins behind these entries.
@@ -43,7 +43,7 @@
 pub async fn run(
     experiment: Experiment,
     folder: &Path,
-    site: &RunSite,
+    external: &ExternalFleet,
 ) -> Result<RunReport, LoadError> {
     let settings = folder.join(experiment.settings.as_str());
     let tree: serde_json::Value = files::load(&settings)?;
@@ -60,10 +60,10 @@
     let mut variants = Vec::new();
     for variant in &run.experiment.variants {
         eprintln!("{}: variant {}", run.experiment.name, variant.name);
-        let report = if site.entries.is_empty() {
+        let report = if external.entries.is_empty() {
             run.in_process(variant).await?
         } else {
-            run.elsewhere(variant, site).await
+            run.elsewhere(variant, external).await
         };
         variants.push(report);
     }
@@ -112,16 +112,16 @@
         Ok(self.report(variant, &records, &totals, counters))
     }
 
-    async fn elsewhere(&self, variant: &RunVariant, site: &RunSite) -> VariantReport {
-        let before = site.standins.totals(&SystemClock).await;
+    async fn elsewhere(&self, variant: &RunVariant, external: &ExternalFleet) -> VariantReport {
+        let before = external.standins.totals(&SystemClock).await;
         let targets = drivers::CallTargets {
-            chats: site.entries.clone(),
-            records: site.entries.clone(),
+            chats: external.entries.clone(),
+            records: external.entries.clone(),
         };
         let records = self.drive(variant, targets).await;
         SystemClock.sleep(DRAIN_TIME).await;
-        let totals = site.standins.totals(&SystemClock).await.since(&before);
-        let counters = entry_counters(&site.entries).await;
+        let totals = external.standins.totals(&SystemClock).await.since(&before);
+        let counters = entry_counters(&external.entries).await;
         self.report(variant, &records, &totals, counters)
     }
 
@@ -192,8 +192,8 @@
 
 fn call_targets(fleet: &SoloFleet, variant: &RunVariant) -> drivers::CallTargets {
     if variant.direct {
-        let addresses = |cells: &[waxwing_solo::fleets::StandinCell]| {
-            cells.iter().map(|cell| cell.address).collect()
+        let addresses = |runtimes: &[waxwing_solo::fleets::StandinRuntime]| {
+            runtimes.iter().map(|runtime| runtime.address).collect()
         };
         return drivers::CallTargets {
             chats: addresses(&fleet.runners),
@@ -210,13 +210,13 @@
 fn fleet_totals(fleet: &SoloFleet) -> StandinTotals {
     let mut totals = StandinTotals::default();
     for runner in &fleet.runners {
-        if let StandinSite::Engine(engine) = &runner.site {
+        if let StandinService::Engine(engine) = &runner.service {
             let counts: simulation::EngineCounts = engine.counts();
             let hardware = engine.options().hardware.as_str();
             totals.add_engine(hardware, &counts, &engine.runs());
         }
     }
-    totals.add_register(&fleet.book.counts());
+    totals.add_register(&fleet.records.counts());
     totals
 }
 
@@ -227,12 +227,12 @@
         match fault.target {
             FaultTarget::Runner => {
                 if let Some(standin) = fleet.runners.get(index) {
-                    standin.site.faults().apply(&fault.order);
+                    standin.service.faults().apply(&fault.order);
                 }
             }
             FaultTarget::Register => {
                 if let Some(standin) = fleet.registers.get(index) {
-                    standin.site.faults().apply(&fault.order);
+                    standin.service.faults().apply(&fault.order);
                 }
             }
             FaultTarget::Entry => kill(&mut fleet.entries, index),
@@ -242,9 +242,9 @@
     }
 }
 
-fn kill(cells: &mut [waxwing_solo::cells::RoleCell], index: usize) {
-    if let Some(cell) = cells.get_mut(index) {
-        cell.kill();
+fn kill(runtimes: &mut [waxwing_solo::runtimes::RoleRuntime], index: usize) {
+    if let Some(runtime) = runtimes.get_mut(index) {
+        runtime.kill();
     }
 }
 
--- a/crates/waxwing-load/src/verdicts.rs
+++ b/crates/waxwing-load/src/verdicts.rs
@@ -38,9 +38,9 @@
     Failed,
 }
 
-/// A `CallReading` is a verdict with what the answer tells besides.
+/// A `JudgedCall` is a verdict with what the answer tells besides.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub struct CallReading {
+pub struct JudgedCall {
     /// The verdict.
     pub verdict: CallVerdict,
     /// Prompt tokens that were computed for the answer.
@@ -60,9 +60,9 @@
     expected: &ExpectedAnswer,
     answer: &callers::CallAnswer,
     deadline: Duration,
-) -> CallReading {
+) -> JudgedCall {
     if !callers::is_answer(answer.status) {
-        return CallReading {
+        return JudgedCall {
             verdict: judge_refusal(answer),
             computed_tokens: 0,
         };
@@ -71,19 +71,19 @@
     match expected {
         ExpectedAnswer::Chat { text, stream, .. } => {
             let reading = if *stream {
-                callers::ChatReading::of_stream(&answer.body)
+                callers::ParsedChat::of_stream(&answer.body)
             } else {
-                callers::ChatReading::of_whole(&answer.body)
+                callers::ParsedChat::of_whole(&answer.body)
             };
             let verdict = judge_chat(text, answer, &reading, in_time);
-            CallReading {
+            JudgedCall {
                 verdict,
                 computed_tokens: reading.prompt_tokens.saturating_sub(reading.cached_tokens),
             }
         }
         ExpectedAnswer::Record { body, .. } => {
             let right = answer.body == body.as_bytes();
-            CallReading {
+            JudgedCall {
                 verdict: whole_verdict(answer.ended, right, in_time),
                 computed_tokens: 0,
             }
@@ -94,7 +94,7 @@
 fn judge_chat(
     text: &str,
     answer: &callers::CallAnswer,
-    reading: &callers::ChatReading,
+    reading: &callers::ParsedChat,
     in_time: bool,
 ) -> CallVerdict {
     // A stream is presented as whole by its end mark, and only by that.
--- a/crates/waxwing-load/tests/experiments.rs
+++ b/crates/waxwing-load/tests/experiments.rs
@@ -37,6 +37,10 @@
             assert!(view.tree.tiers.contains_key(&class.tier), "{}", class.tier);
             if let experiments::CallPlan::Chat(chat) = &class.call {
                 assert!(view.tree.models.contains_key(&chat.model), "{}", chat.model);
+                // A shorter deadline would contradict the latency targets of the design page.
+                let needed = 990 + 58 * chat.output_tokens[1];
+                let deadline = class.deadline_ms;
+                assert!(deadline >= needed, "{}: {deadline} < {needed}", class.name);
             }
         }
         count += 1;
--- a/crates/waxwing-solo/src/demo.rs
+++ b/crates/waxwing-solo/src/demo.rs
@@ -14,7 +14,7 @@
     clock::{Clock as _, SystemClock},
     ids,
 };
-use waxwing_standin::{callers, servers::StandinSite, simulation};
+use waxwing_standin::{callers, servers::StandinService, simulation};
 
 use crate::{
     deployments::Deployment,
@@ -167,7 +167,7 @@
     let printer = tokio::spawn(async move {
         let mut count = 0;
         while let Some(part) = parts.recv().await {
-            let text = callers::ChatReading::of_stream(&part).text;
+            let text = callers::ParsedChat::of_stream(&part).text;
             count += text.split_whitespace().count();
             print!("{text}");
             let _ = io::stdout().flush();
@@ -189,7 +189,7 @@
 }
 
 fn count_records(fleet: &SoloFleet, calls: &[SampleCall], result: &mut DemoResult) {
-    let counts = fleet.book.counts();
+    let counts = fleet.records.counts();
     for call in calls {
         if let SampleAnswer::Record(_, name) = &call.expected {
             let count = counts.bodies.get(name).copied().unwrap_or(0);
@@ -205,7 +205,7 @@
 
 fn sum_prefill(fleet: &SoloFleet, result: &mut DemoResult) {
     for runner in &fleet.runners {
-        if let StandinSite::Engine(engine) = &runner.site {
+        if let StandinService::Engine(engine) = &runner.service {
             let counts = engine.counts();
             result.prefill.computed += counts.computed;
             result.prefill.cached += counts.cached;
--- a/crates/waxwing-solo/src/errors.rs
+++ b/crates/waxwing-solo/src/errors.rs
@@ -11,18 +11,18 @@
     /// The first settings tree was refused.
     #[error("the settings tree was refused: {0}")]
     Tree(String),
-    /// The threads of a cell could not be started.
-    #[error("cell {name}: threads could not be started: {error}")]
+    /// The threads of a role could not be started.
+    #[error("{name}: threads could not be started: {error}")]
     Threads {
-        /// The name of the cell.
+        /// The name of the role.
         name: SmolStr,
         /// What the operating system said.
         error: std::io::Error,
     },
     /// A role could not open its sockets.
-    #[error("cell {name}: {detail}")]
+    #[error("{name}: {detail}")]
     Bind {
-        /// The name of the cell.
+        /// The name of the role.
         name: SmolStr,
         /// What the role said.
         detail: String,
--- a/crates/waxwing-solo/src/fleets.rs
+++ b/crates/waxwing-solo/src/fleets.rs
@@ -1,4 +1,4 @@
-//! The fleet: starting all cells in order, waiting until they serve, killing and stopping them.
+//! The fleet: starting all runtimes in order, waiting until they serve, killing and stopping them.
 
 use std::{fs, net::SocketAddr, sync::Arc, time::Duration};
 
@@ -14,10 +14,10 @@
 use waxwing_entry::EntryOptions;
 use waxwing_standin::{
     callers, registers,
-    servers::{self, StandinSite},
+    servers::{self, StandinService},
 };
 
-use crate::{cells::RoleCell, errors::SoloError, options};
+use crate::{errors::SoloError, options, runtimes::RoleRuntime};
 
 /// The time in which a fleet has to become ready.
 const READY_LIMIT: Duration = Duration::from_secs(20);
@@ -25,13 +25,13 @@
 /// The time between two probes.
 const PROBE_PAUSE: Duration = Duration::from_millis(100);
 
-/// A `StandinCell` is a stand-in with its handle for counts and faults.
+/// A `StandinRuntime` is a stand-in with its handle for counts and faults.
 #[derive(Debug)]
-pub struct StandinCell {
-    /// The cell.
-    pub cell: RoleCell,
-    /// The handle; it works beyond the end of the cell.
-    pub site: StandinSite<SystemClock>,
+pub struct StandinRuntime {
+    /// The runtime.
+    pub runtime: RoleRuntime,
+    /// The handle; it works beyond the end of the runtime.
+    pub service: StandinService<SystemClock>,
     /// The address.
     pub address: SocketAddr,
 }
@@ -41,21 +41,21 @@
 pub struct SoloFleet {
     options: Arc<options::SoloOptions>,
     /// Control hosts.
-    pub controls: Vec<RoleCell>,
+    pub controls: Vec<RoleRuntime>,
     /// Stand-in engines.
-    pub runners: Vec<StandinCell>,
+    pub runners: Vec<StandinRuntime>,
     /// Stand-in registers.
-    pub registers: Vec<StandinCell>,
+    pub registers: Vec<StandinRuntime>,
     /// Agents, those of the engines first.
-    pub agents: Vec<RoleCell>,
+    pub agents: Vec<RoleRuntime>,
     /// Entries.
-    pub entries: Vec<RoleCell>,
+    pub entries: Vec<RoleRuntime>,
     /// Addresses of the entries for callers.
     pub entry_addresses: Vec<SocketAddr>,
     /// Addresses of the operators' interface of the control hosts.
     pub operator_addresses: Vec<SocketAddr>,
-    /// The book of all registers.
-    pub book: registers::RegisterBook,
+    /// The records of all registers.
+    pub records: registers::RecordStore,
     links: Vec<SocketAddr>,
 }
 
@@ -69,10 +69,10 @@
 }
 
 impl SoloFleet {
-    /// Starts all cells and waits until every entry answers every probe.
+    /// Starts all runtimes and waits until every entry answers every probe.
     ///
     /// # Errors
-    /// Fails if a cell can't be started or the fleet is not ready in time.
+    /// Fails if a runtime can't be started or the fleet is not ready in time.
     pub async fn start(options: options::SoloOptions) -> Result<Self, SoloError> {
         let mut fleet = Self {
             options: Arc::new(options),
@@ -83,7 +83,7 @@
             entries: Vec::new(),
             entry_addresses: Vec::new(),
             operator_addresses: Vec::new(),
-            book: registers::RegisterBook::default(),
+            records: registers::RecordStore::default(),
             links: Vec::new(),
         };
         fleet.start_controls().await?;
@@ -97,16 +97,16 @@
     async fn start_controls(&mut self) -> Result<(), SoloError> {
         let mut bound = Vec::new();
         for index in 0..self.options.controls as usize {
-            let cell = RoleCell::new(format_smolstr!("control-{}", index + 1), 1)?;
+            let runtime = RoleRuntime::new(format_smolstr!("control-{}", index + 1), 1)?;
             let options = self.control_options(index)?;
-            let control = cell
+            let control = runtime
                 .bind(waxwing_control::bind(options, SystemClock))
                 .await?;
             self.links.push(control.link_address());
             self.operator_addresses.push(control.http_address());
-            bound.push((cell, control));
+            bound.push((runtime, control));
         }
-        for (index, (mut cell, mut control)) in bound.into_iter().enumerate() {
+        for (index, (mut runtime, mut control)) in bound.into_iter().enumerate() {
             let others = self
                 .links
                 .iter()
@@ -121,13 +121,13 @@
                 let set = control.set_first_tree(self.options.tree.clone());
                 set.map_err(|findings| SoloError::Tree(format!("{findings:?}")))?;
             }
-            let name = cell.name().clone();
-            cell.run(|shutdown| async move {
+            let name = runtime.name().clone();
+            runtime.run(|shutdown| async move {
                 if let Err(error) = control.run(shutdown).await {
                     tracing::error!(%name, %error, "control host ended");
                 }
             });
-            self.controls.push(cell);
+            self.controls.push(runtime);
         }
         Ok(())
     }
@@ -169,15 +169,15 @@
         &self,
         name: SmolStr,
         options: &waxwing_standin::options::StandinOptions,
-    ) -> Result<StandinCell, SoloError> {
-        let mut cell = RoleCell::new(name, 1)?;
-        let bind = servers::bind_shared(options.clone(), self.book.clone(), SystemClock);
-        let bound = cell.bind(bind).await?;
-        let (address, site) = (bound.address(), bound.site());
-        cell.run(|shutdown| bound.run(shutdown));
-        Ok(StandinCell {
-            cell,
-            site,
+    ) -> Result<StandinRuntime, SoloError> {
+        let mut runtime = RoleRuntime::new(name, 1)?;
+        let bind = servers::bind_shared(options.clone(), self.records.clone(), SystemClock);
+        let bound = runtime.bind(bind).await?;
+        let (address, service) = (bound.address(), bound.service());
+        runtime.run(|shutdown| bound.run(shutdown));
+        Ok(StandinRuntime {
+            runtime,
+            service,
             address,
         })
     }
@@ -200,8 +200,8 @@
         index: usize,
         endpoint: SocketAddr,
         role: ids::RoleName,
-    ) -> Result<RoleCell, SoloError> {
-        let mut cell = RoleCell::new(format_smolstr!("agent-{}", index + 1), 1)?;
+    ) -> Result<RoleRuntime, SoloError> {
+        let mut runtime = RoleRuntime::new(format_smolstr!("agent-{}", index + 1), 1)?;
         let options = AgentOptions {
             name: name_of("agent", index),
             data_centre: self.options.data_centre(index),
@@ -214,19 +214,21 @@
             limits: waxwing_agent::options::AgentLimits::default(),
             security: waxwing_wire::security::LinkSecurity::Plain,
         };
-        let bound = cell.bind(waxwing_agent::bind(options, SystemClock)).await?;
-        let name = cell.name().clone();
-        cell.run(|shutdown| async move {
+        let bound = runtime
+            .bind(waxwing_agent::bind(options, SystemClock))
+            .await?;
+        let name = runtime.name().clone();
+        runtime.run(|shutdown| async move {
             if let Err(error) = bound.run(shutdown).await {
                 tracing::error!(%name, %error, "agent ended");
             }
         });
-        Ok(cell)
+        Ok(runtime)
     }
 
     async fn start_entries(&mut self) -> Result<(), SoloError> {
         for index in 0..self.options.entries as usize {
-            let mut cell = RoleCell::new(format_smolstr!("entry-{}", index + 1), 2)?;
+            let mut runtime = RoleRuntime::new(format_smolstr!("entry-{}", index + 1), 2)?;
             let options = EntryOptions {
                 name: name_of("entry", index),
                 data_centre: self.options.data_centre(index),
@@ -240,10 +242,12 @@
                 tls: None,
                 link_tls: None,
             };
-            let bound = cell.bind(waxwing_entry::bind(options, SystemClock)).await?;
+            let bound = runtime
+                .bind(waxwing_entry::bind(options, SystemClock))
+                .await?;
             self.entry_addresses.push(bound.http_address());
-            cell.run(|shutdown| async move { bound.run(shutdown).await });
-            self.entries.push(cell);
+            runtime.run(|shutdown| async move { bound.run(shutdown).await });
+            self.entries.push(runtime);
         }
         Ok(())
     }
@@ -285,17 +289,17 @@
     /// Stops entries first, then agents, stand-ins and control hosts, each gracefully.
     pub async fn stop(mut self) {
         let standins = self.runners.iter_mut().chain(&mut self.registers);
-        let standins = standins.map(|standin| &mut standin.cell);
-        let groups: [Vec<&mut RoleCell>; 4] = [
+        let standins = standins.map(|standin| &mut standin.runtime);
+        let groups: [Vec<&mut RoleRuntime>; 4] = [
             self.entries.iter_mut().collect(),
             self.agents.iter_mut().collect(),
             standins.collect(),
             self.controls.iter_mut().collect(),
         ];
         for group in groups {
-            group.iter().for_each(|cell| cell.ask_to_stop());
-            for cell in group {
-                cell.stop().await;
+            group.iter().for_each(|runtime| runtime.ask_to_stop());
+            for runtime in group {
+                runtime.stop().await;
             }
         }
     }
--- a/crates/waxwing-solo/src/lib.rs
+++ b/crates/waxwing-solo/src/lib.rs
@@ -1,11 +1,11 @@
 //! Every role in one process, with stand-in endpoints, real loopback sockets and ephemeral ports.
-//! Each process of a real fleet is a cell with threads of its own here, so that it can be killed
-//! without a farewell; see `docs/design.md`, section 3.
+//! Each process of a real fleet is a role on a tokio runtime of its own here, so that it can be killed
+//! without a graceful shutdown; see `docs/design.md`, section 3.
 
-pub mod cells;
 pub mod demo;
 pub mod deployments;
 pub mod errors;
 pub mod fleets;
 pub mod options;
 pub mod requests;
+pub mod runtimes;
--- a/crates/waxwing-solo/src/options.rs
+++ b/crates/waxwing-solo/src/options.rs
@@ -21,7 +21,7 @@
     pub runners: Vec<options::StandinOptions>,
     /// The endpoint role of the engines.
     pub runner_role: ids::RoleName,
-    /// Stand-in registers, each with an agent; they share one book.
+    /// Stand-in registers, each with an agent; they share one set of records.
     pub registers: Vec<options::StandinOptions>,
     /// The endpoint role of the registers.
     pub register_role: ids::RoleName,
--- a/crates/waxwing-solo/src/requests.rs
+++ b/crates/waxwing-solo/src/requests.rs
@@ -102,12 +102,12 @@
     /// Tells whether an answer is whole and the right one.
     #[must_use]
     pub fn is_met(&self, answer: &callers::CallAnswer) -> bool {
-        let read = |reading: callers::ChatReading, text: &str| {
+        let read = |reading: callers::ParsedChat, text: &str| {
             reading.done && !reading.failed && reading.text == text
         };
         let right = match self {
-            Self::Stream(text) => read(callers::ChatReading::of_stream(&answer.body), text),
-            Self::Whole(text) => read(callers::ChatReading::of_whole(&answer.body), text),
+            Self::Stream(text) => read(callers::ParsedChat::of_stream(&answer.body), text),
+            Self::Whole(text) => read(callers::ParsedChat::of_whole(&answer.body), text),
             Self::Record(body, _) => answer.body == body.as_bytes(),
         };
         callers::is_answer(answer.status) && answer.ended && right
--- a/crates/waxwing-solo/src/cells.rs
+++ b/crates/waxwing-solo/src/runtimes.rs
@@ -1,5 +1,5 @@
-//! Cells: one role on a runtime of its own. Killing a cell drops its runtime with all tasks and
-//! sockets at once, which is the closest that one process comes to `kill -9` of another.
+//! One role on a tokio runtime of its own. A kill drops the runtime with all tasks and sockets at
+//! once, which is the closest that one process comes to `kill -9` of another.
 
 use std::{fmt::Display, future::Future};
 
@@ -9,17 +9,17 @@
 
 use crate::errors::SoloError;
 
-/// A `RoleCell` runs one role.
+/// A `RoleRuntime` runs one role.
 #[derive(Debug)]
-pub struct RoleCell {
+pub struct RoleRuntime {
     name: SmolStr,
     runtime: Option<runtime::Runtime>,
     shutdown: CancellationToken,
     task: Option<task::JoinHandle<()>>,
 }
 
-impl RoleCell {
-    /// Starts the threads of a cell that runs nothing yet.
+impl RoleRuntime {
+    /// Starts the threads of a runtime that runs nothing yet.
     ///
     /// # Errors
     /// Fails if the operating system gives no threads.
@@ -48,7 +48,7 @@
         &self.name
     }
 
-    /// Opens the sockets of a role on the threads of the cell.
+    /// Opens the sockets of a role on the threads of the runtime.
     ///
     /// # Errors
     /// Fails with the error of the role.
@@ -65,14 +65,14 @@
             detail,
         };
         let Some(runtime) = &self.runtime else {
-            return Err(failure("the cell was killed".to_owned()));
+            return Err(failure("the runtime was killed".to_owned()));
         };
         let bound = runtime.spawn(bind).await;
         let bound = bound.map_err(|error| failure(error.to_string()))?;
         bound.map_err(|error| failure(error.to_string()))
     }
 
-    /// Runs a role until the cell is stopped.
+    /// Runs a role until the runtime is stopped.
     pub fn run<F: Future<Output = ()> + Send + 'static>(
         &mut self,
         run: impl FnOnce(CancellationToken) -> F,
@@ -82,13 +82,13 @@
         }
     }
 
-    /// Tells whether the cell was killed or stopped.
+    /// Tells whether the runtime was killed or stopped.
     #[must_use]
     pub fn is_gone(&self) -> bool {
         self.runtime.is_none()
     }
 
-    /// Ends the role without a farewell.
+    /// Ends the role without a graceful shutdown.
     pub fn kill(&mut self) {
         self.task = None;
         if let Some(runtime) = self.runtime.take() {
@@ -112,7 +112,7 @@
     }
 }
 
-impl Drop for RoleCell {
+impl Drop for RoleRuntime {
     fn drop(&mut self) {
         self.kill();
     }
--- a/crates/waxwing-solo/tests/cells.rs
+++ b/crates/waxwing-solo/tests/runtimes.rs
@@ -1,28 +1,28 @@
-//! Tests of cells and of the demo's checks.
+//! Tests of runtimes and of the demo's checks.
 
 use bytes::Bytes;
 use hyper::Method;
 use tokio::io::AsyncReadExt as _;
 use waxwing_core::clock::SystemClock;
-use waxwing_solo::{cells::RoleCell, deployments::Deployment, requests::SampleAnswer};
+use waxwing_solo::{deployments::Deployment, requests::SampleAnswer, runtimes::RoleRuntime};
 use waxwing_standin::{answers, callers};
 
 /// Guards against a kill that leaves sockets open or lets the role say goodbye: it would prove
 /// nothing about processes that die.
 #[tokio::test]
 async fn kill_closes_sockets_without_shutdown() {
-    let mut cell = RoleCell::new("victim", 1).expect("threads");
+    let mut runtime = RoleRuntime::new("killed", 1).expect("threads");
     let bind = tokio::net::TcpListener::bind(("127.0.0.1", 0));
-    let listener = cell.bind(bind).await.expect("a free port");
+    let listener = runtime.bind(bind).await.expect("a free port");
     let address = listener.local_addr().expect("an address");
-    let (farewell, mut heard) = tokio::sync::mpsc::channel::<()>(1);
-    cell.run(|shutdown| async move {
+    let (stopped, mut heard) = tokio::sync::mpsc::channel::<()>(1);
+    runtime.run(|shutdown| async move {
         let mut held = Vec::new();
         loop {
             tokio::select! {
                 accepted = listener.accept() => held.push(accepted),
                 () = shutdown.cancelled() => {
-                    let _ = farewell.send(()).await;
+                    let _ = stopped.send(()).await;
                     return;
                 }
             }
@@ -31,8 +31,8 @@
     let mut stream = tokio::net::TcpStream::connect(address)
         .await
         .expect("connected");
-    cell.kill();
-    assert!(cell.is_gone());
+    runtime.kill();
+    assert!(runtime.is_gone());
     let read = stream.read(&mut [0; 8]).await;
     assert!(matches!(read, Ok(0) | Err(_)));
     assert_eq!(
@@ -113,7 +113,7 @@
         let body = String::from_utf8_lossy(&answer.body);
         assert!(call.expected.is_met(&answer), "{} {body}", answer.status);
     }
-    assert_eq!(fleet.book.counts().recorded, 1);
+    assert_eq!(fleet.records.counts().recorded, 1);
     let spec = callers::CallSpec {
         method: Method::GET,
         path: "/healthz".into(),
--- a/crates/waxwing-standin/src/callers.rs
+++ b/crates/waxwing-standin/src/callers.rs
@@ -164,9 +164,9 @@
     }
 }
 
-/// A `ChatReading` is the content of a streamed chat answer.
+/// A `ParsedChat` is the content of a streamed chat answer.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
-pub struct ChatReading {
+pub struct ParsedChat {
     /// The text.
     pub text: String,
     /// Whether the end mark came.
@@ -226,7 +226,7 @@
     reason: SmolStr,
 }
 
-impl ChatReading {
+impl ParsedChat {
     /// Reads a streamed answer.
     #[must_use]
     pub fn of_stream(body: &[u8]) -> Self {
--- a/crates/waxwing-standin/src/registers.rs
+++ b/crates/waxwing-standin/src/registers.rs
@@ -33,13 +33,13 @@
     records: BTreeMap<SmolStr, Bytes>,
 }
 
-/// A `RegisterBook` is what is recorded; several registers can share one.
+/// A `RecordStore` is what is recorded; several registers can share it.
 #[derive(Debug, Clone, Default)]
-pub struct RegisterBook {
+pub struct RecordStore {
     state: Arc<Mutex<RegisterState>>,
 }
 
-impl RegisterBook {
+impl RecordStore {
     /// Records a body and counts it.
     pub fn record(&self, kind: &str, body: Bytes) {
         let name = record_name(kind, &answers::record_id(&body));
@@ -76,7 +76,7 @@
 #[derive(Debug, Clone)]
 pub struct StandinRegister<C> {
     options: Arc<options::RegisterOptions>,
-    book: RegisterBook,
+    records: RecordStore,
     workers: Arc<Semaphore>,
     faults: faults::FaultSwitch,
     clock: C,
@@ -84,12 +84,12 @@
 }
 
 impl<C: Clock> StandinRegister<C> {
-    /// Builds a register that writes to a book.
+    /// Builds a register that writes to the given records.
     #[must_use]
     pub fn new(
         options: options::RegisterOptions,
         time_scale: f64,
-        book: RegisterBook,
+        records: RecordStore,
         faults: faults::FaultSwitch,
         clock: C,
     ) -> Self {
@@ -97,7 +97,7 @@
             workers: Arc::new(Semaphore::new(options.workers)),
             call_length: Duration::from_millis(options.call_millis).div_f64(time_scale),
             options: Arc::new(options),
-            book,
+            records,
             faults,
             clock,
         }
@@ -115,10 +115,10 @@
         &self.faults
     }
 
-    /// Returns the book.
+    /// Returns what is recorded.
     #[must_use]
-    pub fn book(&self) -> &RegisterBook {
-        &self.book
+    pub fn records(&self) -> &RecordStore {
+        &self.records
     }
 
     /// Returns the calls that run and wait now.
--- a/crates/waxwing-standin/src/servers.rs
+++ b/crates/waxwing-standin/src/servers.rs
@@ -21,9 +21,9 @@
 /// The longest request body in bytes.
 const MAX_BODY_BYTES: usize = 16 * 1024 * 1024;
 
-/// A `StandinSite` is what a stand-in serves; clones share it.
+/// A `StandinService` is what a stand-in serves; clones share it.
 #[derive(Debug, Clone)]
-pub enum StandinSite<C> {
+pub enum StandinService<C> {
     /// A model engine.
     Engine(engines::StandinEngine<C>),
     /// A register.
@@ -35,10 +35,10 @@
 pub struct BoundStandin<C> {
     listener: net::TcpListener,
     address: SocketAddr,
-    site: StandinSite<C>,
+    service: StandinService<C>,
 }
 
-/// Opens the socket of a stand-in; a register gets a book of its own.
+/// Opens the socket of a stand-in; a register gets records of its own.
 ///
 /// # Errors
 /// Fails if an option is outside of its range or the address can't be listened on.
@@ -46,16 +46,16 @@
     options: options::StandinOptions,
     clock: C,
 ) -> Result<BoundStandin<C>, errors::StandinError> {
-    bind_shared(options, registers::RegisterBook::default(), clock).await
+    bind_shared(options, registers::RecordStore::default(), clock).await
 }
 
-/// Opens the socket of a stand-in; a register writes to the given book.
+/// Opens the socket of a stand-in; a register writes to the given records.
 ///
 /// # Errors
 /// Fails if an option is outside of its range or the address can't be listened on.
 pub async fn bind_shared<C: Clock>(
     options: options::StandinOptions,
-    book: registers::RegisterBook,
+    records: registers::RecordStore,
     clock: C,
 ) -> Result<BoundStandin<C>, errors::StandinError> {
     options.check()?;
@@ -65,19 +65,19 @@
     let address = listener.local_addr().map_err(bind_error)?;
     let scale = options.time_scale;
     let faults = faults::FaultSwitch::default();
-    let site = match options.role {
+    let service = match options.role {
         options::StandinRole::Engine(options) => {
-            StandinSite::Engine(engines::StandinEngine::new(options, scale, faults, clock))
+            StandinService::Engine(engines::StandinEngine::new(options, scale, faults, clock))
         }
         options::StandinRole::Register(options) => {
-            let register = registers::StandinRegister::new(options, scale, book, faults, clock);
-            StandinSite::Register(register)
+            let register = registers::StandinRegister::new(options, scale, records, faults, clock);
+            StandinService::Register(register)
         }
     };
     Ok(BoundStandin {
         listener,
         address,
-        site,
+        service,
     })
 }
 
@@ -90,22 +90,22 @@
 
     /// Returns a handle to what is served, for counts and faults.
     #[must_use]
-    pub fn site(&self) -> StandinSite<C> {
-        self.site.clone()
+    pub fn service(&self) -> StandinService<C> {
+        self.service.clone()
     }
 
     /// Serves until `shutdown` or a fault that kills the stand-in; open connections are closed.
     pub async fn run(self, shutdown: CancellationToken) {
-        let death = self.site.faults().death().clone();
-        let site = self.site.clone();
+        let death = self.service.faults().death().clone();
+        let service = self.service.clone();
         tokio::select! {
             () = shutdown.cancelled() => {}
             () = death.cancelled() => {}
-            () = serve(self.listener, &site) => {}
-            () = work(&site, shutdown.clone()) => {}
+            () = serve(self.listener, &service) => {}
+            () = work(&service, shutdown.clone()) => {}
         }
         // The work is ended here too, since a death may win against the loop of the engine.
-        if let StandinSite::Engine(engine) = &site {
+        if let StandinService::Engine(engine) = &service {
             let ended = CancellationToken::new();
             ended.cancel();
             engine.run(ended).await;
@@ -113,28 +113,28 @@
     }
 }
 
-async fn work<C: Clock>(site: &StandinSite<C>, shutdown: CancellationToken) {
-    match site {
-        StandinSite::Engine(engine) => engine.run(shutdown).await,
-        StandinSite::Register(_) => shutdown.cancelled().await,
+async fn work<C: Clock>(service: &StandinService<C>, shutdown: CancellationToken) {
+    match service {
+        StandinService::Engine(engine) => engine.run(shutdown).await,
+        StandinService::Register(_) => shutdown.cancelled().await,
     }
 }
 
-async fn serve<C: Clock>(listener: net::TcpListener, site: &StandinSite<C>) {
+async fn serve<C: Clock>(listener: net::TcpListener, service: &StandinService<C>) {
     let mut tasks = JoinSet::new();
     loop {
         let Ok((stream, _)) = listener.accept().await else {
             continue;
         };
         let _ = stream.set_nodelay(true);
-        let visit = SiteVisit {
-            site: site.clone(),
-            number: site.faults().open_connection(),
+        let handler = ConnectionHandler {
+            service: service.clone(),
+            number: service.faults().open_connection(),
         };
         tasks.spawn(async move {
             let service = service::service_fn(move |request| {
-                let visit = visit.clone();
-                async move { Ok::<_, Infallible>(visit.answer(request).await) }
+                let handler = handler.clone();
+                async move { Ok::<_, Infallible>(handler.answer(request).await) }
             });
             // A caller that goes away in the middle is no fault of the stand-in.
             let _ = server::conn::http1::Builder::new()
@@ -146,7 +146,7 @@
     }
 }
 
-impl<C: Clock> StandinSite<C> {
+impl<C: Clock> StandinService<C> {
     /// Returns the faults of the stand-in.
     #[must_use]
     pub fn faults(&self) -> &faults::FaultSwitch {
@@ -158,8 +158,8 @@
 }
 
 #[derive(Debug, Clone)]
-struct SiteVisit<C> {
-    site: StandinSite<C>,
+struct ConnectionHandler<C> {
+    service: StandinService<C>,
     number: u64,
 }
 
@@ -200,10 +200,10 @@
     hashes: Vec<u64>,
 }
 
-type SiteResponse<C> = Response<ReplyBody<C>>;
+type StandinResponse<C> = Response<ReplyBody<C>>;
 
-impl<C: Clock> SiteVisit<C> {
-    async fn answer(&self, request: Request<Incoming>) -> SiteResponse<C> {
+impl<C: Clock> ConnectionHandler<C> {
+    async fn answer(&self, request: Request<Incoming>) -> StandinResponse<C> {
         let path = request.uri().path().to_owned();
         if path != "/faults" {
             self.pass_silence().await;
@@ -213,18 +213,18 @@
             return replies::refusal(StatusCode::PAYLOAD_TOO_LARGE, "the body is too long");
         };
         let body = body.to_bytes();
-        let response = match (&self.site, parts.method, path.as_str()) {
+        let response = match (&self.service, parts.method, path.as_str()) {
             (_, Method::POST, "/faults") => self.fault(&body),
-            (StandinSite::Engine(engine), Method::POST, "/v1/chat/completions") => {
+            (StandinService::Engine(engine), Method::POST, "/v1/chat/completions") => {
                 let id = parts.headers.get("x-request-id");
                 let id = id.and_then(|id| id.to_str().ok()).unwrap_or_default();
                 self.chat(engine, SmolStr::new(id), &body).await
             }
-            (StandinSite::Engine(engine), Method::GET, _) => {
+            (StandinService::Engine(engine), Method::GET, _) => {
                 engine_page(engine, &path, parts.uri.query())
             }
-            (StandinSite::Engine(engine), _, _) => engine_call(engine, &path, &body),
-            (StandinSite::Register(register), method, _) => {
+            (StandinService::Engine(engine), _, _) => engine_call(engine, &path, &body),
+            (StandinService::Register(register), method, _) => {
                 register_call(register, &method, &path, body).await
             }
         };
@@ -236,16 +236,16 @@
 
     /// Never returns on a connection that has gone silent.
     async fn pass_silence(&self) {
-        if self.site.faults().is_silent(self.number) {
+        if self.service.faults().is_silent(self.number) {
             std::future::pending::<()>().await;
         }
     }
 
-    fn fault(&self, body: &[u8]) -> SiteResponse<C> {
+    fn fault(&self, body: &[u8]) -> StandinResponse<C> {
         let Some(order) = parse::<faults::FaultOrder>(body) else {
             return replies::refusal(StatusCode::BAD_REQUEST, "the body is not a fault order");
         };
-        self.site.faults().apply(&order);
+        self.service.faults().apply(&order);
         replies::json(StatusCode::OK, &order)
     }
 
@@ -254,7 +254,7 @@
         engine: &engines::StandinEngine<C>,
         id: SmolStr,
         body: &[u8],
-    ) -> SiteResponse<C> {
+    ) -> StandinResponse<C> {
         let request = match chats::parse_request(body) {
             Ok(request) => request,
             Err(error) => return replies::refusal(StatusCode::BAD_REQUEST, &error.to_string()),
@@ -307,7 +307,7 @@
     engine: &engines::StandinEngine<C>,
     path: &str,
     query: Option<&str>,
-) -> SiteResponse<C> {
+) -> StandinResponse<C> {
     match path {
         "/info" => replies::json(StatusCode::OK, &engine_info(engine)),
         "/load" => replies::json(StatusCode::OK, &engine.load()),
@@ -326,7 +326,7 @@
     engine: &engines::StandinEngine<C>,
     path: &str,
     body: &[u8],
-) -> SiteResponse<C> {
+) -> StandinResponse<C> {
     let response = match path {
         "/cancel" => parse::<CancelBody>(body).map(|cancel| {
             let cancelled = engine.cancel_id(&cancel.request_id);
@@ -354,7 +354,7 @@
     response.unwrap_or_else(|| replies::refusal(StatusCode::BAD_REQUEST, "the body is not valid"))
 }
 
-fn order_reply<C: Clock>(verdict: engines::OrderVerdict) -> SiteResponse<C> {
+fn order_reply<C: Clock>(verdict: engines::OrderVerdict) -> StandinResponse<C> {
     match verdict {
         engines::OrderVerdict::Done => {
             replies::json(StatusCode::OK, &serde_json::json!({ "done": true }))
@@ -381,23 +381,23 @@
     method: &Method,
     path: &str,
     body: Bytes,
-) -> SiteResponse<C> {
+) -> StandinResponse<C> {
     let path = register_path(path).trim_matches('/');
     let (kind, id) = path.split_once('/').unwrap_or((path, ""));
     let known = registers::RECORD_KINDS.contains(&kind);
     match (method, kind) {
         (&Method::GET, "info") => replies::json(StatusCode::OK, &register_info(register)),
-        (&Method::GET, "counts") => replies::json(StatusCode::OK, &register.book().counts()),
+        (&Method::GET, "counts") => replies::json(StatusCode::OK, &register.records().counts()),
         (&Method::GET, "load") => replies::json(StatusCode::OK, &register.load()),
         (&Method::POST, _) if known && id.is_empty() => {
             register.work().await;
             let text = answers::expected_record(kind, &body);
-            register.book().record(kind, body);
+            register.records().record(kind, body);
             replies::json_text(StatusCode::CREATED, text)
         }
         (&Method::GET, _) if known => {
             register.work().await;
-            match register.book().find(kind, id) {
+            match register.records().find(kind, id) {
                 Some(body) => {
                     replies::json_text(StatusCode::OK, answers::expected_record(kind, &body))
                 }
