Use idempotency keys of its own in each run of the demo

With a kept data folder the keys of an earlier run are still known, so the second demo got stored answers, and its empty register showed no record.

Run: the tests of waxwing-solo.

--- a/crates/waxwing-solo/src/demo.rs
+++ b/crates/waxwing-solo/src/demo.rs
@@ -89,7 +89,9 @@
         fleet.controls.len(),
         ready.as_secs_f64(),
     );
-    let calls = deployment.requests()?.calls();
+    let calls = deployment
+        .requests()?
+        .calls(&SystemClock.wall_millis().to_string());
     let mut result = DemoResult::default();
     let shown = calls
         .iter()
--- a/crates/waxwing-solo/src/requests.rs
+++ b/crates/waxwing-solo/src/requests.rs
@@ -115,16 +115,18 @@
 }
 
 impl RequestFile {
-    /// Returns all calls of the file.
+    /// Returns all calls of the file. `run` is part of every idempotency key, since the keys of an
+    /// earlier run are still known when the data folder is kept.
     #[must_use]
-    pub fn calls(&self) -> Vec<SampleCall> {
+    pub fn calls(&self, run: &str) -> Vec<SampleCall> {
         let samples = self.requests.iter();
-        let calls = samples
-            .flat_map(|sample| (0..sample.times).filter_map(|number| self.call(sample, number)));
+        let calls = samples.flat_map(|sample| {
+            (0..sample.times).filter_map(|number| self.call(sample, number, run))
+        });
         calls.collect()
     }
 
-    fn call(&self, sample: &RequestSample, number: u32) -> Option<SampleCall> {
+    fn call(&self, sample: &RequestSample, number: u32, run: &str) -> Option<SampleCall> {
         let token = self.tokens.get(&sample.account)?;
         let mut headers = vec![
             ("authorization", format!("Bearer {token}")),
@@ -133,8 +135,9 @@
         let (path, body, expected) = match (&sample.chat, &sample.record) {
             (Some(chat), _) => chat_call(chat, number),
             (None, Some(record)) => {
-                headers.push(("idempotency-key", format!("{}-{number}", record.key)));
-                record_call(record, number)
+                let key = format!("{}-{run}-{number}", record.key);
+                headers.push(("idempotency-key", key.clone()));
+                record_call(record, &key)
             }
             (None, None) => return None,
         };
@@ -178,13 +181,10 @@
     )
 }
 
-fn record_call(record: &RecordSample, number: u32) -> (SmolStr, String, SampleAnswer) {
+fn record_call(record: &RecordSample, key: &str) -> (SmolStr, String, SampleAnswer) {
     let mut body = record.body.clone();
     if let Some(fields) = body.as_object_mut() {
-        fields.insert(
-            "reference".to_owned(),
-            json!(format!("{}-{number}", record.key)),
-        );
+        fields.insert("reference".to_owned(), json!(key));
     }
     let body = body.to_string();
     let kind = record.path.rsplit('/').next().unwrap_or_default();
--- a/crates/waxwing-solo/tests/runtimes.rs
+++ b/crates/waxwing-solo/tests/runtimes.rs
@@ -49,7 +49,7 @@
     for deployment in Deployment::ALL {
         let file = deployment.requests().expect("the request file is valid");
         let sent: u32 = file.requests.iter().map(|sample| sample.times).sum();
-        assert_eq!(file.calls().len(), sent as usize);
+        assert_eq!(file.calls("test").len(), sent as usize);
         let tree = deployment.tree().expect("the settings tree is valid");
         let checked = waxwing_settings::checks::check_tree(&tree);
         assert!(checked.is_ok(), "{:?}", checked.err());
@@ -103,7 +103,10 @@
     let fleet = waxwing_solo::fleets::SoloFleet::start(options)
         .await
         .expect("a fleet");
-    let calls = Deployment::Atelier.requests().expect("requests").calls();
+    let calls = Deployment::Atelier
+        .requests()
+        .expect("requests")
+        .calls("test");
     let order = calls.iter().find(|call| call.resend).expect("a record");
     let chat = calls.iter().find(|call| !call.resend).expect("a chat");
     for call in [chat, order, order] {
