Answer heartbeats while a disk is slow

A follower held back the answer to a heartbeat until its entries were synced, so two disks that stall for an election timeout made a working leader step down. A heartbeat is now answered at once with the last synced index, once the term itself is synced. The cost example also prints what an idle group sends.

Renames the refusal of unlisted senders to UnknownSender.

--- a/crates/waxwing-quorum/src/election.rs
+++ b/crates/waxwing-quorum/src/election.rs
@@ -101,6 +101,7 @@
             term: self.term,
             vote: self.vote.map(Into::into),
         });
+        self.term_write = self.writes.required();
     }
 
     /// Decides about a vote. The membership of the voter may be older than the candidate's, so an
@@ -115,7 +116,7 @@
         let theirs = (request.last_term, request.last_index);
         let own = (self.log.last_term(), self.log.last_index());
         if self.members().kind(sender).is_none() && theirs <= own {
-            return Err(errors::ReceiveError::Stranger(sender));
+            return Err(errors::ReceiveError::UnknownSender(sender));
         }
         let leased = self.hears_leader() && !request.transfer;
         if leased && !request.pre_vote {
--- a/crates/waxwing-quorum/src/errors.rs
+++ b/crates/waxwing-quorum/src/errors.rs
@@ -87,7 +87,7 @@
     },
     /// The membership doesn't list the sender with this store id.
     #[error("{0} is not in the membership")]
-    Stranger(members::MemberIdentity),
+    UnknownSender(members::MemberIdentity),
     /// Another member claims to lead in the term that this node leads in.
     #[error("{leader} claims to lead in term {term}, which this node leads in")]
     SecondLeader {
--- a/crates/waxwing-quorum/src/installing.rs
+++ b/crates/waxwing-quorum/src/installing.rs
@@ -44,10 +44,10 @@
 
     /// Sends the next chunk, or the same one again if it was not answered and the follower lives.
     pub(crate) fn pump_snapshot(&mut self, peer: &mut leading::Progress, round: u64) {
-        let (now, patience) = (self.now, self.options.heartbeat_interval * 2);
+        let (now, resend_after) = (self.now, self.options.heartbeat_interval * 2);
         let newest = self.snapshot_index();
         let heard = peer.heard;
-        let late = |sent| now >= sent + patience && heard.is_some_and(|heard| heard > sent);
+        let late = |sent| now >= sent + resend_after && heard.is_some_and(|heard| heard > sent);
         let leading::ProgressState::Snapshot(outgoing) = &mut peer.state else {
             return;
         };
--- a/crates/waxwing-quorum/src/node.rs
+++ b/crates/waxwing-quorum/src/node.rs
@@ -63,6 +63,8 @@
     pub(crate) commit: units::LogIndex,
     pub(crate) applied: units::LogIndex,
     pub(crate) writes: writes::WriteQueue,
+    /// The write that makes the present term and vote durable.
+    pub(crate) term_write: units::WriteSequence,
     /// When to start an election.
     pub(crate) election_deadline: Duration,
     /// When a leader was last heard. It starts as the time of the start, since the former life of
@@ -120,6 +122,7 @@
             snapshot: recovered.snapshot,
             commit: base,
             applied: base,
+            term_write: 0,
             election_deadline: now,
             contact: Some(now),
             grants: BTreeSet::new(),
@@ -215,7 +218,7 @@
         }
         // Answers count for a quorum, so they must come from a listed identity.
         if self.members().kind(sender).is_none() {
-            return Err(errors::ReceiveError::Stranger(sender));
+            return Err(errors::ReceiveError::UnknownSender(sender));
         }
         if term > self.term {
             self.become_follower(term, None);
--- a/crates/waxwing-quorum/src/replication.rs
+++ b/crates/waxwing-quorum/src/replication.rs
@@ -63,7 +63,7 @@
     ) -> Result<(), errors::ReceiveError> {
         let listed = self.members().kind(leader).is_some();
         if !listed && term <= self.log.last_term() {
-            return Err(errors::ReceiveError::Stranger(leader));
+            return Err(errors::ReceiveError::UnknownSender(leader));
         }
         if term == self.term && self.role == ready::NodeRole::Leader {
             return Err(errors::ReceiveError::SecondLeader { leader, term });
@@ -103,6 +103,7 @@
             return Ok(());
         }
         let (round, commit) = (request.round, request.commit);
+        let heartbeat = request.entries.is_empty();
         let last = self.append_entries(previous, request.entries)?;
         self.commit = self.commit.max(commit.min(last));
         let answer = messages::AppendAnswer {
@@ -112,7 +113,11 @@
             hint_term: 0,
             refused_index: 0,
         };
-        self.answer_append(sender, answer);
+        if heartbeat && self.writes.is_persisted(self.term_write) {
+            self.answer_heartbeat(sender, answer);
+        } else {
+            self.answer_append(sender, answer);
+        }
         Ok(())
     }
 
@@ -150,6 +155,20 @@
         self.writes.truncate(from);
     }
 
+    /// Answers a heartbeat at once with what is synced already: a disk that is slow for a moment
+    /// must not make a leader step down for lack of answers.
+    fn answer_heartbeat(
+        &mut self,
+        leader: members::MemberIdentity,
+        answer: messages::AppendAnswer,
+    ) {
+        let index = answer.index.min(self.writes.durable());
+        let answer = messages::AppendAnswer { index, ..answer };
+        let body = messages::PeerBody::AppendAnswer(answer);
+        let message = self.message(leader, self.term, body);
+        self.writes.send_now(message);
+    }
+
     pub(crate) fn answer_append(
         &mut self,
         leader: members::MemberIdentity,
--- a/crates/waxwing-quorum/src/writes.rs
+++ b/crates/waxwing-quorum/src/writes.rs
@@ -93,8 +93,9 @@
         }
     }
 
-    /// Sends a message at once. Only a leader's own messages may use it: its term is synced, and
-    /// it counts its own entries for a commit only when they are.
+    /// Sends a message at once. A leader's own messages may use it, since its term is synced and
+    /// it counts its own entries for a commit only when they are; so may answers that state only
+    /// what is synced.
     pub(crate) fn send_now(&mut self, message: ready::OutgoingMessage) {
         self.outbox.push(message);
     }
--- a/crates/waxwing-quorum/tests/rules.rs
+++ b/crates/waxwing-quorum/tests/rules.rs
@@ -137,7 +137,7 @@
         ..identity(2)
     };
     let refused = node.receive(START, ids::MemberId(2), message(wiped, 1, vote(true, 2)));
-    assert_eq!(refused, Err(errors::ReceiveError::Stranger(wiped)));
+    assert_eq!(refused, Err(errors::ReceiveError::UnknownSender(wiped)));
     assert_eq!(node.status().term, 1);
 }
 
@@ -234,7 +234,7 @@
     let repaired = identity(9);
     let behind = vote_request(false, 1, 1);
     let refused = node.receive(now, repaired.member, message(repaired, 2, behind));
-    assert_eq!(refused, Err(errors::ReceiveError::Stranger(repaired)));
+    assert_eq!(refused, Err(errors::ReceiveError::UnknownSender(repaired)));
     let ahead = vote_request(false, 1, 2);
     node.receive(now, repaired.member, message(repaired, 2, ahead))
         .expect("the request is heard");
@@ -350,10 +350,10 @@
 #[test_case(|options| options.leader_lease = options.election_timeout_min; "lease as long as the timeout")]
 #[test_case(|options| options.election_timeout_max = Duration::from_millis(900); "empty range")]
 #[test_case(|options| options.heartbeat_interval = Duration::from_millis(400); "slow heartbeats")]
-fn unsafe_options_are_refused(spoil: fn(&mut options::NodeOptions)) {
+fn unsafe_options_are_refused(change: fn(&mut options::NodeOptions)) {
     let mut options = options::NodeOptions::default();
     assert_eq!(options.check(), Ok(()));
-    spoil(&mut options);
+    change(&mut options);
     assert!(options.check().is_err());
 }
 
@@ -461,3 +461,52 @@
     };
     assert!(ready.messages.iter().any(installed));
 }
+
+/// Guards against a leader that steps down because its followers' disks are slow: a heartbeat is
+/// answered before the entries are synced, and states nothing about them.
+#[test]
+fn slow_disk_answers_heartbeats_without_promising_entries() {
+    let mut node = node(3);
+    let answers = |ready: &ready::Ready| -> Vec<u64> {
+        let index = |message: &ready::OutgoingMessage| match &message.message.body {
+            Some(messages::PeerBody::AppendAnswer(answer)) => Some(answer.index),
+            _ => None,
+        };
+        ready.messages.iter().filter_map(index).collect()
+    };
+    let heartbeat = messages::PeerBody::AppendRequest(messages::AppendRequest {
+        previous_index: 5,
+        previous_term: 2,
+        round: 2,
+        ..messages::AppendRequest::default()
+    });
+    let send = |node: &mut node::QuorumNode, body: &messages::PeerBody| {
+        let message = message(identity(2), 2, body.clone());
+        node.receive(START, ids::MemberId(2), message)
+            .expect("it is taken");
+    };
+    send(&mut node, &append(entries(2..=5, 2), 1));
+    // The new term is not synced, so nothing may be said in it.
+    send(&mut node, &heartbeat);
+    let first = node.take_ready();
+    assert_eq!(answers(&first), []);
+    node.persisted(first.writes.expect("entries are written").sequence);
+    assert_eq!(answers(&node.take_ready()), [5, 5]);
+    let more = messages::PeerBody::AppendRequest(messages::AppendRequest {
+        previous_index: 5,
+        previous_term: 2,
+        entries: entries(6..=7, 2),
+        ..messages::AppendRequest::default()
+    });
+    send(&mut node, &more);
+    let late = messages::PeerBody::AppendRequest(messages::AppendRequest {
+        previous_index: 7,
+        previous_term: 2,
+        ..messages::AppendRequest::default()
+    });
+    send(&mut node, &late);
+    let second = node.take_ready();
+    assert_eq!(answers(&second), [5]);
+    node.persisted(second.writes.expect("entries are written").sequence);
+    assert_eq!(answers(&node.take_ready()), [7]);
+}
--- a/crates/waxwing-store/examples/commit_cost.rs
+++ b/crates/waxwing-store/examples/commit_cost.rs
@@ -138,6 +138,25 @@
     }
 }
 
+/// Prints what a group without any commands sends, for the bandwidth that control work may use.
+fn measure_idle(voters: usize) -> anyhow::Result<()> {
+    const SECONDS: u64 = 60;
+    let disks = (0..voters).map(|_| memory::MemoryDisk::new()).collect();
+    let mut group = Group::found(disks)?;
+    group.elect()?;
+    group.sample = CostSample::default();
+    for _ in 0..SECONDS * 100 {
+        group.now += Duration::from_millis(10);
+        for voter in &mut group.voters {
+            voter.node.tick(group.now);
+        }
+        group.settle()?;
+    }
+    let rate = group.sample.network_bytes / SECONDS as f64;
+    println!("idle, {voters} voters: {rate:.0} bytes/s between all of them");
+    Ok(())
+}
+
 fn measure<D: disk::Disk>(
     label: &str,
     together: u64,
@@ -181,5 +200,8 @@
             measure("folder", together, disks, || None)?;
         }
     }
+    for voters in [3, 5] {
+        measure_idle(voters)?;
+    }
     Ok(())
 }
--- a/crates/waxwing-store/src/replay.rs
+++ b/crates/waxwing-store/src/replay.rs
@@ -143,8 +143,8 @@
             .map_or((0, 0), |snapshot| (snapshot.index, snapshot.term));
         // A snapshot from the leader is stored before the log is reset. After a crash between the
         // two the log is the former one, which ends before the snapshot or conflicts with it.
-        let joint = entries.iter().find(|entry| entry.index == base);
-        let conflicts = joint.is_some_and(|entry| entry.term != term);
+        let at_base = entries.iter().find(|entry| entry.index == base);
+        let conflicts = at_base.is_some_and(|entry| entry.term != term);
         if conflicts || entries.last().is_some_and(|entry| entry.index < base) {
             entries.clear();
         }
