--- a/crates/waxwing-control/tests/three_hosts.rs
+++ b/crates/waxwing-control/tests/three_hosts.rs
@@ -2,15 +2,20 @@
 
 mod support;
 
-use std::{collections::BTreeSet, net::SocketAddr, path, time::Duration};
+use std::{collections::BTreeSet, net::SocketAddr, path, sync::Arc, time::Duration};
 
 use test_case::test_case;
 use tokio::task::JoinHandle;
 use tokio_util::sync::CancellationToken;
+use waxwing_client::directory::DirectoryView;
 use waxwing_control::{errors, options, roles};
 use waxwing_core::{clock, ids};
 use waxwing_settings::operations;
-use waxwing_wire::messages::{self, ProcessKind};
+use waxwing_wire::{
+    links,
+    messages::{self, ProcessKind},
+    security,
+};
 
 use support::{change, history, request, submit};
 
@@ -301,3 +306,106 @@
     assert_eq!(order.kind, messages::OrderKind::LoadModel as i32);
     shutdown.cancel();
 }
+
+/// Guards against a control host that is cut off from the others and still gives settings to a
+/// process that starts, or takes claims.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn an_isolated_host_gives_nothing() {
+    let mut group = TestGroup::start().await;
+    let isolated = group.hosts[2].as_ref().unwrap().link;
+    group.stop(0).await;
+    group.stop(1).await;
+    let hello = messages::Hello {
+        kind: ProcessKind::Entry as i32,
+        name: "entry-1".to_owned(),
+        ..messages::Hello::default()
+    };
+    let options = links::LinkOptions::default();
+    let security = security::LinkSecurity::Plain;
+    let opened = links::connect(isolated, hello, options, security, clock::SystemClock);
+    let mut link = opened.await.unwrap();
+    let watch = messages::Body::WatchSettings(messages::WatchSettings { version: 0 });
+    link.sender.send(5, watch).await.unwrap();
+    let claim = messages::Body::ClaimKey(support::claim("k", 1));
+    link.sender.send(6, claim).await.unwrap();
+    let mut answered = BTreeSet::new();
+    while answered.len() < 2 {
+        let envelope = link.receiver.recv().await.unwrap();
+        match envelope.body.unwrap() {
+            messages::Body::Heartbeat(_) => {}
+            messages::Body::Unavailable(_) => {
+                answered.insert(envelope.correlation);
+            }
+            other => panic!("unexpected message {other:?}"),
+        }
+    }
+    assert_eq!(answered, BTreeSet::from([5, 6]));
+}
+
+/// Guards against a removed host that still counts for a quorum.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn operators_remove_hosts() {
+    let mut group = TestGroup::start().await;
+    let leader = group.leader().await;
+    let removed = (leader + 1) % 3;
+    let member = serde_json::json!({"action": "remove", "name": name(removed)});
+    let body = serde_json::to_vec(&member).unwrap();
+    loop {
+        let answer = request(group.http(leader), "POST", "/v1/members", body.clone()).await;
+        if matches!(answer, Some((200, _))) {
+            break;
+        }
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    group.wait_voters(leader, 2).await;
+    // Two voters need both; the removed host doesn't count. The leader's lease ends first.
+    group.stop((leader + 2) % 3).await;
+    loop {
+        let answer = request(group.http(leader), "GET", "/readyz", Vec::new()).await;
+        if answer.unwrap().0 == 503 {
+            break;
+        }
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    let body = serde_json::to_vec(&change(0, "/policy/offers", 3.into())).unwrap();
+    let path = "/v1/settings/changes";
+    let answer = request(group.http(leader), "POST", path, body).await;
+    assert_eq!(
+        answer.unwrap().0,
+        503,
+        "nothing is accepted without a quorum"
+    );
+}
+
+/// Guards against entries that know only the endpoints whose link their own control host has, or
+/// lose them all when they come to another host.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn announcements_reach_the_watchers_of_every_host() {
+    let mut group = TestGroup::start().await;
+    let (shutdown, agent_shutdown) = (CancellationToken::new(), CancellationToken::new());
+    let links: Vec<_> = (0..3)
+        .map(|number| group.hosts[number].as_ref().unwrap().link)
+        .collect();
+    let entry = support::start_client(ProcessKind::Entry, "entry-1", &links[..2], &shutdown);
+    let agent = support::start_client(ProcessKind::Agent, "agent-1", &links[2..], &agent_shutdown);
+    agent.wait_confirmed().await.unwrap();
+    let mut directory = entry.watch_directory();
+    let knows = |view: &Arc<DirectoryView>| view.members.contains_key("agent-1");
+    directory.wait_for(|view| knows(view)).await.unwrap();
+    // The entry's host stops; the member must not leave the view on the way to the next one.
+    let mut connected = entry.watch_connected();
+    connected.wait_for(|connected| *connected).await.unwrap();
+    group.stop(0).await;
+    connected.wait_for(|connected| !connected).await.unwrap();
+    connected.wait_for(|connected| *connected).await.unwrap();
+    assert!(knows(&directory.borrow_and_update()));
+    let base = history(group.http(1)).await.version.0;
+    let hosts = [group.http(1), group.http(2)];
+    submit(&hosts, &change(base, "/policy/offers", 3.into())).await;
+    let mut versions = entry.watch_version();
+    versions.wait_for(|version| version.0 > base).await.unwrap();
+    assert!(knows(&directory.borrow_and_update()));
+    agent_shutdown.cancel();
+    directory.wait_for(|view| !knows(view)).await.unwrap();
+    shutdown.cancel();
+}
