Take what a suspended run still delivers, and start lower tiers with a margin

Events of a suspended run now belong to the answer until the endpoint has confirmed its end, and may complete it.

A lower tier starts beside a higher one only if that keeps 15% of its time; the same generation was started and suspended in turn. The slack of the lowest tier goes by the tiers of the last minute, since a middle tier that is alone for a moment was refused for it.

--- a/crates/waxwing-agent/src/driver.rs
+++ b/crates/waxwing-agent/src/driver.rs
@@ -322,9 +322,6 @@
 
     fn stop(&mut self, run: events::RunId, name: String, export: bool) {
         let control = self.runs.remove(&run);
-        if let Some(control) = control.as_ref().filter(|_| !export) {
-            control.stop();
-        }
         let client = self.client.clone();
         let report = self.input_sender.clone();
         tokio::spawn(async move {
@@ -333,10 +330,7 @@
                 true => pollers::export_kv(&client, &name).await,
                 false => None,
             };
-            if let Some(control) = control {
-                control.stop();
-            }
-            pollers::cancel_call(&client, &name).await;
+            pollers::cancel_call(&client, &name, control).await;
             // A closed queue means that the process ends.
             let _ = report.send(events::AgentInput::Stopped { run, kv }).await;
         });
--- a/crates/waxwing-agent/src/endpoint.rs
+++ b/crates/waxwing-agent/src/endpoint.rs
@@ -95,6 +95,15 @@
         Self { address, clock }
     }
 
+    /// Lets a cancelled call read what has arrived, and stops it.
+    pub(crate) async fn drain(&self, control: RunControl, limit: Duration) {
+        tokio::select! {
+            () = control.pause.closed() => {}
+            () = self.clock.sleep(limit) => {}
+        }
+        control.stop();
+    }
+
     pub(crate) async fn pause(&self, length: Duration) {
         self.clock.sleep(length).await;
     }
--- a/crates/waxwing-agent/src/pollers.rs
+++ b/crates/waxwing-agent/src/pollers.rs
@@ -26,6 +26,9 @@
 /// The pause between two attempts.
 const CANCEL_PAUSE: Duration = Duration::from_millis(200);
 
+/// The time in which the rest of a cancelled call is read.
+const DRAIN_LIMIT: Duration = Duration::from_millis(200);
+
 /// The time allowed for an export, which holds back the higher tier that needs the room.
 const EXPORT_LIMIT: Duration = Duration::from_millis(250);
 
@@ -231,14 +234,28 @@
 }
 
 /// Tells the engine that a call is cancelled, until it has confirmed that. Closing its connection
-/// says the same, but a silent connection may keep that from the engine.
-pub(crate) async fn cancel_call<C: Clock>(client: &endpoint::EndpointClient<C>, name: &str) {
+/// says the same, but a silent connection may keep that from the engine. What the engine sent
+/// before the cancellation is still read, since the call may have ended by itself.
+pub(crate) async fn cancel_call<C: Clock>(
+    client: &endpoint::EndpointClient<C>,
+    name: &str,
+    control: Option<endpoint::RunControl>,
+) {
+    let mut control = control;
     for _ in 0..CANCEL_ATTEMPTS {
         let body = json!({"request_id": name});
         match client.short(Method::POST, "/cancel", Some(body)).await {
-            Ok(_) | Err(errors::CallError::Status(_)) => return,
+            Ok(_) | Err(errors::CallError::Status(_)) => {
+                if let Some(control) = control {
+                    client.drain(control, DRAIN_LIMIT).await;
+                }
+                return;
+            }
             Err(error) => tracing::debug!(%error, "endpoint did not confirm a cancellation"),
         }
+        if let Some(control) = control.take() {
+            control.stop();
+        }
         client.pause(CANCEL_PAUSE).await;
     }
 }
--- a/crates/waxwing-agent/src/state.rs
+++ b/crates/waxwing-agent/src/state.rs
@@ -68,6 +68,8 @@
     queue: queue::OfferQueue<jobs::OfferNote>,
     grants: BTreeMap<ids::RequestId, jobs::LiveGrant>,
     next_grant: u64,
+    /// The lowest tier of which an offer came lately, and when.
+    lowest: (ids::TierRank, Instant),
     jobs: jobs::JobTable,
     runs: HashMap<events::RunId, ids::RequestId>,
     stopping: HashMap<events::RunId, ids::RequestId>,
@@ -109,6 +111,7 @@
             queue: queue::OfferQueue::new(queue::QueueOptions { max_offers }),
             grants: BTreeMap::new(),
             next_grant: 1,
+            lowest: (ids::TierRank(0), now),
             jobs: jobs::JobTable::default(),
             runs: HashMap::new(),
             stopping: HashMap::new(),
--- a/crates/waxwing-agent/src/state/offers.rs
+++ b/crates/waxwing-agent/src/state/offers.rs
@@ -16,6 +16,9 @@
 /// is at work, since it will be suspended meanwhile; with less, half of it was cut off.
 const LOWEST_SLACK: u32 = 2;
 
+/// The time for which the lowest tier is remembered after its last offer.
+const TIER_MEMORY: Duration = Duration::from_secs(60);
+
 /// Bursts of prefill, each as long as the first-token target allows, from which on the prefill of
 /// a lower tier is stopped for a higher one.
 const LONG_PREFILL: u64 = 2;
@@ -56,6 +59,7 @@
         self.queue.remove(request);
         self.revoke(request);
         let terms = self.terms(&offer);
+        self.note_tier(terms.rank);
         if let Some(reason) = self.refusal(&offer, &terms) {
             self.refuse_offer(link, request, reason);
             return;
@@ -75,6 +79,14 @@
         self.reports.mark();
     }
 
+    fn note_tier(&mut self, rank: ids::TierRank) {
+        let (lowest, last) = self.lowest;
+        let forgotten = self.now.saturating_duration_since(last) >= TIER_MEMORY;
+        if rank >= lowest || forgotten {
+            self.lowest = (rank, self.now);
+        }
+    }
+
     fn terms(&self, offer: &messages::Offer) -> queue::OfferTerms {
         let waited = bounded(offer.waited_millis);
         queue::OfferTerms {
@@ -143,7 +155,7 @@
         let service =
             self.pace.prefill_time(prefill) + self.pace.generation_time_of(output, beside + 1);
         let higher = self.jobs.open().any(|(_, job)| job.terms.rank < terms.rank);
-        let lowest = lower == 0 && !waits;
+        let lowest = lower == 0 && !waits && terms.rank >= self.lowest.0;
         let slack = if higher && lowest { LOWEST_SLACK } else { 1 };
         let end = self.now + service * slack;
         (end > terms.deadline).then_some(reasons::RefusalReason::DeadlineUnreachable)
--- a/crates/waxwing-agent/src/state/runs.rs
+++ b/crates/waxwing-agent/src/state/runs.rs
@@ -112,8 +112,8 @@
     }
 
     pub(super) fn endpoint_event(&mut self, run: events::RunId, event: events::EndpointEvent) {
-        // Events of a run that was stopped may still be on their way.
         let Some(request) = self.runs.get(&run).copied() else {
+            self.late_event(run, event);
             return;
         };
         match event {
@@ -134,6 +134,33 @@
         self.deliver(request);
     }
 
+    /// Takes what a suspended run still delivers until the endpoint has confirmed its end. It is
+    /// part of the answer, and the run may even complete it.
+    fn late_event(&mut self, run: events::RunId, event: events::EndpointEvent) {
+        let Some(request) = self.stopping.get(&run).copied() else {
+            return;
+        };
+        let events::EndpointEvent::Data(data) = event else {
+            return;
+        };
+        let job = self.jobs.get_mut(request);
+        let suspended = |job: &&mut jobs::Job| matches!(job.stage, jobs::JobStage::Suspended(_));
+        let Some(job) = job.filter(suspended) else {
+            return;
+        };
+        let Some(reader) = job.reader.as_mut() else {
+            return;
+        };
+        let step = reader.read(&data);
+        job.tokens += step.tokens;
+        job.answer.push(Bytes::from(step.data));
+        if step.done {
+            job.answer.finish_whole();
+            self.end(request);
+        }
+        self.deliver(request);
+    }
+
     fn suspect_endpoint(&mut self) {
         if self.health == state::EndpointHealth::Up {
             self.health = state::EndpointHealth::Suspect;
--- a/crates/waxwing-agent/src/state/sweeps.rs
+++ b/crates/waxwing-agent/src/state/sweeps.rs
@@ -14,6 +14,10 @@
 /// The time for which a call that must not run twice may go on after its deadline.
 const OVERRUN: Duration = Duration::from_secs(60);
 
+/// The margin on the time that a higher tier needs before a lower one starts beside it. Without
+/// one, the same generation is started and suspended in turn.
+const START_MARGIN: f64 = 1.15;
+
 /// The first time without new work after a stall; it doubles with each further stall.
 const STALL_PAUSE: Duration = Duration::from_secs(2);
 
@@ -61,7 +65,7 @@
     fn protect_deadlines(&mut self) {
         let running = self.runs.len();
         let mut open = self.jobs.open().map(|(_, job)| job);
-        let saved = open.find(|job| self.lower_would_save(job, running, Duration::ZERO));
+        let saved = open.find(|job| self.lower_would_save(job, running, 1.0, Duration::ZERO));
         let rank = saved.map(|job| job.terms.rank);
         drop(open);
         if let Some(rank) = rank {
@@ -71,14 +75,24 @@
 
     /// Tells whether a job misses its deadline if `running` requests share the engine after a
     /// `delay`, and meets it if the generations of lower tiers are suspended instead.
-    fn lower_would_save(&self, job: &jobs::Job, running: usize, delay: Duration) -> bool {
+    fn lower_would_save(
+        &self,
+        job: &jobs::Job,
+        running: usize,
+        margin: f64,
+        delay: Duration,
+    ) -> bool {
         if job.run().is_none() || job.progress.first_token.is_none() || job.note.immediate {
             return false;
         }
         let left = job.deadline.saturating_duration_since(self.now);
         let expected = self.pace.expected_output(job.terms.output_tokens);
         let output = job.remaining_output(expected);
-        if delay + self.pace.generation_time_of(output, running) <= left {
+        let needed = self
+            .pace
+            .generation_time_of(output, running)
+            .mul_f64(margin);
+        if delay + needed <= left {
             return false;
         }
         let lower = self.lower_generations(job.terms.rank);
@@ -93,7 +107,7 @@
         let running = self.runs.len() + self.grants.len() + 1;
         let higher = self.jobs.open().map(|(_, job)| job);
         let mut higher = higher.filter(|job| job.terms.rank < rank);
-        higher.any(|job| self.lower_would_save(job, running, delay))
+        higher.any(|job| self.lower_would_save(job, running, START_MARGIN, delay))
     }
 
     /// Cancels idempotent work whose entry has been gone for too long. Other work goes on, and
