Tell a late continuation from a second start, and name why a stream was cut

A continuation at a later token after the engine has already ended the request was counted as a second start. Only a start at the first token is a second start; late continuations are counted and reported beside. A second start is still reported as a double dispatch, with a planted test.

A stream whose connection closed is now told from one that ended without an end mark.

--- a/crates/waxwing-load/src/reports.rs
+++ b/crates/waxwing-load/src/reports.rs
@@ -162,6 +162,9 @@
     pub engine_requests: u64,
     /// Continuations of suspended requests.
     pub engine_resumptions: u64,
+    /// Continuations of requests that the engine had ended before the suspension reached it.
+    #[serde(default)]
+    pub engine_late_resumptions: u64,
     /// Request ids that were dispatched more than once.
     pub double_dispatches: u64,
     /// Bodies that a register recorded.
--- a/crates/waxwing-load/src/tallies.rs
+++ b/crates/waxwing-load/src/tallies.rs
@@ -64,6 +64,7 @@
             let sum = self.runs.entry(id.clone()).or_default();
             sum.fresh += run.fresh;
             sum.resumed += run.resumed;
+            sum.late_resumed += run.late_resumed;
         }
     }
 
@@ -236,6 +237,7 @@
     let mut report = RunsReport {
         engine_requests: totals.runs.values().map(|run| run.fresh).sum(),
         engine_resumptions: totals.runs.values().map(|run| run.resumed).sum(),
+        engine_late_resumptions: totals.runs.values().map(|run| run.late_resumed).sum(),
         records: totals.bodies.values().sum(),
         ..RunsReport::default()
     };
--- a/crates/waxwing-load/src/verdicts.rs
+++ b/crates/waxwing-load/src/verdicts.rs
@@ -99,10 +99,10 @@
 ) -> CallVerdict {
     // A stream is presented as whole by its end mark, and only by that.
     if reading.failed || !reading.done {
-        let reason = if reading.reason.is_empty() {
-            SmolStr::new_static("no-end-mark")
-        } else {
-            reading.reason.clone()
+        let reason = match (reading.reason.is_empty(), answer.ended) {
+            (false, _) => reading.reason.clone(),
+            (true, false) => SmolStr::new_static("connection-closed"),
+            (true, true) => SmolStr::new_static("no-end-mark"),
         };
         return match reading.outcome.as_str() {
             "not-run" => CallVerdict::NotRun { reason },
--- a/crates/waxwing-load/tests/judging.rs
+++ b/crates/waxwing-load/tests/judging.rs
@@ -133,6 +133,7 @@
     let once = simulation::RunCount {
         fresh: 1,
         resumed: 1,
+        late_resumed: 1,
     };
     totals.runs.insert("id-1".into(), once);
     let report = runs_report(&clean, &totals);
@@ -146,6 +147,7 @@
     let twice = simulation::RunCount {
         fresh: 2,
         resumed: 0,
+        late_resumed: 0,
     };
     totals.runs.insert("id-1".into(), twice);
     assert_eq!(runs_report(&clean, &totals).double_dispatches, 1);
