--- a/crates/waxwing-agent/src/jobs.rs
+++ b/crates/waxwing-agent/src/jobs.rs
@@ -18,6 +18,8 @@
     pub(crate) link: events::LinkId,
     pub(crate) idempotent: bool,
     pub(crate) prefixes: Vec<u64>,
+    /// Granted at once for a baseline policy; such work takes no part in suspension.
+    pub(crate) immediate: bool,
 }
 
 /// A `LiveGrant` is a promise of room that ends by itself.
@@ -29,8 +31,6 @@
     pub(crate) note: OfferNote,
     pub(crate) cached: units::TokenCount,
     pub(crate) share: admission::Reservation,
-    /// Whether the account was charged in the queue; an immediate grant never was.
-    pub(crate) charged: bool,
 }
 
 /// A `JobStage` tells how far a request has come.
@@ -127,7 +127,8 @@
 
     pub(crate) fn can_resume(&self) -> bool {
         let format = self.call.as_ref().map(|call| &call.format);
-        self.note.idempotent && format.is_some_and(formats::CallFormat::can_resume)
+        let reads = self.reader.is_some() && !self.note.immediate;
+        self.note.idempotent && reads && format.is_some_and(formats::CallFormat::can_resume)
     }
 
     /// Returns what the choice of a suspension needs to know.
@@ -137,21 +138,18 @@
         Some(suspension::RunningWork {
             request,
             rank: self.terms.rank,
-            // A call that the endpoint has not answered may still be on its way to it; a
-            // cancellation could overtake it, and the request would run twice.
-            can_suspend: self.can_resume() && self.answer.head().is_some(),
-            generating: self.progress.first_token.is_some(),
+            // Before its first token a call can't be continued but only sent again, which would
+            // dispatch the request twice and repeat its prefill.
+            can_suspend: self.can_resume() && self.tokens > 0,
             context: share.context,
-            prefill: share.prefill,
             started: self.progress.started,
         })
     }
 
-    /// Returns the output tokens that are still expected; a request that ran past its estimate
-    /// is expected to end soon.
-    pub(crate) fn remaining_output(&self) -> units::TokenCount {
-        let expected = self.terms.output_tokens.0;
-        units::TokenCount(expected.saturating_sub(self.tokens).max(1))
+    /// Returns the output tokens that are still to come where all of the request's are expected
+    /// to be `expected`; a request that ran past that is expected to end soon.
+    pub(crate) fn remaining_output(&self, expected: units::TokenCount) -> units::TokenCount {
+        units::TokenCount(expected.0.saturating_sub(self.tokens).max(1))
     }
 }
 
--- a/crates/waxwing-agent/tests/suspension.rs
+++ b/crates/waxwing-agent/tests/suspension.rs
@@ -157,19 +157,40 @@
     }
 }
 
-/// Guards against a cancellation that overtakes its call on the way to the engine, so that the
-/// request runs twice.
+/// Guards against a second dispatch: before its first token a call could only be sent again, and
+/// its prefill would be repeated.
 #[test]
-fn unanswered_call_is_not_suspended() {
+fn call_without_a_token_is_not_suspended() {
     let mut bench = Bench::new();
     let run = bench.admit(bulk(1));
     bench.say(Body::Offer(urgent(2)));
     bench.wait(3_000);
     assert!(bench.stops().is_empty());
     bench.head(run);
+    bench.wait(1_000);
+    assert!(bench.stops().is_empty());
+    bench.tokens(run, 0..1);
     assert_eq!(bench.stops(), vec![run]);
 }
 
+/// Guards against an error of the engine that is taken for a stream and started again.
+#[test]
+fn error_answer_is_not_suspended() {
+    let mut bench = Bench::new();
+    let run = bench.admit(bulk(1));
+    let (status, headers) = (400, Vec::new());
+    bench.event(run, EndpointEvent::Head { status, headers });
+    bench.data(run, "no such");
+    bench.say(Body::Offer(urgent(2)));
+    bench.wait(3_000);
+    assert!(bench.stops().is_empty());
+    bench.data(run, " field");
+    bench.event(run, EndpointEvent::Ended);
+    let (received, end) = bench.answer(1);
+    assert_eq!(received, b"no such field");
+    assert!(end.expect("an end").whole);
+}
+
 /// Guards against suspension of an equal or higher tier.
 #[test]
 fn only_lower_tiers_are_suspended() {
--- a/crates/waxwing-entry/tests/requests.rs
+++ b/crates/waxwing-entry/tests/requests.rs
@@ -75,14 +75,19 @@
 #[test]
 fn refused_offers_are_retried_within_the_budget() {
     let mut harness = CoreHarness::start(None, |plan| plan.offers.most = 2);
-    harness.host.retries = 2;
-    harness.message(0, 0, support::refused_message("draining"));
-    let retried = harness.pass(Duration::from_millis(50));
-    assert_eq!(support::sent_to(&retried, is_offer), [2]);
+    harness.host.retries = 1;
+    // An agent that was never asked costs no retry.
+    let asked = harness.message(0, 0, support::refused_message("draining"));
+    assert_eq!(support::sent_to(&asked, is_offer), [2]);
+    assert_eq!(harness.host.retries, 1);
     harness.message(1, 0, support::refused_message("draining"));
-    harness.pass(Duration::from_millis(50));
-    harness.message(0, 0, support::refused_message("deadline-unreachable"));
-    harness.message(2, 0, support::refused_message("deadline-unreachable"));
+    harness.message(2, 0, support::refused_message("draining"));
+    let retried = harness.pass(Duration::from_millis(50));
+    assert_eq!(support::sent_to(&retried, is_offer), [0, 1]);
+    assert_eq!(harness.host.retries, 0);
+    for agent in [0, 1, 2] {
+        harness.message(agent, 0, support::refused_message("deadline-unreachable"));
+    }
     let expected = (
         reasons::RefusalReason::DeadlineUnreachable,
         reasons::Outcome::NotRun,
@@ -366,21 +371,3 @@
     let expected = (reasons::RefusalReason::Draining, reasons::Outcome::NotRun);
     assert_eq!(reason_of(&actions), Some(expected));
 }
-
-/// Guards against a slower endpoint, or one without the cached prompt, that wins the race of the
-/// grants, and against a request that waits for the best one alone.
-#[test_case(0, &[0, 1], &[0, 1]; "equal agents")]
-#[test_case(30, &[0], &[0, 1]; "better agent")]
-#[test_case(900, &[0], &[0]; "much better agent")]
-fn better_agent_has_a_head_start(millis: u64, at_once: &[u32], after_wait: &[u32]) {
-    let host = support::FakeHost {
-        head_start: Duration::from_millis(millis),
-        ..support::FakeHost::default()
-    };
-    let mut harness = CoreHarness::start_at(host, None, |_| {});
-    assert_eq!(support::sent_to(&harness.actions, is_offer), at_once);
-    harness.pass(Duration::from_millis(40));
-    assert_eq!(support::sent_to(&harness.actions, is_offer), after_wait);
-    harness.pass(Duration::from_millis(300));
-    assert_eq!(support::sent_to(&harness.actions, is_offer), [0, 1, 2]);
-}
--- a/crates/waxwing-quorum/tests/rules.rs
+++ b/crates/waxwing-quorum/tests/rules.rs
@@ -137,7 +137,7 @@
         ..identity(2)
     };
     let refused = node.receive(START, ids::MemberId(2), message(wiped, 1, vote(true, 2)));
-    assert_eq!(refused, Err(errors::ReceiveError::Stranger(wiped)));
+    assert_eq!(refused, Err(errors::ReceiveError::UnknownSender(wiped)));
     assert_eq!(node.status().term, 1);
 }
 
@@ -234,7 +234,7 @@
     let repaired = identity(9);
     let behind = vote_request(false, 1, 1);
     let refused = node.receive(now, repaired.member, message(repaired, 2, behind));
-    assert_eq!(refused, Err(errors::ReceiveError::Stranger(repaired)));
+    assert_eq!(refused, Err(errors::ReceiveError::UnknownSender(repaired)));
     let ahead = vote_request(false, 1, 2);
     node.receive(now, repaired.member, message(repaired, 2, ahead))
         .expect("the request is heard");
@@ -350,9 +350,163 @@
 #[test_case(|options| options.leader_lease = options.election_timeout_min; "lease as long as the timeout")]
 #[test_case(|options| options.election_timeout_max = Duration::from_millis(900); "empty range")]
 #[test_case(|options| options.heartbeat_interval = Duration::from_millis(400); "slow heartbeats")]
-fn unsafe_options_are_refused(spoil: fn(&mut options::NodeOptions)) {
+fn unsafe_options_are_refused(change: fn(&mut options::NodeOptions)) {
     let mut options = options::NodeOptions::default();
     assert_eq!(options.check(), Ok(()));
-    spoil(&mut options);
+    change(&mut options);
     assert!(options.check().is_err());
 }
+
+fn entries(indexes: std::ops::RangeInclusive<u64>, term: u64) -> Vec<messages::LogEntry> {
+    let entry = |index| messages::LogEntry {
+        index,
+        term,
+        kind: messages::EntryKind::Command as i32,
+        payload: Bytes::from_static(b"command"),
+    };
+    indexes.map(entry).collect()
+}
+
+fn append(entries: Vec<messages::LogEntry>, commit: u64) -> messages::PeerBody {
+    messages::PeerBody::AppendRequest(messages::AppendRequest {
+        previous_index: 1,
+        previous_term: 1,
+        commit,
+        round: 1,
+        entries,
+    })
+}
+
+/// Guards against the commit of an older leader's entry by counting its copies: a later leader
+/// without it could still replace it.
+#[test]
+fn older_entry_is_committed_only_with_one_of_the_own_term() {
+    let mut recovered = founded(3);
+    recovered.entries = entries(2..=2, 1);
+    let options = options::NodeOptions::default();
+    let mut node = node::QuorumNode::new(identity(1), options, recovered, 1, Duration::ZERO)
+        .expect("the state is right");
+    node.tick(START);
+    settle(&mut node);
+    for pre_vote in [true, false] {
+        let body = vote(pre_vote, 2);
+        node.receive(
+            START,
+            ids::MemberId(2),
+            message(identity(2), 2 - u64::from(pre_vote), body),
+        )
+        .expect("the vote is taken");
+        settle(&mut node);
+    }
+    acknowledge(&mut node, START, 2, 1);
+    assert_eq!(node.status().commit, 1);
+    acknowledge(&mut node, START, 3, 1);
+    assert_eq!(node.status().commit, 3);
+}
+
+/// Guards against a state that is ahead of the disk: entries that a new leader replaced were
+/// synced, and the ones in their place are not.
+#[test]
+fn sync_of_replaced_entries_says_nothing_about_the_new_ones() {
+    let mut node = node(3);
+    let old = message(identity(2), 2, append(entries(2..=5, 2), 1));
+    node.receive(START, ids::MemberId(2), old)
+        .expect("it is taken");
+    let first = node.take_ready().writes.expect("entries are written");
+    let new = message(identity(3), 3, append(entries(2..=3, 3), 3));
+    node.receive(START, ids::MemberId(3), new)
+        .expect("it is taken");
+    let second = node.take_ready().writes.expect("entries are written");
+    node.persisted(first.sequence);
+    assert_eq!(node.take_ready().committed, []);
+    node.persisted(second.sequence);
+    assert_eq!(node.take_ready().committed, entries(2..=3, 3));
+}
+
+/// Guards against a state from a snapshot that a crash could take back.
+#[test]
+fn snapshot_is_given_out_and_acknowledged_after_its_sync() {
+    let mut node = node(3);
+    let data = Bytes::from_static(b"state");
+    let members = Some(node.members().to_message());
+    for (offset, part) in [(0, data.slice(..2)), (2, data.slice(2..))] {
+        let body = messages::PeerBody::SnapshotChunk(messages::SnapshotChunk {
+            index: 40,
+            term: 2,
+            members: members.clone(),
+            total: 5,
+            offset,
+            data: part,
+            round: 1,
+        });
+        node.take_ready();
+        node.receive(START, ids::MemberId(2), message(identity(2), 2, body))
+            .expect("the chunk is taken");
+    }
+    let ready = node.take_ready();
+    assert!(ready.install.is_none() && ready.messages.is_empty());
+    node.persisted(ready.writes.expect("the snapshot is written").sequence);
+    let ready = node.take_ready();
+    assert_eq!(
+        ready
+            .install
+            .map(|snapshot| (snapshot.index, snapshot.data)),
+        Some((40, data))
+    );
+    let installed = |message: &ready::OutgoingMessage| {
+        let Some(messages::PeerBody::SnapshotAnswer(answer)) = &message.message.body else {
+            return false;
+        };
+        answer.installed
+    };
+    assert!(ready.messages.iter().any(installed));
+}
+
+/// Guards against a leader that steps down because its followers' disks are slow: a heartbeat is
+/// answered before the entries are synced, and states nothing about them.
+#[test]
+fn slow_disk_answers_heartbeats_without_promising_entries() {
+    let mut node = node(3);
+    let answers = |ready: &ready::Ready| -> Vec<u64> {
+        let index = |message: &ready::OutgoingMessage| match &message.message.body {
+            Some(messages::PeerBody::AppendAnswer(answer)) => Some(answer.index),
+            _ => None,
+        };
+        ready.messages.iter().filter_map(index).collect()
+    };
+    let heartbeat = messages::PeerBody::AppendRequest(messages::AppendRequest {
+        previous_index: 5,
+        previous_term: 2,
+        round: 2,
+        ..messages::AppendRequest::default()
+    });
+    let send = |node: &mut node::QuorumNode, body: &messages::PeerBody| {
+        let message = message(identity(2), 2, body.clone());
+        node.receive(START, ids::MemberId(2), message)
+            .expect("it is taken");
+    };
+    send(&mut node, &append(entries(2..=5, 2), 1));
+    // The new term is not synced, so nothing may be said in it.
+    send(&mut node, &heartbeat);
+    let first = node.take_ready();
+    assert_eq!(answers(&first), []);
+    node.persisted(first.writes.expect("entries are written").sequence);
+    assert_eq!(answers(&node.take_ready()), [5, 5]);
+    let more = messages::PeerBody::AppendRequest(messages::AppendRequest {
+        previous_index: 5,
+        previous_term: 2,
+        entries: entries(6..=7, 2),
+        ..messages::AppendRequest::default()
+    });
+    send(&mut node, &more);
+    let late = messages::PeerBody::AppendRequest(messages::AppendRequest {
+        previous_index: 7,
+        previous_term: 2,
+        ..messages::AppendRequest::default()
+    });
+    send(&mut node, &late);
+    let second = node.take_ready();
+    assert_eq!(answers(&second), [5]);
+    node.persisted(second.writes.expect("entries are written").sequence);
+    assert_eq!(answers(&node.take_ready()), [7]);
+}
