--- a/crates/waxwing-agent/src/driver.rs
+++ b/crates/waxwing-agent/src/driver.rs
@@ -47,10 +47,11 @@
         incarnation: incarnation.0,
         data_centre: options.data_centre.to_string(),
     };
+    let counters = counters::CounterSet::new();
     let bound = links::LinkListener::bind(
         options.link_address,
         hello.clone(),
-        links::LinkOptions::default(),
+        links::LinkOptions::counted(&counters),
         options.security.clone(),
         clock.clone(),
     );
@@ -67,7 +68,7 @@
         address,
         hello,
         incarnation,
-        counters: counters::CounterSet::new(),
+        counters,
         clock,
     })
 }
--- a/crates/waxwing-agent/src/options.rs
+++ b/crates/waxwing-agent/src/options.rs
@@ -34,7 +34,10 @@
     /// Bounds on memory, time and concurrency.
     #[serde(default)]
     pub limits: AgentLimits,
-    /// Protection of links; set by the process, not by the settings file.
+    /// The keys of links to other processes; without them links are not protected.
+    #[serde(default)]
+    pub tls: Option<security::TlsFiles>,
+    /// Protection of links, which the process builds from `tls`.
     #[serde(skip)]
     pub security: security::LinkSecurity,
 }
--- a/crates/waxwing-client/src/sessions.rs
+++ b/crates/waxwing-client/src/sessions.rs
@@ -82,7 +82,10 @@
         let opened = links::connect(
             host,
             hello,
-            options.link.clone(),
+            links::LinkOptions {
+                counters: self.shared.counters.clone(),
+                ..options.link.clone()
+            },
             options.security.clone(),
             self.shared.clock.clone(),
         );
--- a/crates/waxwing-control/src/peers.rs
+++ b/crates/waxwing-control/src/peers.rs
@@ -11,7 +11,7 @@
 use bytes::Bytes;
 use tokio::sync::{mpsc, oneshot};
 use tokio_util::{sync::CancellationToken, task::TaskTracker};
-use waxwing_core::{clock::Clock, ids};
+use waxwing_core::{clock::Clock, counters, ids};
 use waxwing_wire::{errors::LinkError, links, messages, security};
 
 use crate::log;
@@ -59,6 +59,7 @@
 pub(crate) struct PeerDialer<C> {
     pub(crate) hello: messages::Hello,
     pub(crate) security: security::LinkSecurity,
+    pub(crate) counters: counters::CounterSet,
     pub(crate) clock: C,
     pub(crate) tasks: TaskTracker,
     pub(crate) shutdown: CancellationToken,
@@ -184,7 +185,7 @@
             let opening = links::connect(
                 self.address,
                 dialer.hello.clone(),
-                links::LinkOptions::default(),
+                links::LinkOptions::counted(&dialer.counters),
                 dialer.security.clone(),
                 dialer.clock.clone(),
             );
--- a/crates/waxwing-control/src/roles.rs
+++ b/crates/waxwing-control/src/roles.rs
@@ -46,10 +46,11 @@
     let first_tree = load_first_tree(&options)?;
     let security = security::LinkSecurity::from_files(options.tls.as_ref())?;
     let incarnation = ids::Incarnation(clock.wall_millis());
+    let counters = counters::CounterSet::new();
     let listener = links::LinkListener::bind(
         options.link,
         host::hello(&options, incarnation),
-        links::LinkOptions::default(),
+        links::LinkOptions::counted(&counters),
         security.clone(),
         clock.clone(),
     )
@@ -68,7 +69,7 @@
         incarnation,
         first_tree,
         snapshot_bytes: driver::SNAPSHOT_BYTES,
-        counters: counters::CounterSet::new(),
+        counters,
     })
 }
 
@@ -187,6 +188,7 @@
             host: state.clone(),
             network,
             dialer: peers::PeerDialer {
+                counters: self.counters.clone(),
                 hello: host::hello(&state.options, self.incarnation),
                 security: self.security,
                 clock: self.clock,
--- a/crates/waxwing-entry/src/agent_links.rs
+++ b/crates/waxwing-entry/src/agent_links.rs
@@ -65,7 +65,7 @@
         let link = links::connect(
             address,
             self.context.hello.clone(),
-            links::LinkOptions::default(),
+            links::LinkOptions::counted(&self.context.counters),
             self.context.security.clone(),
             self.context.clock.clone(),
         );
--- a/crates/waxwing-entry/src/server.rs
+++ b/crates/waxwing-entry/src/server.rs
@@ -35,6 +35,7 @@
     address: SocketAddr,
     tls: Option<tokio_rustls::TlsAcceptor>,
     security: security::LinkSecurity,
+    counters: counters::CounterSet,
 }
 
 /// Opens the socket for callers.
@@ -59,6 +60,7 @@
         address,
         tls,
         security,
+        counters: counters::CounterSet::new(),
     })
 }
 
@@ -69,6 +71,12 @@
         self.address
     }
 
+    /// Returns the counters, which stay readable while the entry runs.
+    #[must_use]
+    pub fn counters(&self) -> counters::CounterSet {
+        self.counters.clone()
+    }
+
     /// Protects the links to other processes by keys that the caller has loaded.
     #[must_use]
     pub fn with_security(mut self, security: security::LinkSecurity) -> Self {
@@ -86,7 +94,7 @@
     /// readiness delay, and those in progress end before this returns.
     pub async fn run(self, shutdown: CancellationToken) {
         let links_ended = CancellationToken::new();
-        let counters = counters::CounterSet::new();
+        let counters = self.counters.clone();
         let client = clients::ControlClient::start(
             self.client_options(),
             self.clock.clone(),
--- /dev/null
+++ b/crates/waxwing-process/src/lib.rs
@@ -0,0 +1,7 @@
+//! What the binaries of all roles share: arguments, logs, signals, replacement of keys, export of
+//! counters, and exit codes.
+
+pub mod arguments;
+pub mod export;
+pub mod logs;
+pub mod signals;
--- a/crates/waxwing-solo/src/fleets.rs
+++ b/crates/waxwing-solo/src/fleets.rs
@@ -212,6 +212,7 @@
             role,
             control: self.links.clone(),
             limits: waxwing_agent::options::AgentLimits::default(),
+            tls: None,
             security: waxwing_wire::security::LinkSecurity::Plain,
         };
         let bound = runtime
--- a/crates/waxwing-wire/src/framing.rs
+++ b/crates/waxwing-wire/src/framing.rs
@@ -9,6 +9,15 @@
 /// The longest frame in bytes; a longer one ends the link before anything is allocated for it.
 pub const MAX_FRAME_BYTES: usize = 16 * 1024 * 1024;
 
+/// Bytes of the length in front of each frame.
+const LENGTH_BYTES: usize = 4;
+
+/// Returns the bytes that a frame takes on the wire, without those of TCP and TLS.
+#[must_use]
+pub fn wire_bytes(frame: usize) -> u64 {
+    (frame + LENGTH_BYTES) as u64
+}
+
 /// Builds the codec for both directions of a link.
 #[must_use]
 pub fn codec() -> codec::LengthDelimitedCodec {
--- a/crates/waxwing-wire/src/links.rs
+++ b/crates/waxwing-wire/src/links.rs
@@ -22,7 +22,7 @@
     sync::mpsc,
 };
 use tokio_util::{codec, sync::CancellationToken};
-use waxwing_core::clock::Clock;
+use waxwing_core::{clock::Clock, counters};
 
 use crate::{errors, framing, messages, security};
 
@@ -37,6 +37,8 @@
     pub connect_limit: Duration,
     /// Messages that may wait to be sent; 1,024.
     pub queue_length: usize,
+    /// Counts the bytes of control messages of the process; a set of its own.
+    pub counters: counters::CounterSet,
 }
 
 impl Default for LinkOptions {
@@ -46,6 +48,18 @@
             silence_limit: Duration::from_millis(2_500),
             connect_limit: Duration::from_secs(2),
             queue_length: 1_024,
+            counters: counters::CounterSet::new(),
+        }
+    }
+}
+
+impl LinkOptions {
+    /// Returns the defaults with the counters of a process.
+    #[must_use]
+    pub fn counted(counters: &counters::CounterSet) -> Self {
+        Self {
+            counters: counters.clone(),
+            ..Self::default()
         }
     }
 }
@@ -56,6 +70,7 @@
     queue: mpsc::Sender<Bytes>,
     ended: CancellationToken,
     settings_version: Arc<AtomicU64>,
+    counters: counters::CounterSet,
 }
 
 impl LinkSender {
@@ -68,7 +83,7 @@
         correlation: u64,
         body: messages::Body,
     ) -> Result<(), errors::LinkError> {
-        let frame = framing::encode(correlation, body)?;
+        let frame = self.encode(correlation, body)?;
         tokio::select! {
             () = self.ended.cancelled() => Err(errors::LinkError::Closed),
             sent = self.queue.send(frame) => sent.map_err(|_| errors::LinkError::Closed),
@@ -84,13 +99,23 @@
         correlation: u64,
         body: messages::Body,
     ) -> Result<(), errors::LinkError> {
-        let frame = framing::encode(correlation, body)?;
+        let frame = self.encode(correlation, body)?;
         self.queue.try_send(frame).map_err(|error| match error {
             mpsc::error::TrySendError::Full(_) => errors::LinkError::Full,
             mpsc::error::TrySendError::Closed(_) => errors::LinkError::Closed,
         })
     }
 
+    fn encode(&self, correlation: u64, body: messages::Body) -> Result<Bytes, errors::LinkError> {
+        let control = body.is_control();
+        let frame = framing::encode(correlation, body)?;
+        if control {
+            let event = counters::CounterEvent::ControlBytesSent;
+            self.counters.add(event, framing::wire_bytes(frame.len()));
+        }
+        Ok(frame)
+    }
+
     /// Sets the settings version that the heartbeats carry.
     pub fn set_settings_version(&self, version: u64) {
         self.settings_version.store(version, Ordering::Relaxed);
@@ -342,6 +367,7 @@
         interval: options.heartbeat_interval,
         limit: options.silence_limit,
         settings_version: settings_version.clone(),
+        counters: options.counters.clone(),
         ended: ended.clone(),
         clock: clock.clone(),
     };
@@ -349,6 +375,7 @@
         source,
         queue: in_sender,
         limit: options.silence_limit,
+        counters: options.counters.clone(),
         ended: ended.clone(),
         clock,
     };
@@ -358,6 +385,7 @@
         queue: out_sender,
         ended,
         settings_version,
+        counters: options.counters,
     };
     Ok(Link {
         peer,
@@ -395,6 +423,7 @@
     interval: Duration,
     limit: Duration,
     settings_version: Arc<AtomicU64>,
+    counters: counters::CounterSet,
     ended: CancellationToken,
     clock: C,
 }
@@ -434,7 +463,10 @@
             () = self.clock.sleep(self.interval) => {
                 let settings_version = self.settings_version.load(Ordering::Relaxed);
                 let beat = messages::Heartbeat { settings_version };
-                framing::encode(0, messages::Body::Heartbeat(beat)).ok()
+                let frame = framing::encode(0, messages::Body::Heartbeat(beat)).ok()?;
+                let event = counters::CounterEvent::ControlBytesSent;
+                self.counters.add(event, framing::wire_bytes(frame.len()));
+                Some(frame)
             }
         }
     }
@@ -445,6 +477,7 @@
     source: futures_util::stream::SplitStream<Frames<S>>,
     queue: mpsc::Sender<Result<messages::Envelope, errors::LinkError>>,
     limit: Duration,
+    counters: counters::CounterSet,
     ended: CancellationToken,
     clock: C,
 }
@@ -467,6 +500,17 @@
 
     async fn next(&mut self) -> Result<messages::Envelope, errors::LinkError> {
         let frame = limited(&self.clock, self.limit, self.source.next()).await?;
-        Ok(framing::decode(frame.ok_or(errors::LinkError::Closed)??)?)
+        let frame = frame.ok_or(errors::LinkError::Closed)??;
+        let length = frame.len();
+        let envelope = framing::decode(frame)?;
+        if envelope
+            .body
+            .as_ref()
+            .is_some_and(messages::Body::is_control)
+        {
+            let event = counters::CounterEvent::ControlBytesReceived;
+            self.counters.add(event, framing::wire_bytes(length));
+        }
+        Ok(envelope)
     }
 }
--- a/crates/waxwing-wire/src/messages.rs
+++ b/crates/waxwing-wire/src/messages.rs
@@ -155,6 +155,35 @@
     GroupInfo(GroupInfo),
 }
 
+impl Body {
+    /// Tells whether the message is control work, and not part of a request or its answer. The
+    /// limit of 25 KB/s a node in `docs/CAPACITY.md` is on control work.
+    #[must_use]
+    pub fn is_control(&self) -> bool {
+        !matches!(
+            self,
+            Self::Offer(_)
+                | Self::Withdraw(_)
+                | Self::OfferRefused(_)
+                | Self::Grant(_)
+                | Self::Decline(_)
+                | Self::Handover(_)
+                | Self::HandoverAck(_)
+                | Self::Settle(_)
+                | Self::Settled(_)
+                | Self::AnswerHead(_)
+                | Self::AnswerChunk(_)
+                | Self::AnswerAck(_)
+                | Self::Resume(_)
+                | Self::Cancel(_)
+                | Self::ClaimKey(_)
+                | Self::ClaimResult(_)
+                | Self::CompleteClaim(_)
+                | Self::ClaimCompleted(_)
+        )
+    }
+}
+
 /// A `ProcessKind` tells the roles apart.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Enumeration)]
 #[repr(i32)]
