--- a/crates/waxwing-agent/src/jobs.rs
+++ b/crates/waxwing-agent/src/jobs.rs
@@ -138,12 +138,11 @@
         Some(suspension::RunningWork {
             request,
             rank: self.terms.rank,
-            // A call that the endpoint has not answered may still be on its way to it; a
-            // cancellation could overtake it, and the request would run twice.
-            can_suspend: self.can_resume() && self.answer.head().is_some(),
-            generating: self.progress.first_token.is_some(),
+            // Before its first token a call can't be continued but only sent again, which would
+            // dispatch the request twice and repeat its prefill. A resumed call may still be on
+            // its way to the engine, where a cancellation could overtake it.
+            can_suspend: self.can_resume() && self.progress.first_token.is_some(),
             context: share.context,
-            prefill: share.prefill,
             started: self.progress.started,
         })
     }
