Hold lower tiers back only under pressure of a higher one

Below its capacity an engine kept room empty: the cautious estimate held the lowest tier back for requests that met their deadlines anyway. Lower tiers now give way, and the lowest needs slack, only within 10 s after an offer of a higher tier had to wait for 250 ms or a request of one missed its deadline.

--- a/crates/waxwing-agent/src/state.rs
+++ b/crates/waxwing-agent/src/state.rs
@@ -68,6 +68,8 @@
     queue: queue::OfferQueue<jobs::OfferNote>,
     grants: BTreeMap<ids::RequestId, jobs::LiveGrant>,
     next_grant: u64,
+    /// When an offer of each tier last had to wait, or a request of it missed its deadline.
+    pressed: BTreeMap<ids::TierRank, Instant>,
     /// The lowest tier of which an offer came lately, and when.
     lowest: (ids::TierRank, Instant),
     jobs: jobs::JobTable,
@@ -111,6 +113,7 @@
             queue: queue::OfferQueue::new(queue::QueueOptions { max_offers }),
             grants: BTreeMap::new(),
             next_grant: 1,
+            pressed: BTreeMap::new(),
             lowest: (ids::TierRank(0), now),
             jobs: jobs::JobTable::default(),
             runs: HashMap::new(),
--- a/crates/waxwing-agent/src/state/handovers.rs
+++ b/crates/waxwing-agent/src/state/handovers.rs
@@ -178,6 +178,11 @@
         if self.jobs.get(request).is_none_or(jobs::Job::is_ended) {
             return;
         }
+        if reason == reasons::RefusalReason::DeadlinePassed
+            && let Some(job) = self.jobs.get(request)
+        {
+            self.pressed.insert(job.terms.rank, self.now);
+        }
         self.stop_run(request, false);
         let wasted = self.jobs.get(request).map_or(0, |job| job.tally.computed);
         let cause = match reason {
--- a/crates/waxwing-agent/src/state/offers.rs
+++ b/crates/waxwing-agent/src/state/offers.rs
@@ -16,6 +16,12 @@
 /// is at work, since it will be suspended meanwhile; with less, half of it was cut off.
 const LOWEST_SLACK: u32 = 2;
 
+/// The wait of an offer from which on the endpoint counts as under pressure of its tier.
+const NOTICED_WAIT: Duration = Duration::from_millis(250);
+
+/// The time for which such a wait or a missed deadline counts.
+const PRESSURE_TIME: Duration = Duration::from_secs(10);
+
 /// The time for which the lowest tier is remembered after its last offer.
 const TIER_MEMORY: Duration = Duration::from_secs(60);
 
@@ -152,7 +158,12 @@
             self.pace.prefill_time(prefill) + self.pace.generation_time_of(output, beside + 1);
         let higher = self.jobs.open().any(|(_, job)| job.terms.rank < terms.rank);
         let lowest = lower == 0 && !waits && terms.rank >= self.lowest.0;
-        let slack = if higher && lowest { LOWEST_SLACK } else { 1 };
+        let pressed = self.is_pressed_above(terms.rank);
+        let slack = if higher && lowest && pressed {
+            LOWEST_SLACK
+        } else {
+            1
+        };
         let end = self.now + service * slack;
         (end > terms.deadline).then_some(reasons::RefusalReason::DeadlineUnreachable)
     }
@@ -321,6 +332,9 @@
         let cached = self.cache.expected_tokens(&note.prefixes);
         let share = self.share(&terms, cached);
         self.admission.admit(share);
+        if self.now.saturating_duration_since(terms.waiting_since) >= NOTICED_WAIT {
+            self.pressed.insert(terms.rank, self.now);
+        }
         let grant = ids::GrantId(self.next_grant);
         self.next_grant += 1;
         let message = messages::Grant {
@@ -398,6 +412,12 @@
         }
     }
 
+    /// Tells whether an offer of a tier above `rank` had to wait lately, or missed its deadline.
+    pub(super) fn is_pressed_above(&self, rank: ids::TierRank) -> bool {
+        let mut higher = self.pressed.range(..rank);
+        higher.any(|(_, last)| self.now.saturating_duration_since(*last) < PRESSURE_TIME)
+    }
+
     pub(super) fn deadline_after(&self, millis: u64) -> Instant {
         self.now + bounded(millis)
     }
--- a/crates/waxwing-agent/src/state/sweeps.rs
+++ b/crates/waxwing-agent/src/state/sweeps.rs
@@ -103,6 +103,10 @@
     /// Tells whether one more request of `rank` with so much prefill would make a running one of
     /// a higher tier miss its deadline; it would only be suspended again.
     pub(super) fn would_endanger(&self, rank: ids::TierRank, prefill: units::TokenCount) -> bool {
+        // Estimates are cautious; without a sign of overload they would keep room empty.
+        if !self.is_pressed_above(rank) {
+            return false;
+        }
         let delay = self.pace.prefill_time(prefill);
         let running = self.runs.len() + self.grants.len() + 1;
         let higher = self.jobs.open().map(|(_, job)| job);
