--- a/crates/waxwing-agent/src/jobs.rs
+++ b/crates/waxwing-agent/src/jobs.rs
@@ -139,8 +139,9 @@
             request,
             rank: self.terms.rank,
             // Before its first token a call can't be continued but only sent again, which would
-            // dispatch the request twice and repeat its prefill.
-            can_suspend: self.can_resume() && self.tokens > 0,
+            // dispatch the request twice and repeat its prefill. A resumed call may still be on
+            // its way to the engine, where a cancellation could overtake it.
+            can_suspend: self.can_resume() && self.progress.first_token.is_some(),
             context: share.context,
             started: self.progress.started,
         })
--- a/crates/waxwing-agent/tests/suspension.rs
+++ b/crates/waxwing-agent/tests/suspension.rs
@@ -219,6 +219,22 @@
     assert!(end.expect("an end").whole);
 }
 
+/// Guards against a cancellation that overtakes a resumed call on its way to the engine.
+#[test]
+fn resumed_call_is_not_suspended_before_a_token() {
+    let mut bench = Bench::new();
+    let run = admit_bulk(&mut bench, true);
+    bench.head(run);
+    bench.tokens(run, 0..5);
+    let resumed = interrupt(&mut bench, run, &token_event(5));
+    bench.say(Body::Offer(urgent(3)));
+    bench.wait(3_000);
+    assert_eq!(bench.stops(), vec![run]);
+    bench.head(resumed);
+    bench.tokens(resumed, 6..7);
+    assert_eq!(bench.stops(), vec![run, resumed]);
+}
+
 /// Guards against suspension of an equal or higher tier.
 #[test]
 fn only_lower_tiers_are_suspended() {
--- a/crates/waxwing-policy/src/suspension.rs
+++ b/crates/waxwing-policy/src/suspension.rs
@@ -40,8 +40,8 @@
 }
 
 /// Chooses the requests that are suspended for a request of `rank`: the lowest tier first, inside
-/// a tier the newest first since its context is the cheapest to rebuild. Returns nothing if all of them together would not make enough room,
-/// since a suspension that helps nobody is waste.
+/// a tier the newest first since its context is the cheapest to rebuild. Returns nothing if all of
+/// them together would not make enough room, since a suspension that helps nobody is waste.
 #[must_use]
 pub fn choose_victims(
     running: impl IntoIterator<Item = RunningWork>,
