Let less prefill wait inside an engine

Engines compute prefill in arrival order, so whatever is pending delays the next urgent request. A share of 0.12 of the first-token target replaces 0.8.

--- a/crates/waxwing-policy/src/admission.rs
+++ b/crates/waxwing-policy/src/admission.rs
@@ -26,8 +26,9 @@
     pub start_running: usize,
     /// The requests below which the limit never falls; 4.
     pub floor_running: usize,
-    /// The share of the first-token target that pending prefill may fill; 0.8, since the steps
-    /// that generate tokens share the engine with it.
+    /// The share of the first-token target that pending prefill may fill; 0.12. Engines compute
+    /// prefill in arrival order, so all that is pending delays the next urgent request; a share of
+    /// 0.8 doubled its first-token time below capacity and kept engines no busier.
     pub prefill_share: f64,
     /// The factor that a window over target applies; 0.85.
     pub decrease: f64,
@@ -49,7 +50,7 @@
             step: units::TokenCount(2_048),
             start_running: 32,
             floor_running: 4,
-            prefill_share: 0.8,
+            prefill_share: 0.12,
             decrease: 0.85,
             window: Duration::from_millis(500),
             min_samples: 20,
