--- a/crates/waxwing-entry/src/agent_links.rs
+++ b/crates/waxwing-entry/src/agent_links.rs
@@ -144,7 +144,10 @@
     }
 
     fn route(&self, correlation: u64, body: messages::Body, sender: &links::LinkSender) {
-        let Some(request) = request_of(&body) else {
+        let Some(request) = body
+            .request()
+            .and_then(|bytes| ids::RequestId::from_slice(bytes).ok())
+        else {
             return;
         };
         let unused = match &body {
@@ -194,17 +197,3 @@
         }
     }
 }
-
-/// Returns the request that a message of an agent concerns.
-fn request_of(body: &messages::Body) -> Option<ids::RequestId> {
-    let bytes = match body {
-        messages::Body::OfferRefused(message) => &message.request,
-        messages::Body::Grant(message) => &message.request,
-        messages::Body::HandoverAck(message) => &message.request,
-        messages::Body::Settled(message) => &message.request,
-        messages::Body::AnswerHead(message) => &message.request,
-        messages::Body::AnswerChunk(message) => &message.request,
-        _ => return None,
-    };
-    ids::RequestId::from_slice(bytes).ok()
-}
--- a/crates/waxwing-proof/tests/world/entries.rs
+++ b/crates/waxwing-proof/tests/world/entries.rs
@@ -435,19 +435,7 @@
     }
 }
 
-/// Returns the request that a message of an agent concerns.
+/// Returns the request that a message concerns.
 pub(crate) fn request_of(body: &messages::Body) -> Option<ids::RequestId> {
-    let bytes = match body {
-        messages::Body::Offer(message) => &message.request,
-        messages::Body::Handover(message) => &message.request,
-        messages::Body::AnswerAck(message) => &message.request,
-        messages::Body::OfferRefused(message) => &message.request,
-        messages::Body::Grant(message) => &message.request,
-        messages::Body::HandoverAck(message) => &message.request,
-        messages::Body::Settled(message) => &message.request,
-        messages::Body::AnswerHead(message) => &message.request,
-        messages::Body::AnswerChunk(message) => &message.request,
-        _ => return None,
-    };
-    ids::RequestId::from_slice(bytes).ok()
+    ids::RequestId::from_slice(body.request()?).ok()
 }
