Name path, found and allowed in errors of settings files

Type errors of process settings named a line only. The path comes from serde_path_to_error, and the parser's message is split into what was found and what is allowed. The fault page says what its cells run on.

--- a/crates/waxwing-proof/src/report.rs
+++ b/crates/waxwing-proof/src/report.rs
@@ -69,6 +69,8 @@
 
 Made by `cargo run --locked -p waxwing-proof --bin waxwing-faults`; a test fails when this page and the table in `crates/waxwing-proof` differ. Steps and faults are those of [design](design.md), section 14.
 
+What the cells run on: requests, endpoints and the shutdown of entries and agents run the real state machines of entry, agent and control group on a stepped clock, with links and endpoints as small fakes; a fault of the control hosts at the claim appears there as a claim that is applied without an answer, or not applied. Settings, membership and the shutdown of control hosts run the real log, store, state machine and settings replica on disks in memory. Orders run the real agent and state machine. Real processes with SIGKILL are in `crates/waxwing-control/tests/processes.rs` and in `experiments/kills.json`; a disk that fails under a running control process is not tested.
+
 ";
 
 fn render_step(text: &mut String, step: &str, row: &[&MatrixCell]) {
--- a/crates/waxwing-settings/src/files.rs
+++ b/crates/waxwing-settings/src/files.rs
@@ -36,10 +36,40 @@
 /// Fails if the text is not JSON with comments, or holds a value that is not allowed.
 pub fn parse<T: DeserializeOwned>(name: &str, text: &str) -> Result<T, errors::SettingsError> {
     let reader = json_comments::StripComments::new(text.as_bytes());
-    serde_json::from_reader(reader).map_err(|error| errors::SettingsError::Syntax {
-        file: SmolStr::new(name),
-        line: error.line(),
-        column: error.column(),
-        detail: SmolStr::new(error.to_string()),
-    })
+    let mut source = serde_json::Deserializer::from_reader(reader);
+    let value = serde_path_to_error::deserialize(&mut source).map_err(|error| {
+        let path = error.path().to_string();
+        explain(name, &path, &error.into_inner())
+    })?;
+    source.end().map_err(|error| explain(name, "", &error))?;
+    Ok(value)
+}
+
+/// Turns an error of the parser into one that names the path, what was found and what is allowed.
+fn explain(name: &str, path: &str, error: &serde_json::Error) -> errors::SettingsError {
+    let file = SmolStr::new(name);
+    let (line, column) = (error.line(), error.column());
+    let text = error.to_string();
+    let position = format!(" at line {line} column {column}");
+    let detail = text.strip_suffix(&position).unwrap_or(&text);
+    if !error.is_data() {
+        let detail = SmolStr::new(detail);
+        return errors::SettingsError::Syntax {
+            file,
+            line,
+            column,
+            detail,
+        };
+    }
+    let split = detail
+        .split_once(", expected ")
+        .or(detail.split_once("; allowed: "));
+    let (found, allowed) = split.unwrap_or((detail, "a value of the documented form"));
+    let steps = path.trim_start_matches('.').replace('.', "/");
+    errors::SettingsError::Value {
+        file,
+        path: smol_str::format_smolstr!("/{steps} (line {line})"),
+        found: SmolStr::new(found),
+        allowed: SmolStr::new(allowed),
+    }
 }
