Remove dead parameters and an unused setter

A read-through of the change found a parameter of the fault matrix and one of its test world that were ignored, a wrapper that only passed its arguments on, and BoundEntry::with_security, which nothing calls since the entry builds its protection from its own settings. Behaviour and assertions are unchanged.

--- a/crates/waxwing-entry/src/server.rs
+++ b/crates/waxwing-entry/src/server.rs
@@ -77,13 +77,6 @@
         self.counters.clone()
     }
 
-    /// Protects the links to other processes by keys that the caller has loaded.
-    #[must_use]
-    pub fn with_security(mut self, security: security::LinkSecurity) -> Self {
-        self.security = security;
-        self
-    }
-
     /// Returns the protection of the links, by which keys are replaced while the entry runs.
     #[must_use]
     pub fn link_security(&self) -> security::LinkSecurity {
--- a/crates/waxwing-proof/src/matrix.rs
+++ b/crates/waxwing-proof/src/matrix.rs
@@ -97,7 +97,7 @@
         StepGroup::Settings => settings(step, fault),
         StepGroup::Endpoint => endpoint(step, fault),
         StepGroup::Order => order(step, fault),
-        StepGroup::Membership => membership(step, fault),
+        StepGroup::Membership => membership(fault),
         StepGroup::Shutdown => shutdown(step, fault),
     }
 }
@@ -281,9 +281,8 @@
     }
 }
 
-fn membership(step: WorkStep, fault: SystemFault) -> Expected {
+fn membership(fault: SystemFault) -> Expected {
     use SystemFault as Fault;
-    let _ = step;
     match fault {
         Fault::EntryKilled | Fault::AgentKilled => Err(NO_REQUEST),
         Fault::EndpointKilled | Fault::Straggler => Err(NO_ENDPOINT),
--- a/crates/waxwing-proof/tests/quorum_world/hosts.rs
+++ b/crates/waxwing-proof/tests/quorum_world/hosts.rs
@@ -262,7 +262,7 @@
             if change == super::MAIN && self.is_due(WorkStep::Committed) {
                 self.inject();
             }
-            self.answer(host, change, result);
+            operators::take_answer(self, change, result);
         }
     }
 
@@ -403,16 +403,6 @@
         self.at(Duration::from_millis(500), Agenda::Crash(leader));
         self.at(Duration::from_secs(5), Agenda::Restart(leader));
     }
-
-    pub(super) fn answer(
-        &mut self,
-        host: usize,
-        change: ids::ChangeId,
-        result: commands::CommandResult,
-    ) {
-        let _ = host;
-        operators::take_answer(self, change, result);
-    }
 }
 
 fn is_append(message: &messages::PeerMessage) -> bool {
