--- /dev/null
+++ b/crates/waxwing-conduit/src/answers.rs
@@ -0,0 +1,90 @@
+//! Answers of the entry itself, and the body type of all answers.
+
+use std::{
+    pin::Pin,
+    task::{Context, Poll},
+    time::Duration,
+};
+
+use bytes::Bytes;
+use hyper::{
+    Response, StatusCode, body,
+    http::{HeaderValue, header},
+};
+use tokio::sync::mpsc;
+use waxwing_fleet::dialects;
+
+use crate::errors;
+
+/// An `AnswerBody` is the body of an answer to a caller.
+#[derive(Debug)]
+pub(crate) enum AnswerBody {
+    /// The whole body is there.
+    Whole(Option<Bytes>),
+    /// The body arrives in pieces; an error breaks it off.
+    Pieces(mpsc::Receiver<Result<Bytes, errors::RelayError>>),
+}
+
+impl AnswerBody {
+    pub(crate) const fn whole(bytes: Bytes) -> Self {
+        Self::Whole(Some(bytes))
+    }
+}
+
+impl body::Body for AnswerBody {
+    type Data = Bytes;
+    type Error = errors::RelayError;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<body::Frame<Bytes>, errors::RelayError>>> {
+        match &mut *self {
+            Self::Whole(bytes) => {
+                let bytes = bytes.take().filter(|bytes| !bytes.is_empty());
+                Poll::Ready(bytes.map(|bytes| Ok(body::Frame::data(bytes))))
+            }
+            Self::Pieces(pieces) => {
+                let piece = pieces.poll_recv(context);
+                piece.map(|piece| piece.map(|piece| piece.map(body::Frame::data)))
+            }
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        match self {
+            Self::Whole(bytes) => bytes.as_ref().is_none_or(Bytes::is_empty),
+            Self::Pieces(_) => false,
+        }
+    }
+
+    fn size_hint(&self) -> body::SizeHint {
+        match self {
+            Self::Whole(bytes) => {
+                let length = bytes.as_ref().map_or(0, Bytes::len);
+                body::SizeHint::with_exact(u64::try_from(length).unwrap_or(u64::MAX))
+            }
+            Self::Pieces(_) => body::SizeHint::default(),
+        }
+    }
+}
+
+/// Builds an answer of the entry itself.
+pub(crate) fn refuse<D: dialects::RequestDialect>(
+    dialect: &D,
+    status: StatusCode,
+    id: Option<&str>,
+    reason: &str,
+    retry_after: Option<Duration>,
+) -> Response<AnswerBody> {
+    let (body, kind) = dialect.refusal(id, reason);
+    let mut answer = Response::new(AnswerBody::whole(body));
+    *answer.status_mut() = status;
+    let headers = answer.headers_mut();
+    headers.insert(header::CONTENT_TYPE, HeaderValue::from_static(kind));
+    let seconds = retry_after.map(|after| format!("{:.3}", after.as_secs_f64()));
+    if let Some(value) = seconds.and_then(|seconds| HeaderValue::try_from(seconds).ok()) {
+        headers.insert(header::RETRY_AFTER, value);
+    }
+    answer
+}
--- /dev/null
+++ b/crates/waxwing-conduit/src/intake.rs
@@ -0,0 +1,588 @@
+//! From the head of a request to its answer: checks, quota, queue, endpoint, and what is tried
+//! again after a failure.
+
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use bytes::Bytes;
+use http_body_util::{BodyExt as _, Full, Limited};
+use hyper::{
+    Request, Response, StatusCode, body,
+    http::{self, HeaderMap, HeaderName, HeaderValue, header},
+};
+use smol_str::SmolStr;
+use waxwing_core::clock::Clock;
+use waxwing_fleet::{deployments, dialects};
+use waxwing_gate::tickets;
+
+use crate::{answers, errors, relay, state, upstream};
+
+/// The longest plain answer that is read whole before its head is passed on.
+const MAX_ANSWER_BYTES: usize = 16 * 1024 * 1024;
+
+/// Sends that failed before a byte was written, after which a request is given up. They cost
+/// endpoints nothing, but each takes a part of the caller's time.
+const MAX_UNSENT: u32 = 4;
+
+/// Time before an objective at which an answer must leave the entry to be on time at the caller.
+const DELIVERY_MARGIN: Duration = Duration::from_millis(15);
+
+/// A caller whose remaining time is below this share of the route's timeout has asked before.
+const RETURNED_SHARE: f64 = 0.93;
+
+/// Headers that concern one connection only.
+const CONNECTION_HEADERS: [HeaderName; 7] = [
+    header::CONNECTION,
+    HeaderName::from_static("keep-alive"),
+    header::PROXY_AUTHENTICATE,
+    header::TE,
+    header::TRAILER,
+    header::TRANSFER_ENCODING,
+    header::UPGRADE,
+];
+
+/// An `AcceptedRequest` is a request that is proper and allowed.
+pub(crate) struct AcceptedRequest {
+    pub(crate) facts: dialects::RequestFacts,
+    pub(crate) route: Arc<deployments::ServiceRoute>,
+    pub(crate) service: SmolStr,
+    pub(crate) account: Option<Arc<deployments::ClientAccount>>,
+    pub(crate) size: tickets::WorkSize,
+    pub(crate) arrival: Instant,
+    pub(crate) deadline: Instant,
+    method: http::Method,
+    uri: http::Uri,
+    headers: HeaderMap,
+    body: Bytes,
+}
+
+/// A `GivenAnswer` is an answer of an endpoint that is worth passing on.
+pub(crate) struct GivenAnswer<C: Clock, D> {
+    pub(crate) response: Response<body::Incoming>,
+    pub(crate) connection: upstream::SpentConnection,
+    pub(crate) run: state::StartedRun<C, D>,
+    pub(crate) sent: Instant,
+}
+
+/// A `RequestFailure` ends a request without an answer of an endpoint.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct RequestFailure {
+    pub(crate) status: StatusCode,
+    pub(crate) reason: &'static str,
+    pub(crate) retry_after: Option<Duration>,
+}
+
+impl RequestFailure {
+    pub(crate) const fn new(status: StatusCode, reason: &'static str) -> Self {
+        Self {
+            status,
+            reason,
+            retry_after: None,
+        }
+    }
+}
+
+/// The sends of one request so far.
+#[derive(Debug, Default)]
+pub(crate) struct SendHistory {
+    /// Sends that reached an endpoint.
+    pub(crate) arrivals: u32,
+    /// Sends after which the request may have run.
+    pub(crate) runs: u32,
+    /// Sends that failed before a byte was written.
+    unsent: u32,
+    /// Endpoints that are not asked again.
+    pub(crate) excluded: Vec<SmolStr>,
+}
+
+/// Answers a request of a caller.
+pub(crate) async fn serve<C: Clock, D: dialects::RequestDialect>(
+    state: Arc<state::EntryState<C, D>>,
+    request: Request<body::Incoming>,
+) -> Response<answers::AnswerBody> {
+    let arrival = state.clock.now();
+    let (head, incoming) = request.into_parts();
+    let facts = state.dialect.request(&head);
+    let id = facts.as_ref().ok().map(|facts| facts.id.clone());
+    let answered = match facts {
+        Ok(facts) => respond(&state, arrival, head, incoming, facts).await,
+        Err(error) => {
+            tracing::info!(event = "request-malformed", %error);
+            Err(RequestFailure::new(StatusCode::BAD_REQUEST, "malformed"))
+        }
+    };
+    let mut answer = answered.unwrap_or_else(|failure| {
+        let waited = state.clock.now().saturating_duration_since(arrival);
+        tracing::info!(
+            event = "request-refused",
+            id = id.as_deref(),
+            status = failure.status.as_u16(),
+            reason = failure.reason,
+            waited_ms = waited.as_millis(),
+            retry_after_ms = failure.retry_after.map(|after| after.as_millis()),
+        );
+        answers::refuse(
+            &state.dialect,
+            failure.status,
+            id.as_deref(),
+            failure.reason,
+            failure.retry_after,
+        )
+    });
+    if state.is_stopping() {
+        let close = HeaderValue::from_static("close");
+        answer.headers_mut().insert(header::CONNECTION, close);
+    }
+    answer
+}
+
+async fn respond<C: Clock, D: dialects::RequestDialect>(
+    state: &Arc<state::EntryState<C, D>>,
+    arrival: Instant,
+    head: http::request::Parts,
+    incoming: body::Incoming,
+    facts: dialects::RequestFacts,
+) -> Result<Response<answers::AnswerBody>, RequestFailure> {
+    let request = accept(state, arrival, head, incoming, facts).await?;
+    let request = Arc::new(request);
+    let cost = admit(state, &request)?;
+    let answered = run(state, &request).await;
+    if let (Err(failure), Some((account, cost))) = (&answered, cost) {
+        if failure.status == StatusCode::SERVICE_UNAVAILABLE {
+            state.gate().core.quotas.refund(&account, cost);
+        }
+    }
+    answered
+}
+
+/// Checks a request against the deployment in force and reads its body.
+async fn accept<C: Clock, D: dialects::RequestDialect>(
+    state: &state::EntryState<C, D>,
+    arrival: Instant,
+    head: http::request::Parts,
+    incoming: body::Incoming,
+    facts: dialects::RequestFacts,
+) -> Result<AcceptedRequest, RequestFailure> {
+    let unknown = RequestFailure::new(StatusCode::SERVICE_UNAVAILABLE, "no-deployment");
+    let limits = state.deployment.load().as_ref().ok_or(unknown)?.limits();
+    let longest = usize::try_from(limits.body_bytes.0).unwrap_or(usize::MAX);
+    let body = Limited::new(incoming, longest).collect().await;
+    let body = body
+        .map_err(|_| RequestFailure::new(StatusCode::PAYLOAD_TOO_LARGE, "body-too-long"))?
+        .to_bytes();
+    // The version that is in force once the request is whole decides.
+    let deployment = state.deployment.load_full().ok_or(unknown)?;
+    let host = head.uri.host().or_else(|| {
+        let value = head.headers.get(header::HOST)?.to_str().ok()?;
+        Some(value.split_once(':').map_or(value, |(host, _)| host))
+    });
+    let route = host.and_then(|host| deployment.route(host, head.uri.path()));
+    let route = route.ok_or(RequestFailure::new(StatusCode::NOT_FOUND, "no-route"))?;
+    let account = match deployment.needs_keys() && !route.public {
+        true => {
+            let account = facts.key.as_ref().and_then(|key| deployment.account(key));
+            let refused = RequestFailure::new(StatusCode::UNAUTHORIZED, "unknown-key");
+            Some(account.ok_or(refused)?.clone())
+        }
+        false => None,
+    };
+    let draw = rand::random_range(0..route.total_weight().max(1));
+    let service = route.target(draw).cloned().unwrap_or_default();
+    let size = match facts.tokens {
+        Some(tokens) => tickets::WorkSize::Generation {
+            prompt: tokens.prompt,
+            answer: tokens.answer,
+        },
+        None => tickets::WorkSize::Call,
+    };
+    let patience = facts.deadline.unwrap_or(route.timeout).min(route.timeout);
+    Ok(AcceptedRequest {
+        headers: forwarded_headers(&state.dialect, &head.headers),
+        facts,
+        route: route.clone(),
+        service,
+        account,
+        size,
+        arrival,
+        deadline: arrival + patience,
+        method: head.method,
+        uri: head.uri,
+        body,
+    })
+}
+
+/// Takes the request from the quota of its account; returns what it took.
+fn admit<C: Clock, D: dialects::RequestDialect>(
+    state: &state::EntryState<C, D>,
+    request: &AcceptedRequest,
+) -> Result<Option<(SmolStr, f64)>, RequestFailure> {
+    let now = state.clock.now();
+    let mut gate = state.gate();
+    gate.core.count_request(now, &request.service);
+    let Some(account) = &request.account else {
+        return Ok(None);
+    };
+    let Some(quota) = &account.quota else {
+        return Ok(None);
+    };
+    let cost = match (quota.unit, request.facts.tokens) {
+        (deployments::QuotaUnit::Requests, _) => 1.0,
+        (deployments::QuotaUnit::Tokens, None) => quota.default_cost,
+        (deployments::QuotaUnit::Tokens, Some(tokens)) => {
+            let sum = u32::try_from(tokens.prompt + tokens.answer).unwrap_or(u32::MAX);
+            f64::from(sum)
+        }
+    };
+    let slack = state.options.quota_slack;
+    let admitted = gate
+        .core
+        .quotas
+        .admit(now, &account.name, quota, cost, slack);
+    match admitted {
+        Ok(()) => Ok(Some((account.name.clone(), cost))),
+        Err(after) => {
+            let left = request.deadline.saturating_duration_since(now);
+            Err(RequestFailure {
+                status: StatusCode::TOO_MANY_REQUESTS,
+                reason: "over-quota",
+                retry_after: Some(after.max(Duration::from_millis(200)).min(left)),
+            })
+        }
+    }
+}
+
+/// Runs a request and builds the answer to its caller.
+async fn run<C: Clock, D: dialects::RequestDialect>(
+    state: &Arc<state::EntryState<C, D>>,
+    request: &Arc<AcceptedRequest>,
+) -> Result<Response<answers::AnswerBody>, RequestFailure> {
+    let mut history = SendHistory::default();
+    let last_event = request.facts.last_event;
+    loop {
+        let mut given = obtain(state, request, &mut history, last_event).await?;
+        if request.route.kind.is_stream() && given.response.status().is_success() {
+            return Ok(relay::start(state.clone(), request.clone(), history, given));
+        }
+        let (head, incoming) = given.response.into_parts();
+        let limited = Limited::new(incoming, MAX_ANSWER_BYTES);
+        let left = remaining(state, request);
+        let collected = tokio::select! {
+            collected = limited.collect() => collected,
+            () = state.clock.sleep(left) => return Err(timed_out(&history)),
+        };
+        match collected {
+            Ok(body) => {
+                given
+                    .run
+                    .answered(state.clock.now().saturating_duration_since(given.sent));
+                let connection = given.connection;
+                let state = state.clone();
+                tokio::spawn(async move {
+                    let now = state.clock.now();
+                    state.pool.give_back(connection, now).await;
+                });
+                let body = answers::AnswerBody::whole(body.to_bytes());
+                return Ok(returned_answer(head, body));
+            }
+            Err(error) => {
+                given.run.failed();
+                tracing::info!(
+                    event = "answer-broken",
+                    id = %request.facts.id,
+                    endpoint = %given.run.endpoint,
+                    %error
+                );
+                history.excluded.push(given.run.endpoint.clone());
+                drop(given.run);
+                check_repeat(state, request, &history)?;
+            }
+        }
+    }
+}
+
+/// Sends a request until an endpoint gives an answer that is worth passing on.
+pub(crate) async fn obtain<C: Clock, D: dialects::RequestDialect>(
+    state: &Arc<state::EntryState<C, D>>,
+    request: &AcceptedRequest,
+    history: &mut SendHistory,
+    last_event: Option<u64>,
+) -> Result<GivenAnswer<C, D>, RequestFailure> {
+    loop {
+        let run = start(state, request, history, last_event).await?;
+        if history.arrivals > 0 {
+            let now = state.clock.now();
+            if !state.gate().core.take_repeat(now, &request.service) {
+                return Err(given_up(history, "retry-budget"));
+            }
+        }
+        if let Some(given) = attempt(state, request, history, last_event, run).await? {
+            return Ok(given);
+        }
+    }
+}
+
+/// Sends a request once. `None` says that it may be sent to another endpoint.
+async fn attempt<C: Clock, D: dialects::RequestDialect>(
+    state: &Arc<state::EntryState<C, D>>,
+    request: &AcceptedRequest,
+    history: &mut SendHistory,
+    last_event: Option<u64>,
+    mut run: state::StartedRun<C, D>,
+) -> Result<Option<GivenAnswer<C, D>>, RequestFailure> {
+    let repeatable = request.route.kind.is_repeatable();
+    let sent = state.clock.now();
+    let outgoing = outgoing(state, request, &run, last_event);
+    let sending = state
+        .pool
+        .send(&state.clock, &run.endpoint, run.address, outgoing, repeatable);
+    let left = remaining(state, request);
+    let patience = silence_limit(request, &run, history);
+    let outcome = tokio::select! {
+        outcome = sending => outcome,
+        () = state.clock.sleep(left.min(patience)) => {
+            history.arrivals += 1;
+            history.runs += 1;
+            if left <= patience {
+                return Err(timed_out(history));
+            }
+            Err(errors::SendError::Lost("silent"))
+        }
+    };
+    let answer = match outcome {
+        Ok(answer) => {
+            history.arrivals += 1;
+            answer
+        }
+        Err(error) => {
+            run.failed();
+            tracing::info!(
+                event = "send-failed",
+                id = %request.facts.id,
+                endpoint = %run.endpoint,
+                after_ms = state.clock.now().saturating_duration_since(sent).as_millis(),
+                %error
+            );
+            history.excluded.push(run.endpoint.clone());
+            match error {
+                errors::SendError::NotSent(_) => {
+                    history.unsent += 1;
+                    if history.unsent >= MAX_UNSENT {
+                        return Err(given_up(history, "unreachable"));
+                    }
+                }
+                errors::SendError::Lost(reason) => {
+                    if reason != "silent" {
+                        history.arrivals += 1;
+                        history.runs += 1;
+                    }
+                    check_repeat(state, request, history)?;
+                }
+            }
+            return Ok(None);
+        }
+    };
+    let (response, connection) = answer.split();
+    let (head, incoming) = response.into_parts();
+    let facts = state.dialect.answer(&request.facts.id, &head);
+    if facts.not_run {
+        tracing::info!(
+            event = "endpoint-refused",
+            id = %request.facts.id,
+            endpoint = %run.endpoint,
+            status = head.status.as_u16(),
+            load = ?facts.load
+        );
+        if head.status == StatusCode::MISDIRECTED_REQUEST {
+            run.failed();
+        }
+        history.excluded.push(run.endpoint.clone());
+        return Ok(None);
+    }
+    history.runs += 1;
+    if !facts.own || !facts.sealed {
+        run.failed();
+        tracing::info!(
+            event = "answer-rejected",
+            id = %request.facts.id,
+            endpoint = %run.endpoint,
+            status = head.status.as_u16(),
+            own = facts.own,
+            sealed = facts.sealed
+        );
+        history.excluded.push(run.endpoint.clone());
+        check_repeat(state, request, history)?;
+        return Ok(None);
+    }
+    if head.status.is_server_error() {
+        run.failed();
+        let again = repeatable && history.runs < request.route.attempts;
+        if again {
+            history.excluded.push(run.endpoint.clone());
+            return Ok(None);
+        }
+    }
+    let response = Response::from_parts(head, incoming);
+    Ok(Some(GivenAnswer {
+        response,
+        connection,
+        run,
+        sent,
+    }))
+}
+
+/// Returns how long an endpoint may say nothing before a request that may be repeated goes
+/// elsewhere.
+fn silence_limit<C: Clock, D>(
+    request: &AcceptedRequest,
+    run: &state::StartedRun<C, D>,
+    history: &SendHistory,
+) -> Duration {
+    let may_repeat =
+        request.route.kind.is_repeatable() && history.runs + 1 < request.route.attempts;
+    match may_repeat {
+        true => (run.expected * 4).max(request.route.objective.mul_f64(1.2)),
+        false => Duration::MAX,
+    }
+}
+
+/// Waits for an endpoint.
+async fn start<C: Clock, D: dialects::RequestDialect>(
+    state: &Arc<state::EntryState<C, D>>,
+    request: &AcceptedRequest,
+    history: &SendHistory,
+    last_event: Option<u64>,
+) -> Result<state::StartedRun<C, D>, RequestFailure> {
+    let timeout = request.route.timeout;
+    let patience = request.deadline.saturating_duration_since(request.arrival);
+    let returned = patience < timeout.mul_f64(RETURNED_SHARE);
+    let rank = request.account.as_ref().and_then(|account| account.rank);
+    let ticket = tickets::WaitingTicket {
+        service: request.service.clone(),
+        rank: (rank.unwrap_or(request.route.rank), request.route.rank),
+        arrival: request.arrival,
+        due: request.arrival + request.route.objective.saturating_sub(DELIVERY_MARGIN),
+        deadline: request.deadline,
+        size: request.size,
+        returned: returned || request.facts.last_event.is_some(),
+        resumed: history.runs > 0 || last_event != request.facts.last_event,
+        excluded: history.excluded.clone(),
+    };
+    let started = state.await_start(ticket).await;
+    started.map_err(|(reason, retry_after)| {
+        let mut failure = given_up(history, reason.as_str());
+        if failure.status == StatusCode::SERVICE_UNAVAILABLE {
+            failure.retry_after = retry_after;
+        }
+        failure
+    })
+}
+
+/// Fails unless a request that may have run may run again.
+pub(crate) fn check_repeat<C: Clock, D: dialects::RequestDialect>(
+    state: &state::EntryState<C, D>,
+    request: &AcceptedRequest,
+    history: &SendHistory,
+) -> Result<(), RequestFailure> {
+    let allowed =
+        request.route.kind.is_repeatable() && history.runs < request.route.attempts;
+    match allowed && !remaining(state, request).is_zero() {
+        true => Ok(()),
+        false => Err(RequestFailure::new(StatusCode::BAD_GATEWAY, "answer-lost")),
+    }
+}
+
+/// Returns the time that a request has left.
+pub(crate) fn remaining<C: Clock, D>(
+    state: &state::EntryState<C, D>,
+    request: &AcceptedRequest,
+) -> Duration {
+    request
+        .deadline
+        .saturating_duration_since(state.clock.now())
+}
+
+fn timed_out(history: &SendHistory) -> RequestFailure {
+    match history.runs {
+        0 => RequestFailure::new(StatusCode::SERVICE_UNAVAILABLE, "deadline"),
+        _ => RequestFailure::new(StatusCode::GATEWAY_TIMEOUT, "deadline"),
+    }
+}
+
+/// Says "not run" only if no endpoint may have run the request.
+fn given_up(history: &SendHistory, reason: &'static str) -> RequestFailure {
+    match history.runs {
+        0 => RequestFailure::new(StatusCode::SERVICE_UNAVAILABLE, reason),
+        _ => RequestFailure::new(StatusCode::BAD_GATEWAY, reason),
+    }
+}
+
+fn outgoing<C: Clock, D: dialects::RequestDialect>(
+    state: &state::EntryState<C, D>,
+    request: &AcceptedRequest,
+    run: &state::StartedRun<C, D>,
+    last_event: Option<u64>,
+) -> Request<Full<Bytes>> {
+    let mut outgoing = Request::new(Full::new(request.body.clone()));
+    *outgoing.method_mut() = request.method.clone();
+    let path = request.uri.path_and_query().cloned();
+    *outgoing.uri_mut() = path.map_or_else(|| request.uri.clone(), http::Uri::from);
+    let mut headers = request.headers.clone();
+    let facts = dialects::DispatchFacts {
+        endpoint: &run.endpoint,
+        account: request.account.as_ref().map(|account| account.name.as_str()),
+        deadline: request
+            .facts
+            .deadline
+            .map(|_| remaining(state, request)),
+        last_event,
+    };
+    state.dialect.dispatch(&mut headers, &facts);
+    *outgoing.headers_mut() = headers;
+    outgoing
+}
+
+/// Returns the caller's headers without those of its connection and those that are the system's.
+fn forwarded_headers<D: dialects::RequestDialect>(dialect: &D, headers: &HeaderMap) -> HeaderMap {
+    let named = connection_options(headers);
+    let mut forwarded = HeaderMap::with_capacity(headers.len() + 4);
+    for (name, value) in headers {
+        let own = CONNECTION_HEADERS.contains(name)
+            || named.contains(name)
+            || *name == header::CONTENT_LENGTH
+            || *name == header::EXPECT;
+        if !own && !dialect.is_reserved(name) {
+            forwarded.append(name.clone(), value.clone());
+        }
+    }
+    forwarded
+}
+
+/// Returns the headers that `Connection` names.
+fn connection_options(headers: &HeaderMap) -> Vec<HeaderName> {
+    let values = headers.get_all(header::CONNECTION).iter();
+    let names = values.filter_map(|value| value.to_str().ok());
+    let names = names.flat_map(|value| value.split(','));
+    names.filter_map(|name| name.trim().parse().ok()).collect()
+}
+
+/// Builds the answer to the caller from the head of the endpoint's answer.
+pub(crate) fn returned_answer(
+    head: http::response::Parts,
+    body: answers::AnswerBody,
+) -> Response<answers::AnswerBody> {
+    let named = connection_options(&head.headers);
+    let mut answer = Response::new(body);
+    *answer.status_mut() = head.status;
+    let headers = answer.headers_mut();
+    for (name, value) in &head.headers {
+        let own = CONNECTION_HEADERS.contains(name)
+            || named.contains(name)
+            || *name == header::CONTENT_LENGTH;
+        if !own {
+            headers.append(name.clone(), value.clone());
+        }
+    }
+    answer
+}
--- /dev/null
+++ b/crates/waxwing-conduit/src/lib.rs
@@ -0,0 +1,15 @@
+//! The entry of a fleet without agents: it takes requests of callers, lets the gate decide where
+//! each one starts, and passes bytes between callers and endpoints. `docs/platform.md` gives its
+//! place in the system.
+
+mod answers;
+pub mod errors;
+pub mod events;
+mod fleet;
+mod intake;
+pub mod options;
+mod relay;
+pub mod roles;
+mod sockets;
+mod state;
+mod upstream;
--- /dev/null
+++ b/crates/waxwing-conduit/src/state.rs
@@ -0,0 +1,241 @@
+//! What the tasks of an entry share.
+
+use std::{
+    collections::HashMap,
+    sync::{
+        Arc, Mutex, MutexGuard,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::Duration,
+};
+
+use arc_swap::ArcSwapOption;
+use smol_str::SmolStr;
+use tokio::sync::{Notify, oneshot};
+use waxwing_core::clock::Clock;
+use waxwing_fleet::deployments;
+use waxwing_gate::{gate, tickets};
+
+use crate::{options, upstream};
+
+/// An `EntryState` is the state of an entry; handles share it.
+pub(crate) struct EntryState<C, D> {
+    pub(crate) options: options::ConduitOptions,
+    pub(crate) clock: C,
+    pub(crate) dialect: D,
+    pub(crate) deployment: ArcSwapOption<deployments::FleetDeployment>,
+    pub(crate) pool: upstream::ConnectionPool,
+    gate: Mutex<GateState>,
+    /// Wakes the task that sends books.
+    pub(crate) books: Notify,
+    /// Wakes the task that looks at waiting requests.
+    pub(crate) queued: Notify,
+    /// Whether the process is about to end.
+    pub(crate) stopping: AtomicBool,
+    /// Whether the deployment is known to be current.
+    pub(crate) settled: AtomicBool,
+}
+
+/// A `GateState` is the gate with the tasks that wait for its decisions.
+pub(crate) struct GateState {
+    pub(crate) core: gate::GateCore,
+    waiters: HashMap<tickets::TicketId, oneshot::Sender<tickets::GateDecision>>,
+}
+
+/// A `StartedRun` is a request at an endpoint. Dropping it gives the slot back.
+pub(crate) struct StartedRun<C: Clock, D> {
+    state: Arc<EntryState<C, D>>,
+    pub(crate) endpoint: SmolStr,
+    pub(crate) address: std::net::SocketAddr,
+    pub(crate) expected: Duration,
+    size: tickets::WorkSize,
+    backlog: u64,
+    started: bool,
+}
+
+impl<C: Clock, D> EntryState<C, D> {
+    pub(crate) fn new(
+        options: options::ConduitOptions,
+        clock: C,
+        dialect: D,
+        core: gate::GateCore,
+    ) -> Self {
+        Self {
+            options,
+            clock,
+            dialect,
+            deployment: ArcSwapOption::empty(),
+            pool: upstream::ConnectionPool::default(),
+            gate: Mutex::new(GateState {
+                core,
+                waiters: HashMap::new(),
+            }),
+            books: Notify::new(),
+            queued: Notify::new(),
+            stopping: AtomicBool::new(false),
+            settled: AtomicBool::new(false),
+        }
+    }
+
+    pub(crate) fn gate(&self) -> MutexGuard<'_, GateState> {
+        self.gate
+            .lock()
+            .expect("the gate never panics while it decides")
+    }
+
+    pub(crate) fn is_stopping(&self) -> bool {
+        self.stopping.load(Ordering::Relaxed)
+    }
+
+    /// Tells whether this entry takes new connections.
+    pub(crate) fn is_ready(&self) -> bool {
+        !self.is_stopping() && self.settled.load(Ordering::Relaxed)
+    }
+
+    /// Lets the gate decide and hands its decisions to those who wait.
+    pub(crate) fn pump(&self) {
+        let mut gate = self.gate();
+        loop {
+            let decisions = gate.core.decide(self.clock.now());
+            if decisions.is_empty() {
+                break;
+            }
+            for decision in decisions {
+                gate.deliver(decision);
+            }
+        }
+        if gate.core.has_changes() {
+            self.books.notify_one();
+        }
+    }
+
+    /// Waits until the gate starts or refuses a request.
+    pub(crate) async fn await_start(
+        self: &Arc<Self>,
+        ticket: tickets::WaitingTicket,
+    ) -> Result<StartedRun<C, D>, (tickets::RefusalReason, Option<Duration>)> {
+        let size = ticket.size;
+        let (sender, receiver) = oneshot::channel();
+        let id = {
+            let mut gate = self.gate();
+            let id = gate.core.offer(ticket);
+            gate.waiters.insert(id, sender);
+            id
+        };
+        let mut place = WaitingPlace {
+            state: self,
+            id,
+            receiver,
+        };
+        self.pump();
+        self.queued.notify_one();
+        match (&mut place.receiver).await {
+            Ok(tickets::GateDecision::Grant {
+                endpoint,
+                address,
+                expected,
+                ..
+            }) => {
+                let backlog = self.backlog(&endpoint);
+                Ok(StartedRun {
+                    state: self.clone(),
+                    endpoint,
+                    address,
+                    expected,
+                    size,
+                    backlog,
+                    started: false,
+                })
+            }
+            Ok(tickets::GateDecision::Refuse {
+                reason,
+                retry_after,
+                ..
+            }) => Err((reason, retry_after)),
+            Err(_) => Err((tickets::RefusalReason::NoRoom, None)),
+        }
+    }
+
+    fn backlog(&self, endpoint: &SmolStr) -> u64 {
+        let gate = self.gate();
+        let view = gate.core.endpoint(endpoint);
+        view.map_or(0, |view| view.total().pending_prefill)
+    }
+}
+
+impl GateState {
+    fn deliver(&mut self, decision: tickets::GateDecision) {
+        let id = match &decision {
+            tickets::GateDecision::Grant { ticket, .. }
+            | tickets::GateDecision::Refuse { ticket, .. } => *ticket,
+        };
+        let undelivered = match self.waiters.remove(&id) {
+            Some(waiter) => waiter.send(decision).err(),
+            None => Some(decision),
+        };
+        // The caller has left between the decision and its delivery.
+        if let Some(tickets::GateDecision::Grant { endpoint, size, .. }) = undelivered {
+            self.core.finish(&endpoint, size, false);
+        }
+    }
+}
+
+/// A `WaitingPlace` takes a request out of the queue when its caller leaves.
+struct WaitingPlace<'a, C: Clock, D> {
+    state: &'a Arc<EntryState<C, D>>,
+    id: tickets::TicketId,
+    receiver: oneshot::Receiver<tickets::GateDecision>,
+}
+
+impl<C: Clock, D> Drop for WaitingPlace<'_, C, D> {
+    fn drop(&mut self) {
+        let mut gate = self.state.gate();
+        gate.waiters.remove(&self.id);
+        gate.core.withdraw(self.id);
+        // A slot that was taken for a caller who has just left is free again.
+        if let Ok(tickets::GateDecision::Grant { endpoint, size, .. }) = self.receiver.try_recv() {
+            gate.core.finish(&endpoint, size, false);
+        }
+    }
+}
+
+impl<C: Clock, D> StartedRun<C, D> {
+    /// Takes the first event of the answer, `took` after the request was sent.
+    pub(crate) fn first_event(&mut self, took: Duration) {
+        if self.started {
+            return;
+        }
+        self.started = true;
+        let now = self.state.clock.now();
+        let mut gate = self.state.gate();
+        let core = &mut gate.core;
+        core.first_event(&self.endpoint, self.size, self.backlog, took);
+        core.succeed(now, &self.endpoint);
+        drop(gate);
+        self.state.pump();
+    }
+
+    /// Takes the whole answer of a plain call.
+    pub(crate) fn answered(&mut self, took: Duration) {
+        let now = self.state.clock.now();
+        let mut gate = self.state.gate();
+        gate.core.call_took(&self.endpoint, took);
+        gate.core.succeed(now, &self.endpoint);
+    }
+
+    /// Takes a failure of the endpoint.
+    pub(crate) fn failed(&mut self) {
+        let now = self.state.clock.now();
+        self.state.gate().core.fail(now, &self.endpoint);
+    }
+}
+
+impl<C: Clock, D> Drop for StartedRun<C, D> {
+    fn drop(&mut self) {
+        self.state
+            .gate()
+            .core
+            .finish(&self.endpoint, self.size, self.started);
+        self.state.pump();
+    }
+}
--- a/crates/waxwing-control/src/driver.rs
+++ b/crates/waxwing-control/src/driver.rs
@@ -19,6 +19,7 @@
 use waxwing_quorum::{
     errors as quorum_errors, messages, node, options as quorum_options, ready, units,
 };
+use waxwing_store::writer;
 
 use crate::{commands, errors, log, machine, membership, options, peers, storage};
 
@@ -45,7 +46,7 @@
     started: Instant,
     counters: CounterSet,
     requests: mpsc::Receiver<log::LogRequest>,
-    storage: storage::StorageHandle,
+    storage: writer::WriterHandle,
     network: Arc<peers::PeerNetwork>,
     shared: Arc<log::LogShared>,
     members: membership::MemberPolicy,
@@ -281,7 +282,7 @@
         self.members.name_of(member, &described)
     }
 
-    fn take_report(&mut self, report: storage::WriteReport) -> Result<(), errors::ControlError> {
+    fn take_report(&mut self, report: writer::WriteReport) -> Result<(), errors::ControlError> {
         match report {
             Ok(sequence) => {
                 self.node.persisted(sequence);
--- a/crates/waxwing-control/src/storage.rs
+++ b/crates/waxwing-control/src/storage.rs
@@ -1,31 +1,18 @@
-//! The thread that writes and syncs the log, so that a slow disk never holds up heartbeats.
-
-use std::sync::mpsc as blocking;
+//! What a control host's data folder holds at the start.
 
 use bytes::Bytes;
-use tokio::sync::mpsc;
 use waxwing_core::ids;
-use waxwing_quorum::{members, ready, units};
-use waxwing_store::{disk, errors::StoreError, store};
+use waxwing_quorum::{members, ready};
+use waxwing_store::{disk, errors::StoreError, store, writer};
 
 use crate::{machine, options};
 
-/// The report about one batch.
-pub(crate) type WriteReport = Result<units::WriteSequence, StoreError>;
-
-/// A `StorageHandle` gives batches to the storage thread and takes its reports.
-#[derive(Debug)]
-pub(crate) struct StorageHandle {
-    pub(crate) batches: blocking::Sender<ready::WriteBatch>,
-    pub(crate) reports: mpsc::UnboundedReceiver<WriteReport>,
-}
-
 /// An `OpenedStorage` is what a data folder holds at the start.
 #[derive(Debug)]
 pub(crate) struct OpenedStorage {
     pub(crate) identity: members::MemberIdentity,
     pub(crate) recovered: ready::RecoveredState,
-    pub(crate) handle: StorageHandle,
+    pub(crate) handle: writer::WriterHandle,
 }
 
 /// Opens a data folder and starts its thread, which ends when the handle is dropped. The founder
@@ -48,20 +35,9 @@
         let data = Bytes::from(machine::StateMachine::default().to_snapshot());
         recovered = store.found(ready::Snapshot::founding(voters, data))?;
     }
-    let (batches, queue) = blocking::channel::<ready::WriteBatch>();
-    let (reporter, reports) = mpsc::unbounded_channel();
-    tokio::task::spawn_blocking(move || {
-        while let Ok(batch) = queue.recv() {
-            let report = store.write(&batch).map(|()| batch.sequence);
-            let failed = report.is_err();
-            if reporter.send(report).is_err() || failed {
-                return;
-            }
-        }
-    });
     Ok(OpenedStorage {
         identity,
         recovered,
-        handle: StorageHandle { batches, reports },
+        handle: writer::start(store),
     })
 }
--- /dev/null
+++ b/crates/waxwing-gate/src/endpoints.rs
@@ -0,0 +1,195 @@
+//! What an entry knows of one endpoint: what it said, what runs there, and how fast it was.
+
+use std::{
+    collections::HashMap,
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
+
+use smol_str::SmolStr;
+use waxwing_wire::messages;
+
+use crate::{options, tickets};
+
+/// The smallest prompt, in tokens, whose time to the first event tells the speed of prefill;
+/// with shorter ones the time of a decode step prevails.
+const MIN_MEASURED_PROMPT: u64 = 400;
+
+/// An `EndpointUse` is what is under way at an endpoint.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct EndpointUse {
+    /// Requests that were sent and have not ended.
+    pub running: u32,
+    /// Prompt tokens of those that have not produced anything yet.
+    pub pending_prefill: u64,
+    /// Tokens of memory that they take at most.
+    pub memory: u64,
+}
+
+/// An `EndpointView` is one endpoint as this entry sees it.
+#[derive(Debug, Clone)]
+pub struct EndpointView {
+    /// The id.
+    pub id: SmolStr,
+    /// The service.
+    pub service: SmolStr,
+    /// The address.
+    pub address: SocketAddr,
+    /// The data centre.
+    pub data_centre: SmolStr,
+    /// Requests that it serves at once.
+    pub slots: u32,
+    /// Whether it takes new work.
+    pub ready: bool,
+    /// When it last told that it is there, or answered.
+    pub heard: Instant,
+    /// What this entry has under way there.
+    pub own: EndpointUse,
+    /// What each other entry has under way there.
+    pub others: HashMap<SocketAddr, EndpointUse>,
+    /// Prompt tokens that it reads in a millisecond, once measured.
+    prefill_rate: Option<f64>,
+    /// Milliseconds that a plain call takes, once measured.
+    call_millis: Option<f64>,
+    /// Until when it is left alone.
+    suspected_until: Option<Instant>,
+    failures: u32,
+}
+
+impl EndpointView {
+    /// Builds the view of an endpoint that has just been heard of.
+    #[must_use]
+    pub fn new(notice: &messages::EndpointNotice, address: SocketAddr, heard: Instant) -> Self {
+        Self {
+            id: SmolStr::new(&notice.id),
+            service: SmolStr::new(&notice.service),
+            address,
+            data_centre: SmolStr::new(&notice.data_centre),
+            slots: notice.slots,
+            ready: notice.phase() == messages::EndpointPhase::Ready,
+            heard,
+            own: EndpointUse::default(),
+            others: HashMap::new(),
+            prefill_rate: None,
+            call_millis: None,
+            suspected_until: None,
+            failures: 0,
+        }
+    }
+
+    /// Returns what all entries have under way.
+    #[must_use]
+    pub fn total(&self) -> EndpointUse {
+        self.others
+            .values()
+            .fold(self.own, |sum, other| EndpointUse {
+                running: sum.running + other.running,
+                pending_prefill: sum.pending_prefill + other.pending_prefill,
+                memory: sum.memory + other.memory,
+            })
+    }
+
+    /// Tells whether it may get new work at all.
+    #[must_use]
+    pub fn is_usable(&self, now: Instant, options: &options::GateOptions) -> bool {
+        self.ready
+            && now.saturating_duration_since(self.heard) < options.silence_limit
+            && self.suspected_until.is_none_or(|until| now >= until)
+    }
+
+    /// Tells whether a slot is free.
+    #[must_use]
+    pub fn has_room(&self) -> bool {
+        self.total().running < self.slots
+    }
+
+    /// Returns the prefill rate, with the mean of the service for one that was not measured.
+    #[must_use]
+    pub fn prefill_rate(&self, typical: f64) -> f64 {
+        self.prefill_rate.unwrap_or(typical)
+    }
+
+    /// Returns the measured prefill rate.
+    #[must_use]
+    pub const fn measured_rate(&self) -> Option<f64> {
+        self.prefill_rate
+    }
+
+    /// Returns the time to the first event, or to the answer of a plain call, that is expected if
+    /// the request is sent now.
+    #[must_use]
+    pub fn expected(
+        &self,
+        size: tickets::WorkSize,
+        typical_rate: f64,
+        options: &options::GateOptions,
+    ) -> Duration {
+        let total = self.total();
+        let crowding = f64::from(total.running) / f64::from(self.slots.max(1));
+        let millis = match size {
+            tickets::WorkSize::Call => {
+                let initial = options.initial_call_time.as_secs_f64() * 1e3;
+                self.call_millis.unwrap_or(initial) * (1.0 + crowding)
+            }
+            tickets::WorkSize::Generation { prompt, .. } => {
+                let rate = self.prefill_rate(typical_rate).max(f64::MIN_POSITIVE);
+                let backlog = to_float(total.pending_prefill + prompt);
+                let penalty = options.crowding_penalty.as_secs_f64() * 1e3;
+                let speed = rate / typical_rate.max(f64::MIN_POSITIVE);
+                backlog / rate + penalty * crowding * crowding / speed.max(f64::MIN_POSITIVE)
+            }
+        };
+        let distance = match self.data_centre == options.data_centre {
+            true => Duration::ZERO,
+            false => options.distance_penalty,
+        };
+        Duration::try_from_secs_f64(millis / 1e3).unwrap_or(Duration::MAX) + distance
+    }
+
+    /// Takes the time to the first event of a generation that was sent with `backlog` prompt
+    /// tokens before its end, its own included.
+    pub fn measure_first_event(
+        &mut self,
+        backlog: u64,
+        took: Duration,
+        options: &options::GateOptions,
+    ) {
+        if backlog < MIN_MEASURED_PROMPT || took.is_zero() {
+            return;
+        }
+        let rate = to_float(backlog) / (took.as_secs_f64() * 1e3);
+        self.prefill_rate = Some(smooth(self.prefill_rate, rate, options.smoothing));
+    }
+
+    /// Takes the time of a plain call.
+    pub fn measure_call(&mut self, took: Duration, options: &options::GateOptions) {
+        let millis = took.as_secs_f64() * 1e3;
+        self.call_millis = Some(smooth(self.call_millis, millis, options.smoothing));
+    }
+
+    /// Takes a sign of life from an answer.
+    pub fn succeed(&mut self, now: Instant) {
+        self.heard = self.heard.max(now);
+        self.failures = 0;
+        self.suspected_until = None;
+    }
+
+    /// Takes a failure: the endpoint is left alone for a while that doubles with each one.
+    pub fn fail(&mut self, now: Instant, options: &options::GateOptions) {
+        let doubled = options.suspicion * 2_u32.saturating_pow(self.failures.min(8));
+        self.failures = self.failures.saturating_add(1);
+        self.suspected_until = Some(now + doubled.min(options.max_suspicion));
+    }
+}
+
+fn smooth(known: Option<f64>, newest: f64, weight: f64) -> f64 {
+    known.map_or(newest, |known| known + (newest - known) * weight)
+}
+
+#[expect(
+    clippy::cast_precision_loss,
+    reason = "counts of tokens are far below 2^52"
+)]
+pub(crate) fn to_float(count: u64) -> f64 {
+    count as f64
+}
--- /dev/null
+++ b/crates/waxwing-gate/src/gate.rs
@@ -0,0 +1,470 @@
+//! The gate: the queue of waiting requests and the choice of endpoints.
+//!
+//! Tiers are strict. Within a tier, requests that can still be answered on time come before those
+//! that are late already, and each group is served in order of arrival. An endpoint gets no more
+//! requests than it serves at once, so that what waits does so here, where a more urgent request
+//! can still overtake it.
+
+use std::{
+    collections::{BTreeSet, HashMap},
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
+
+use smol_str::SmolStr;
+use waxwing_fleet::registry;
+use waxwing_wire::messages;
+
+use crate::{budgets, endpoints, options, quotas, tickets};
+
+/// The place of a ticket in the queue of its service.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+struct QueuePlace {
+    /// Requests that go on elsewhere come first: their callers have a part of the answer.
+    fresh: bool,
+    rank: (u32, u32),
+    late: bool,
+    ticket: tickets::TicketId,
+}
+
+fn place_of(ticket: &tickets::WaitingTicket, id: tickets::TicketId) -> QueuePlace {
+    QueuePlace {
+        fresh: !ticket.resumed,
+        rank: ticket.rank,
+        late: ticket.returned,
+        ticket: id,
+    }
+}
+
+/// A `GateCore` is the state of the gate of one entry.
+#[derive(Debug)]
+pub struct GateCore {
+    options: options::GateOptions,
+    registry: registry::EndpointRegistry,
+    endpoints: HashMap<SmolStr, endpoints::EndpointView>,
+    waiting: HashMap<tickets::TicketId, tickets::WaitingTicket>,
+    queues: HashMap<SmolStr, BTreeSet<QueuePlace>>,
+    next_ticket: u64,
+    budgets: HashMap<SmolStr, budgets::RetryBudget>,
+    /// The quotas of client accounts.
+    pub quotas: quotas::QuotaTable,
+    peers: HashMap<SocketAddr, PeerBook>,
+    /// Endpoints whose use changed since the last book.
+    changed: Vec<SmolStr>,
+}
+
+/// A `PeerBook` is what another entry has told so far.
+#[derive(Debug, Default)]
+struct PeerBook {
+    accounts: HashMap<SmolStr, u64>,
+}
+
+impl GateCore {
+    /// Builds an empty gate.
+    #[must_use]
+    pub fn new(options: options::GateOptions) -> Self {
+        Self {
+            options,
+            registry: registry::EndpointRegistry::default(),
+            endpoints: HashMap::new(),
+            waiting: HashMap::new(),
+            queues: HashMap::new(),
+            next_ticket: 0,
+            budgets: HashMap::new(),
+            quotas: quotas::QuotaTable::default(),
+            peers: HashMap::new(),
+            changed: Vec::new(),
+        }
+    }
+
+    /// Returns the options.
+    #[must_use]
+    pub const fn options(&self) -> &options::GateOptions {
+        &self.options
+    }
+
+    /// Takes what an endpoint said.
+    pub fn observe_notice(&mut self, notice: messages::EndpointNotice, heard: Instant) {
+        let id = SmolStr::new(&notice.id);
+        let Ok(address) = notice.address.parse() else {
+            // A goodbye of an endpoint that was never heard of carries no address.
+            self.registry.observe(notice, heard);
+            self.endpoints.remove(&id);
+            return;
+        };
+        match self.registry.observe(notice.clone(), heard) {
+            registry::NoticeEffect::Stale => return,
+            registry::NoticeEffect::Refreshed => {}
+            registry::NoticeEffect::Changed => self.replace_endpoint(&notice, address, heard),
+        }
+        if let Some(view) = self.endpoints.get_mut(&id) {
+            view.heard = view.heard.max(heard);
+        }
+        self.registry.expire(heard);
+    }
+
+    fn replace_endpoint(
+        &mut self,
+        notice: &messages::EndpointNotice,
+        address: SocketAddr,
+        heard: Instant,
+    ) {
+        let id = SmolStr::new(&notice.id);
+        if notice.phase() == messages::EndpointPhase::Gone {
+            self.endpoints.remove(&id);
+            return;
+        }
+        self.endpoints
+            .retain(|other, view| view.address != address || *other == id);
+        let mut view = endpoints::EndpointView::new(notice, address, heard);
+        if let Some(former) = self.endpoints.remove(&id).filter(|former| former.address == address) {
+            let ready = view.ready;
+            view = former;
+            view.ready = ready;
+            view.slots = notice.slots;
+            view.service = SmolStr::new(&notice.service);
+        }
+        self.endpoints.insert(id, view);
+    }
+
+    /// Returns an endpoint.
+    #[must_use]
+    pub fn endpoint(&self, id: &str) -> Option<&endpoints::EndpointView> {
+        self.endpoints.get(id)
+    }
+
+    /// Returns the ids of all endpoints.
+    pub fn endpoint_ids(&self) -> impl Iterator<Item = &SmolStr> {
+        self.endpoints.keys()
+    }
+
+    /// Takes the book of another entry.
+    pub fn observe_book(&mut self, now: Instant, peer: SocketAddr, book: messages::EntryBook) {
+        for used in book.endpoints {
+            if let Some(view) = self.endpoints.get_mut(used.id.as_str()) {
+                let other = endpoints::EndpointUse {
+                    running: used.running,
+                    pending_prefill: used.pending_prefill,
+                    memory: used.memory,
+                };
+                match used.running {
+                    0 => view.others.remove(&peer),
+                    _ => view.others.insert(peer, other),
+                };
+            }
+        }
+        let known = self.peers.entry(peer).or_default();
+        for used in book.accounts {
+            let account = SmolStr::new(&used.name);
+            // What a peer had admitted before it was first heard lies in the past.
+            let former = known.accounts.insert(account.clone(), used.admitted);
+            let former = former.unwrap_or(used.admitted);
+            let cost = endpoints::to_float(used.admitted) - endpoints::to_float(former);
+            self.quotas.observe(now, &account, cost);
+        }
+    }
+
+    /// Forgets what an entry that can't be reached had under way.
+    pub fn forget_peer(&mut self, peer: SocketAddr) {
+        self.peers.remove(&peer);
+        for view in self.endpoints.values_mut() {
+            view.others.remove(&peer);
+        }
+    }
+
+    /// Returns what changed since the last book, or everything.
+    pub fn take_book(&mut self, all: bool) -> messages::EntryBook {
+        let changed = std::mem::take(&mut self.changed);
+        let ids: Vec<_> = match all {
+            true => self.endpoints.keys().cloned().collect(),
+            false => changed,
+        };
+        let endpoints = ids.into_iter().map(|id| {
+            let own = self.endpoints.get(&id).map(|view| view.own);
+            let own = own.unwrap_or_default();
+            messages::EndpointUse {
+                id: id.to_string(),
+                running: own.running,
+                pending_prefill: own.pending_prefill,
+                memory: own.memory,
+            }
+        });
+        let endpoints = endpoints.collect();
+        let changed = self.quotas.take_changes();
+        let accounts = if all { self.quotas.all() } else { changed };
+        let account = |(name, admitted): (SmolStr, u64)| messages::AccountUse {
+            name: name.to_string(),
+            admitted,
+        };
+        messages::EntryBook {
+            endpoints,
+            accounts: accounts.into_iter().map(account).collect(),
+        }
+    }
+
+    /// Tells whether there is something for the next book.
+    #[must_use]
+    pub fn has_changes(&self) -> bool {
+        !self.changed.is_empty()
+    }
+
+    fn note_change(&mut self, id: &SmolStr) {
+        if !self.changed.contains(id) {
+            self.changed.push(id.clone());
+        }
+    }
+
+    /// Counts a request of a caller for the retry budget of its service.
+    pub fn count_request(&mut self, now: Instant, service: &SmolStr) {
+        self.budget(service).count_request(now);
+    }
+
+    /// Takes a repeat from the retry budget, if there is one left.
+    pub fn take_repeat(&mut self, now: Instant, service: &SmolStr) -> bool {
+        let entries = u32::try_from(self.peers.len() + 1).unwrap_or(u32::MAX);
+        let ratio = self.options.retry_ratio;
+        let extra = self.options.retry_extra / f64::from(entries);
+        self.budget(service).take_repeat(now, ratio, extra)
+    }
+
+    fn budget(&mut self, service: &SmolStr) -> &mut budgets::RetryBudget {
+        let window = self.options.budget_window;
+        self.budgets
+            .entry(service.clone())
+            .or_insert_with(|| budgets::RetryBudget::new(window))
+    }
+
+    /// Puts a request in the queue.
+    pub fn offer(&mut self, ticket: tickets::WaitingTicket) -> tickets::TicketId {
+        self.next_ticket += 1;
+        let id = tickets::TicketId(self.next_ticket);
+        self.queues
+            .entry(ticket.service.clone())
+            .or_default()
+            .insert(place_of(&ticket, id));
+        self.waiting.insert(id, ticket);
+        id
+    }
+
+    /// Takes a request out of the queue, as when its caller has left.
+    pub fn withdraw(&mut self, id: tickets::TicketId) {
+        if let Some(place) = self.waiting.get(&id).map(|ticket| place_of(ticket, id)) {
+            self.remove(place);
+        }
+    }
+
+    /// Returns the number of requests that wait.
+    #[must_use]
+    pub fn waiting(&self) -> usize {
+        self.waiting.len()
+    }
+
+    /// Decides what can be decided now.
+    pub fn decide(&mut self, now: Instant) -> Vec<tickets::GateDecision> {
+        let mut decisions = Vec::new();
+        let services: Vec<_> = self
+            .queues
+            .iter()
+            .filter(|(_, queue)| !queue.is_empty())
+            .map(|(service, _)| service.clone())
+            .collect();
+        for service in services {
+            self.decide_service(now, &service, &mut decisions);
+        }
+        decisions
+    }
+
+    fn decide_service(
+        &mut self,
+        now: Instant,
+        service: &SmolStr,
+        decisions: &mut Vec<tickets::GateDecision>,
+    ) {
+        let Some(queue) = self.queues.get(service) else {
+            return;
+        };
+        let places: Vec<_> = queue.iter().copied().collect();
+        let typical = self.typical_rate(service);
+        let usable = self.is_served(now, service);
+        let mut full = false;
+        for place in places {
+            let Some(ticket) = self.waiting.get(&place.ticket) else {
+                continue;
+            };
+            let chosen = match full {
+                true => None,
+                false => self.choose(now, ticket, typical),
+            };
+            if let Some((endpoint, expected)) = chosen {
+                let decision = self.start(place, &endpoint, expected);
+                decisions.extend(decision);
+                continue;
+            }
+            // A ticket that may not go to some endpoints says nothing about the others.
+            full |= ticket.excluded.is_empty();
+            if now >= self.patience_end(ticket) {
+                let reason = match usable {
+                    true => tickets::RefusalReason::NoRoom,
+                    false => tickets::RefusalReason::NoEndpoint,
+                };
+                let retry_after = self.retry_after(now, ticket, place.ticket);
+                self.remove(place);
+                decisions.push(tickets::GateDecision::Refuse {
+                    ticket: place.ticket,
+                    reason,
+                    retry_after,
+                });
+            }
+        }
+    }
+
+    fn typical_rate(&self, service: &SmolStr) -> f64 {
+        let rates = self
+            .endpoints
+            .values()
+            .filter(|view| view.service == *service)
+            .filter_map(endpoints::EndpointView::measured_rate);
+        let (count, sum) = rates.fold((0.0, 0.0), |(count, sum), rate| (count + 1.0, sum + rate));
+        match count > 0.0 {
+            true => sum / count,
+            false => self.options.initial_prefill_rate,
+        }
+    }
+
+    fn is_served(&self, now: Instant, service: &SmolStr) -> bool {
+        self.endpoints
+            .values()
+            .any(|view| view.service == *service && view.is_usable(now, &self.options))
+    }
+
+    /// Returns the endpoint with the least expected time that has a free slot.
+    fn choose(
+        &self,
+        now: Instant,
+        ticket: &tickets::WaitingTicket,
+        typical: f64,
+    ) -> Option<(SmolStr, Duration)> {
+        let candidates = self.endpoints.values().filter(|view| {
+            view.service == ticket.service
+                && view.is_usable(now, &self.options)
+                && view.has_room()
+                && !ticket.excluded.contains(&view.id)
+        });
+        let timed = candidates.map(|view| (view.expected(ticket.size, typical, &self.options), view));
+        let best = timed.min_by(|(left, left_view), (right, right_view)| {
+            left.cmp(right).then_with(|| left_view.id.cmp(&right_view.id))
+        });
+        best.map(|(expected, view)| (view.id.clone(), expected))
+    }
+
+    fn start(
+        &mut self,
+        place: QueuePlace,
+        endpoint: &SmolStr,
+        expected: Duration,
+    ) -> Option<tickets::GateDecision> {
+        let ticket = self.remove(place)?;
+        let view = self.endpoints.get_mut(endpoint)?;
+        view.own.running += 1;
+        view.own.pending_prefill += ticket.size.prompt();
+        view.own.memory += ticket.size.memory();
+        let address = view.address;
+        self.note_change(endpoint);
+        Some(tickets::GateDecision::Grant {
+            ticket: place.ticket,
+            endpoint: endpoint.clone(),
+            address,
+            expected,
+            size: ticket.size,
+        })
+    }
+
+    fn remove(&mut self, place: QueuePlace) -> Option<tickets::WaitingTicket> {
+        let ticket = self.waiting.remove(&place.ticket)?;
+        if let Some(queue) = self.queues.get_mut(&ticket.service) {
+            queue.remove(&place);
+        }
+        Some(ticket)
+    }
+
+    /// Returns until when a ticket waits.
+    fn patience_end(&self, ticket: &tickets::WaitingTicket) -> Instant {
+        let left = ticket.deadline.saturating_duration_since(ticket.arrival);
+        let share = |share: f64| ticket.arrival + left.mul_f64(share);
+        match ticket.size {
+            tickets::WorkSize::Call => share(self.options.call_patience),
+            tickets::WorkSize::Generation { .. } if ticket.returned || ticket.resumed => {
+                share(self.options.returned_patience)
+            }
+            tickets::WorkSize::Generation { .. } => ticket.due.min(ticket.deadline),
+        }
+    }
+
+    /// Returns when a refused caller should come back. Callers are spread over the time that they
+    /// are willing to wait, so that they do not return together.
+    fn retry_after(
+        &self,
+        now: Instant,
+        ticket: &tickets::WaitingTicket,
+        id: tickets::TicketId,
+    ) -> Option<Duration> {
+        let left = ticket.deadline.saturating_duration_since(now);
+        let longest = left.mul_f64(self.options.retry_after_share);
+        let shortest = self.options.min_retry_after;
+        if longest < shortest {
+            return None;
+        }
+        // Consecutive tickets land far from each other.
+        let step = u32::try_from(id.0 * 7 % 16).unwrap_or_default();
+        Some(shortest + (longest - shortest) * step / 16)
+    }
+
+    /// Takes the first event of a request; `backlog` is the use of the endpoint when it was sent.
+    pub fn first_event(
+        &mut self,
+        endpoint: &SmolStr,
+        size: tickets::WorkSize,
+        backlog: u64,
+        took: Duration,
+    ) {
+        if let Some(view) = self.endpoints.get_mut(endpoint) {
+            view.own.pending_prefill = view.own.pending_prefill.saturating_sub(size.prompt());
+            view.measure_first_event(backlog, took, &self.options);
+        }
+        self.note_change(endpoint);
+    }
+
+    /// Takes the end of a request at an endpoint; `started` tells whether its first event was
+    /// taken before.
+    pub fn finish(&mut self, endpoint: &SmolStr, size: tickets::WorkSize, started: bool) {
+        if let Some(view) = self.endpoints.get_mut(endpoint) {
+            view.own.running = view.own.running.saturating_sub(1);
+            view.own.memory = view.own.memory.saturating_sub(size.memory());
+            if !started {
+                view.own.pending_prefill = view.own.pending_prefill.saturating_sub(size.prompt());
+            }
+        }
+        self.note_change(endpoint);
+    }
+
+    /// Takes the time of a plain call that was answered.
+    pub fn call_took(&mut self, endpoint: &SmolStr, took: Duration) {
+        if let Some(view) = self.endpoints.get_mut(endpoint) {
+            view.measure_call(took, &self.options);
+        }
+    }
+
+    /// Takes a good answer of an endpoint.
+    pub fn succeed(&mut self, now: Instant, endpoint: &SmolStr) {
+        if let Some(view) = self.endpoints.get_mut(endpoint) {
+            view.succeed(now);
+        }
+    }
+
+    /// Takes a failure of an endpoint.
+    pub fn fail(&mut self, now: Instant, endpoint: &SmolStr) {
+        if let Some(view) = self.endpoints.get_mut(endpoint) {
+            view.fail(now, &self.options);
+        }
+    }
+}
--- /dev/null
+++ b/crates/waxwing-gate/src/options.rs
@@ -0,0 +1,69 @@
+//! Options of the gate with their defaults.
+
+use std::time::Duration;
+
+/// A `GateOptions` is the set of bounds and weights of a gate.
+#[derive(Debug, Clone)]
+pub struct GateOptions {
+    /// The data centre of the entry.
+    pub data_centre: smol_str::SmolStr,
+    /// Added to the expected time of an endpoint in another data centre; the bytes between data
+    /// centres are paid for, so a near endpoint is preferred where it costs callers nothing.
+    pub distance_penalty: Duration,
+    /// Expected slowdown of a full batch for its members: how much later the first event of a
+    /// request comes at an endpoint whose slots are all taken than at an idle one.
+    pub crowding_penalty: Duration,
+    /// Prompt tokens that an engine is expected to read in a millisecond before it was measured.
+    pub initial_prefill_rate: f64,
+    /// Time that a plain call is expected to take before it was measured.
+    pub initial_call_time: Duration,
+    /// Weight of the newest measurement in a moving average.
+    pub smoothing: f64,
+    /// The longest time without a notice for which an endpoint is used; endpoints send one every
+    /// 1.2 s, which may come seconds late.
+    pub silence_limit: Duration,
+    /// Time for which an endpoint is left alone after a failure; doubled with each further one.
+    pub suspicion: Duration,
+    /// The longest time for which an endpoint is left alone.
+    pub max_suspicion: Duration,
+    /// The share of a caller's remaining time for which a request that was refused before waits.
+    pub returned_patience: f64,
+    /// The share of a plain call's deadline for which it waits.
+    pub call_patience: f64,
+    /// The shortest time after which a refused caller is asked to come back.
+    pub min_retry_after: Duration,
+    /// The share of the remaining time up to which callers wait when they are asked to.
+    pub retry_after_share: f64,
+    /// Repeats allowed for each request to a service in `budget_window`.
+    pub retry_ratio: f64,
+    /// Repeats allowed beyond the ratio in `budget_window`, for all entries together.
+    pub retry_extra: f64,
+    /// The window of the retry budget.
+    pub budget_window: Duration,
+    /// Units beyond a quota that all entries together may admit, for what their books lag.
+    pub quota_slack: f64,
+}
+
+impl Default for GateOptions {
+    fn default() -> Self {
+        Self {
+            data_centre: smol_str::SmolStr::default(),
+            distance_penalty: Duration::from_millis(4),
+            crowding_penalty: Duration::from_millis(120),
+            initial_prefill_rate: 60.0,
+            initial_call_time: Duration::from_millis(40),
+            smoothing: 0.2,
+            silence_limit: Duration::from_secs(5),
+            suspicion: Duration::from_millis(600),
+            max_suspicion: Duration::from_secs(4),
+            returned_patience: 0.4,
+            call_patience: 0.5,
+            min_retry_after: Duration::from_millis(300),
+            retry_after_share: 0.3,
+            retry_ratio: 0.2,
+            retry_extra: 50.0,
+            budget_window: Duration::from_secs(10),
+            quota_slack: 0.0,
+        }
+    }
+}
--- /dev/null
+++ b/crates/waxwing-gate/src/quotas.rs
@@ -0,0 +1,121 @@
+//! Quotas of client accounts over the whole fleet.
+//!
+//! Each entry keeps the same token bucket for an account and fills in what the other entries say
+//! they admitted. While the books of the others lag, all entries together may admit more than the
+//! quota by what arrives in that time; the slack of the options covers it.
+
+use std::{
+    collections::HashMap,
+    time::{Duration, Instant},
+};
+
+use smol_str::SmolStr;
+use waxwing_fleet::deployments;
+
+/// A `QuotaBucket` is what an account has used.
+#[derive(Debug, Clone, Copy)]
+struct QuotaBucket {
+    /// Units that were admitted and have not come back.
+    used: f64,
+    updated: Instant,
+}
+
+/// A `QuotaTable` holds the buckets of all accounts.
+#[derive(Debug, Default)]
+pub struct QuotaTable {
+    buckets: HashMap<SmolStr, QuotaBucket>,
+    /// Units that this entry has admitted since its start.
+    admitted: HashMap<SmolStr, f64>,
+    changed: Vec<SmolStr>,
+}
+
+impl QuotaTable {
+    /// Admits a request of `cost` units, or returns the time after which there is room for it.
+    ///
+    /// # Errors
+    /// Fails with that time if the quota is used up.
+    pub fn admit(
+        &mut self,
+        now: Instant,
+        account: &SmolStr,
+        quota: &deployments::AccountQuota,
+        cost: f64,
+        slack: f64,
+    ) -> Result<(), Duration> {
+        let bucket = self.bucket(now, account, quota.rate);
+        let room = quota.burst.max(cost) + slack - bucket.used;
+        if cost > room {
+            let missing = cost - room;
+            let seconds = missing / quota.rate.max(f64::MIN_POSITIVE);
+            return Err(Duration::try_from_secs_f64(seconds).unwrap_or(Duration::MAX));
+        }
+        bucket.used += cost;
+        self.note(account, cost);
+        Ok(())
+    }
+
+    /// Gives back what a request that did not run had taken.
+    pub fn refund(&mut self, account: &SmolStr, cost: f64) {
+        if let Some(bucket) = self.buckets.get_mut(account) {
+            bucket.used = (bucket.used - cost).max(0.0);
+        }
+        self.note(account, -cost);
+    }
+
+    /// Takes what another entry has admitted since its last book.
+    pub fn observe(&mut self, now: Instant, account: &SmolStr, cost: f64) {
+        let bucket = self.buckets.entry(account.clone()).or_insert(QuotaBucket {
+            used: 0.0,
+            updated: now,
+        });
+        bucket.used = (bucket.used + cost).max(0.0);
+    }
+
+    fn bucket(&mut self, now: Instant, account: &SmolStr, rate: f64) -> &mut QuotaBucket {
+        let bucket = self.buckets.entry(account.clone()).or_insert(QuotaBucket {
+            used: 0.0,
+            updated: now,
+        });
+        let elapsed = now.saturating_duration_since(bucket.updated).as_secs_f64();
+        bucket.used = (bucket.used - elapsed * rate).max(0.0);
+        bucket.updated = now;
+        bucket
+    }
+
+    fn note(&mut self, account: &SmolStr, cost: f64) {
+        *self.admitted.entry(account.clone()).or_default() += cost;
+        if !self.changed.contains(account) {
+            self.changed.push(account.clone());
+        }
+    }
+
+    /// Returns what this entry has admitted for accounts that changed since the last call.
+    pub fn take_changes(&mut self) -> Vec<(SmolStr, u64)> {
+        let changed = std::mem::take(&mut self.changed);
+        changed
+            .into_iter()
+            .map(|account| {
+                let admitted = self.admitted.get(&account).copied().unwrap_or_default();
+                (account, to_units(admitted))
+            })
+            .collect()
+    }
+
+    /// Returns what this entry has admitted for all accounts.
+    #[must_use]
+    pub fn all(&self) -> Vec<(SmolStr, u64)> {
+        let admitted = self.admitted.iter();
+        admitted
+            .map(|(account, admitted)| (account.clone(), to_units(*admitted)))
+            .collect()
+    }
+}
+
+#[expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "admitted units are whole numbers and never negative"
+)]
+fn to_units(admitted: f64) -> u64 {
+    admitted.max(0.0) as u64
+}
--- /dev/null
+++ b/crates/waxwing-gate/src/tickets.rs
@@ -0,0 +1,119 @@
+//! Tickets: what the gate knows of a request that waits.
+
+use std::time::{Duration, Instant};
+
+use smol_str::SmolStr;
+
+/// A `TicketId` names a ticket within one entry.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct TicketId(pub u64);
+
+impl std::fmt::Display for TicketId {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(formatter, "{}", self.0)
+    }
+}
+
+/// A `WorkSize` is what a request asks of an endpoint.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum WorkSize {
+    /// A plain call.
+    Call,
+    /// A generation.
+    Generation {
+        /// Tokens of the prompt.
+        prompt: u64,
+        /// The most tokens of the answer.
+        answer: u64,
+    },
+}
+
+impl WorkSize {
+    /// Returns the tokens of the prompt.
+    #[must_use]
+    pub const fn prompt(self) -> u64 {
+        match self {
+            Self::Call => 0,
+            Self::Generation { prompt, .. } => prompt,
+        }
+    }
+
+    /// Returns the tokens of an engine's memory that the request takes at most.
+    #[must_use]
+    pub const fn memory(self) -> u64 {
+        match self {
+            Self::Call => 0,
+            Self::Generation { prompt, answer } => prompt + answer,
+        }
+    }
+}
+
+/// A `WaitingTicket` is a request that waits for an endpoint.
+#[derive(Debug, Clone)]
+pub struct WaitingTicket {
+    /// The service.
+    pub service: SmolStr,
+    /// The tier; lower goes first. The tier of the client account stands before that of the route.
+    pub rank: (u32, u32),
+    /// When the request arrived.
+    pub arrival: Instant,
+    /// When the answer, or its first event, is due.
+    pub due: Instant,
+    /// When the caller or the route gives up.
+    pub deadline: Instant,
+    /// What it asks.
+    pub size: WorkSize,
+    /// Whether it comes back after a refusal.
+    pub returned: bool,
+    /// Whether it has been started before and goes on elsewhere; it waits for nobody.
+    pub resumed: bool,
+    /// Endpoints that it must not go to again.
+    pub excluded: Vec<SmolStr>,
+}
+
+/// A `RefusalReason` tells why a request was refused before it ran.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum RefusalReason {
+    /// No endpoint has room in time.
+    NoRoom,
+    /// No endpoint of the service is known to be usable.
+    NoEndpoint,
+}
+
+impl RefusalReason {
+    /// Returns the name in logs, counters and answers.
+    #[must_use]
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::NoRoom => "no-room",
+            Self::NoEndpoint => "no-endpoint",
+        }
+    }
+}
+
+/// A `GateDecision` is what becomes of a ticket.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum GateDecision {
+    /// The request goes to this endpoint; its slot is taken.
+    Grant {
+        /// The ticket.
+        ticket: TicketId,
+        /// The id of the endpoint.
+        endpoint: SmolStr,
+        /// Its address.
+        address: std::net::SocketAddr,
+        /// The time to the first event that is expected there.
+        expected: Duration,
+        /// What the request asks of it.
+        size: WorkSize,
+    },
+    /// The request has not run and will not run.
+    Refuse {
+        /// The ticket.
+        ticket: TicketId,
+        /// Why.
+        reason: RefusalReason,
+        /// When to come back; `None` where that helps nobody.
+        retry_after: Option<Duration>,
+    },
+}
--- a/crates/waxwing-store/src/lib.rs
+++ b/crates/waxwing-store/src/lib.rs
@@ -17,3 +17,4 @@
 mod replay;
 pub mod snapshots;
 pub mod store;
+pub mod writer;
--- a/crates/waxwing-wire/src/messages.rs
+++ b/crates/waxwing-wire/src/messages.rs
@@ -4,6 +4,7 @@
 
 mod answers;
 mod claims;
+mod fleet;
 mod groups;
 mod links;
 mod members;
@@ -17,6 +18,10 @@
 pub use self::claims::{
     ClaimCompleted, ClaimKey, ClaimName, ClaimOutcome, ClaimRecord, ClaimResult, CompleteClaim,
 };
+pub use self::fleet::{
+    AccountUse, DeploymentState, EndpointNotice, EndpointNotices, EndpointPhase, EndpointUse,
+    EntryBook, FleetHosts, JoinGroup,
+};
 pub use self::groups::{AskGroup, GroupInfo, Quorum, Redirect, Submit, Submitted, Unavailable};
 pub use self::links::{Heartbeat, Hello, Leaving, ProcessKind};
 pub use self::members::{Announce, Directory, EndpointInfo, EndpointKind, RankLoad, Report};
@@ -47,7 +52,7 @@
     /// The message itself.
     #[prost(
         oneof = "Body",
-        tags = "3,4,5,10,11,12,13,14,15,16,17,18,19,20,21,22,23,24,30,31,32,33,34,35,36,37,38,39,40,41,42,43,44,45,46,47,50,51,52,53,54"
+        tags = "3,4,5,10,11,12,13,14,15,16,17,18,19,20,21,22,23,24,30,31,32,33,34,35,36,37,38,39,40,41,42,43,44,45,46,47,50,51,52,53,54,60,61,62,63,64"
     )]
     pub body: Option<Body>,
 }
@@ -178,6 +183,21 @@
     /// Control to control: whether a group is known.
     #[prost(message, tag = "54")]
     GroupInfo(GroupInfo),
+    /// Control to control: take the sender in as a member of the log.
+    #[prost(message, tag = "60")]
+    JoinGroup(JoinGroup),
+    /// Control to entry: the deployment in force.
+    #[prost(message, tag = "61")]
+    DeploymentState(DeploymentState),
+    /// Control to entry and to control: what endpoints said of themselves.
+    #[prost(message, tag = "62")]
+    EndpointNotices(EndpointNotices),
+    /// Control to entry: where the other processes are.
+    #[prost(message, tag = "63")]
+    FleetHosts(FleetHosts),
+    /// Entry to entry: what the sender has under way.
+    #[prost(message, tag = "64")]
+    EntryBook(EntryBook),
 }
 
 impl Body {
