Keep quotas through restarts and cut links of entries

Change: buckets are used up as of the start of the process; while other entries can't be reached, an entry keeps to its share; half of the slack is left for lagging books.

--- a/crates/waxwing-conduit/src/fleet.rs
+++ b/crates/waxwing-conduit/src/fleet.rs
@@ -95,7 +95,8 @@
     fn take_leave(&self, remote: network::RemoteProcess) {
         let linked = self.network.linked(messages::ProcessKind::Entry);
         if remote.kind == messages::ProcessKind::Entry && !linked.contains(&remote.address) {
-            self.state.gate().core.forget_peer(remote.address);
+            let now = self.state.clock.now();
+            self.state.gate().core.forget_peer(now, remote.address);
         }
     }
 
@@ -133,6 +134,11 @@
             match read.and_then(deployments::FleetDeployment::new) {
                 Ok(deployment) => {
                     tracing::info!(event = "deployment-in-force", version = told.version, held);
+                    let now = self.state.clock.now();
+                    let accounts = deployment.accounts().iter();
+                    let quotas = accounts
+                        .filter_map(|account| Some((&account.name, account.quota.as_ref()?)));
+                    self.state.gate().core.quotas.configure(now, quotas);
                     self.state.deployment.store(Some(Arc::new(deployment)));
                 }
                 Err(error) => {
--- a/crates/waxwing-conduit/src/intake.rs
+++ b/crates/waxwing-conduit/src/intake.rs
@@ -15,7 +15,7 @@
 use smol_str::SmolStr;
 use waxwing_core::clock::Clock;
 use waxwing_fleet::{deployments, dialects};
-use waxwing_gate::tickets;
+use waxwing_gate::{quotas, tickets};
 
 use crate::{answers, errors, relay, state, upstream};
 
@@ -235,12 +235,12 @@
             f64::from(sum)
         }
     };
-    let slack = state.options.quota_slack;
-    let admitted = gate
-        .core
-        .quotas
-        .admit(now, &account.name, quota, cost, slack);
-    match admitted {
+    let claim = quotas::QuotaClaim {
+        account: &account.name,
+        quota,
+        cost,
+    };
+    match gate.core.admit(now, claim) {
         Ok(()) => Ok(Some((account.name.clone(), cost))),
         Err(after) => {
             let left = request.deadline.saturating_duration_since(now);
--- a/crates/waxwing-conduit/src/roles.rs
+++ b/crates/waxwing-conduit/src/roles.rs
@@ -37,6 +37,10 @@
 /// within the idle time of the deployment, which is well below.
 const HEAD_LIMIT: Duration = Duration::from_secs(30);
 
+/// The part of the allowed slack of quotas that is used; the rest covers what entries admit while
+/// their books are on the way.
+const QUOTA_SLACK_SHARE: f64 = 0.5;
+
 /// The largest head of a request; the deployment's own limit is never above it.
 const MAX_HEAD_BYTES: usize = 64 * 1024;
 
@@ -94,7 +98,7 @@
         let (network, events) =
             network::ProcessNetwork::open(network_options, self.clock.clone(), ended.clone())
                 .await?;
-        let core = gate::GateCore::new(gate_settings(&self.options));
+        let core = gate::GateCore::new(gate_settings(&self.options), self.clock.now());
         let state = state::EntryState::new(self.options, self.clock, dialect, core);
         let state = Arc::new(state);
         let link = fleet::FleetLink::new(state.clone(), documents, network, seeds);
@@ -114,7 +118,7 @@
         retry_ratio: options.retry_ratio,
         retry_extra: options.retry_extra,
         budget_window: options.retry_window(),
-        quota_slack: options.quota_slack,
+        quota_slack: options.quota_slack * QUOTA_SLACK_SHARE,
         ..gate_options::GateOptions::default()
     }
 }
--- a/crates/waxwing-gate/src/gate.rs
+++ b/crates/waxwing-gate/src/gate.rs
@@ -49,6 +49,8 @@
     /// The quotas of client accounts.
     pub quotas: quotas::QuotaTable,
     peers: HashMap<SocketAddr, PeerBook>,
+    /// Entries whose link was lost, and when. They may still run.
+    lost_peers: HashMap<SocketAddr, Instant>,
     /// Endpoints whose use changed since the last book.
     changed: Vec<SmolStr>,
 }
@@ -62,7 +64,7 @@
 impl GateCore {
     /// Builds an empty gate.
     #[must_use]
-    pub fn new(options: options::GateOptions) -> Self {
+    pub fn new(options: options::GateOptions, started: Instant) -> Self {
         Self {
             options,
             registry: registry::EndpointRegistry::default(),
@@ -71,8 +73,9 @@
             queues: HashMap::new(),
             next_ticket: 0,
             budgets: HashMap::new(),
-            quotas: quotas::QuotaTable::default(),
+            quotas: quotas::QuotaTable::new(started),
             peers: HashMap::new(),
+            lost_peers: HashMap::new(),
             changed: Vec::new(),
         }
     }
@@ -153,6 +156,7 @@
                 };
             }
         }
+        self.lost_peers.remove(&peer);
         let known = self.peers.entry(peer).or_default();
         for used in book.accounts {
             let account = SmolStr::new(&used.name);
@@ -165,8 +169,9 @@
     }
 
     /// Forgets what an entry that can't be reached had under way.
-    pub fn forget_peer(&mut self, peer: SocketAddr) {
+    pub fn forget_peer(&mut self, now: Instant, peer: SocketAddr) {
         self.peers.remove(&peer);
+        self.lost_peers.insert(peer, now);
         for view in self.endpoints.values_mut() {
             view.others.remove(&peer);
         }
@@ -219,9 +224,34 @@
         self.budget(service).count_request(now);
     }
 
+    /// Returns the number of entries whose books arrive, this one included, and of all entries
+    /// that may be running.
+    fn entries(&mut self, now: Instant) -> (u32, u32) {
+        let retention = self.options.lost_peer_retention;
+        self.lost_peers
+            .retain(|_, lost| now.saturating_duration_since(*lost) < retention);
+        let reached = u32::try_from(self.peers.len() + 1).unwrap_or(u32::MAX);
+        let lost = u32::try_from(self.lost_peers.len()).unwrap_or(u32::MAX);
+        (reached, reached.saturating_add(lost))
+    }
+
+    /// Takes a request from the quota of its client account, or returns the time after which there
+    /// is room for it.
+    ///
+    /// # Errors
+    /// Fails with that time if the quota is used up.
+    pub fn admit(&mut self, now: Instant, claim: quotas::QuotaClaim<'_>) -> Result<(), Duration> {
+        let (reached, all) = self.entries(now);
+        let reach = quotas::QuotaReach {
+            share: f64::from(reached) / f64::from(all),
+            slack: self.options.quota_slack,
+        };
+        self.quotas.admit(now, claim, reach)
+    }
+
     /// Takes a repeat from the retry budget, if there is one left.
     pub fn take_repeat(&mut self, now: Instant, service: &SmolStr) -> bool {
-        let entries = u32::try_from(self.peers.len() + 1).unwrap_or(u32::MAX);
+        let (_, entries) = self.entries(now);
         let ratio = self.options.retry_ratio;
         let extra = self.options.retry_extra / f64::from(entries);
         self.budget(service).take_repeat(now, ratio, extra)
--- a/crates/waxwing-gate/src/options.rs
+++ b/crates/waxwing-gate/src/options.rs
@@ -40,6 +40,8 @@
     pub retry_extra: f64,
     /// The window of the retry budget.
     pub budget_window: Duration,
+    /// Time for which an entry whose link was lost counts as one that may be running.
+    pub lost_peer_retention: Duration,
     /// Units beyond a quota that all entries together may admit, for what their books lag.
     pub quota_slack: f64,
 }
@@ -63,6 +65,7 @@
             retry_ratio: 0.2,
             retry_extra: 50.0,
             budget_window: Duration::from_secs(10),
+            lost_peer_retention: Duration::from_secs(20),
             quota_slack: 0.0,
         }
     }
--- /dev/null
+++ b/crates/waxwing-gate/tests/gate.rs
@@ -0,0 +1,151 @@
+//! Who starts next, where, and who is refused.
+
+mod support;
+
+use std::time::Instant;
+
+use smol_str::SmolStr;
+use waxwing_gate::tickets;
+use waxwing_wire::messages;
+
+use support::{gate, granted, millis, notice, refused, ticket};
+
+#[test]
+fn an_urgent_request_overtakes_those_that_wait() {
+    let now = Instant::now();
+    let mut core = gate(now, &[("one", 1, 1)]);
+    let first = core.offer(ticket(now, 2, 100));
+    assert_eq!(granted(&core.decide(now)).len(), 1);
+    let bulk = core.offer(ticket(now, 2, 100));
+    let urgent = core.offer(ticket(now, 0, 100));
+    assert!(core.decide(now).is_empty());
+    core.finish(&SmolStr::new("one"), ticket(now, 2, 100).size, true);
+    let started = granted(&core.decide(now));
+    assert_eq!(started[0].0, urgent);
+    assert_eq!(core.waiting(), 1);
+    assert_ne!(bulk, first);
+}
+
+#[test]
+fn no_endpoint_gets_more_than_its_slots() {
+    let now = Instant::now();
+    let mut core = gate(now, &[("one", 1, 3), ("two", 2, 2)]);
+    for _ in 0..20 {
+        core.offer(ticket(now, 1, 100));
+    }
+    assert_eq!(granted(&core.decide(now)).len(), 5);
+}
+
+#[test]
+fn what_other_entries_run_takes_slots() {
+    let now = Instant::now();
+    let mut core = gate(now, &[("one", 1, 3)]);
+    let used = messages::EndpointUse {
+        id: "one".to_owned(),
+        running: 2,
+        pending_prefill: 0,
+        memory: 0,
+    };
+    let book = messages::EntryBook {
+        endpoints: vec![used],
+        accounts: Vec::new(),
+    };
+    core.observe_book(now, support::address(99), book);
+    for _ in 0..5 {
+        core.offer(ticket(now, 1, 100));
+    }
+    assert_eq!(granted(&core.decide(now)).len(), 1);
+    core.forget_peer(now, support::address(99));
+    assert_eq!(granted(&core.decide(now)).len(), 2);
+}
+
+#[test]
+fn a_draining_endpoint_gets_nothing_more() {
+    let now = Instant::now();
+    let mut core = gate(now, &[("one", 1, 3)]);
+    let draining = messages::EndpointNotice {
+        phase: messages::EndpointPhase::Draining.into(),
+        sequence: 2,
+        ..notice("one", 1, 3)
+    };
+    core.observe_notice(draining, now);
+    // A notice that was held up on its way must not bring it back.
+    core.observe_notice(notice("one", 1, 3), now);
+    core.offer(ticket(now, 0, 100));
+    assert!(core.decide(now).is_empty());
+}
+
+#[test]
+fn a_request_that_no_endpoint_can_take_in_time_is_refused_with_a_time_to_return() {
+    let now = Instant::now();
+    let mut core = gate(now, &[("one", 1, 1)]);
+    core.offer(ticket(now, 0, 100));
+    core.decide(now);
+    let waiting = core.offer(ticket(now, 0, 100));
+    assert!(core.decide(now + millis(100)).is_empty());
+    let decisions = core.decide(now + millis(900));
+    assert_eq!(refused(&decisions), vec![waiting]);
+    let tickets::GateDecision::Refuse { retry_after, .. } = decisions[0] else {
+        panic!("{decisions:?}");
+    };
+    let after = retry_after.expect("the caller has time left");
+    assert!(after < millis(5_000), "{after:?}");
+}
+
+#[test]
+fn a_failing_endpoint_is_left_alone_for_a_while() {
+    let now = Instant::now();
+    let mut core = gate(now, &[("one", 1, 9), ("two", 2, 9)]);
+    core.fail(now, &SmolStr::new("one"));
+    for _ in 0..4 {
+        core.offer(ticket(now, 0, 100));
+    }
+    let started = granted(&core.decide(now));
+    assert!(started.iter().all(|(_, endpoint)| endpoint == "two"));
+}
+
+#[test]
+fn a_silent_endpoint_is_not_used() {
+    let now = Instant::now();
+    let mut core = gate(now, &[("one", 1, 9)]);
+    let later = now + millis(6_000);
+    core.offer(ticket(later, 0, 100));
+    assert!(granted(&core.decide(later)).is_empty());
+}
+
+/// Pattern: engines of unlike speed under prompts of one size. The faster one must get more.
+#[test]
+fn faster_engines_get_more_prompts() {
+    let mut now = Instant::now();
+    let mut core = gate(now, &[("fast", 1, 40), ("slow", 2, 40)]);
+    let size = ticket(now, 0, 6_000).size;
+    for (id, took) in [("fast", 30), ("slow", 150)] {
+        for _ in 0..20 {
+            core.first_event(&SmolStr::new(id), size, 6_000, millis(took));
+        }
+    }
+    let mut counts = std::collections::HashMap::new();
+    for _ in 0..30 {
+        now += millis(5);
+        core.offer(ticket(now, 0, 6_000));
+        for (_, endpoint) in granted(&core.decide(now)) {
+            *counts.entry(endpoint).or_insert(0) += 1;
+        }
+    }
+    assert!(counts["fast"] >= 2 * counts.get("slow").copied().unwrap_or(0));
+}
+
+#[test]
+fn a_restarted_endpoint_is_taken_as_empty() {
+    let now = Instant::now();
+    let mut core = gate(now, &[("one", 1, 1)]);
+    core.offer(ticket(now, 0, 100));
+    assert_eq!(granted(&core.decide(now)).len(), 1);
+    let moved = messages::EndpointNotice {
+        born: 2,
+        ..notice("one", 7, 1)
+    };
+    core.observe_notice(moved, now);
+    core.offer(ticket(now, 0, 100));
+    assert_eq!(granted(&core.decide(now)).len(), 1);
+}
