Learn engine speeds, place by expected length, refuse by expected wait

Change: a model of each service learns the time to the first event as a line over the backlog, a factor for each engine, the time for a token and the mean run; a request that can't end in time at a free engine waits for one where it can; what can't start in time is refused at once. Also: books of quotas have a base, so that the first one counts nothing twice (an_account_that_others_serve failed before).

--- a/crates/waxwing-conduit/src/intake.rs
+++ b/crates/waxwing-conduit/src/intake.rs
@@ -52,6 +52,8 @@
     pub(crate) size: tickets::WorkSize,
     pub(crate) arrival: Instant,
     pub(crate) deadline: Instant,
+    /// Tokens in one event of a stream.
+    pub(crate) event_tokens: u32,
     method: http::Method,
     uri: http::Uri,
     headers: HeaderMap,
@@ -193,12 +195,15 @@
     let size = match facts.tokens {
         Some(tokens) => tickets::WorkSize::Generation {
             prompt: tokens.prompt,
-            answer: tokens.answer,
+            answer: tokens.expected.unwrap_or(tokens.most).min(tokens.most),
+            most: tokens.most,
         },
         None => tickets::WorkSize::Call,
     };
     let patience = facts.deadline.unwrap_or(route.timeout).min(route.timeout);
+    let profile = deployment.service(&service).and_then(|found| found.engine);
     Ok(AcceptedRequest {
+        event_tokens: profile.map_or(1, |profile| profile.event_tokens),
         headers: forwarded_headers(&state.dialect, &head.headers),
         facts,
         route: route.clone(),
@@ -231,7 +236,7 @@
         (deployments::QuotaUnit::Requests, _) => 1.0,
         (deployments::QuotaUnit::Tokens, None) => quota.default_cost,
         (deployments::QuotaUnit::Tokens, Some(tokens)) => {
-            let sum = u32::try_from(tokens.prompt + tokens.answer).unwrap_or(u32::MAX);
+            let sum = u32::try_from(tokens.prompt + tokens.most).unwrap_or(u32::MAX);
             f64::from(sum)
         }
     };
--- a/crates/waxwing-conduit/src/relay.rs
+++ b/crates/waxwing-conduit/src/relay.rs
@@ -27,6 +27,8 @@
     connection: upstream::SpentConnection,
     run: state::StartedRun<C, D>,
     sent: std::time::Instant,
+    /// When the first event came, and its id.
+    first: Option<(std::time::Instant, Option<u64>)>,
 }
 
 impl<C: Clock, D> StreamSource<C, D> {
@@ -37,6 +39,7 @@
             connection: given.connection,
             run: given.run,
             sent: given.sent,
+            first: None,
         };
         (head, source)
     }
@@ -93,14 +96,19 @@
                     if complete.is_empty() {
                         continue;
                     }
-                    let took = self.state.clock.now().saturating_duration_since(source.sent);
-                    source.run.first_event(took);
+                    if source.first.is_none() {
+                        let now = self.state.clock.now();
+                        source.first = Some((now, self.splitter.last()));
+                        let took = now.saturating_duration_since(source.sent);
+                        source.run.first_event(took);
+                    }
                     if self.pieces.send(Ok(complete)).await.is_err() {
                         return self.caller_left(&source);
                     }
                 }
                 NextPiece::End if !self.splitter.has_partial() => {
                     let now = self.state.clock.now();
+                    self.take_end(&mut source, now);
                     drop(source.run);
                     self.state.pool.give_back(source.connection, now).await;
                     return;
@@ -120,6 +128,19 @@
         }
     }
 
+    /// Tells the gate how fast a run was that has ended.
+    fn take_end(&self, source: &mut StreamSource<C, D>, now: std::time::Instant) {
+        let Some((first, first_id)) = source.first else {
+            return;
+        };
+        let events = self.splitter.last().zip(first_id);
+        let events = events.map_or(0, |(last, first)| last.saturating_sub(first));
+        let tokens = events * u64::from(self.request.event_tokens);
+        let took = now.saturating_duration_since(first);
+        let whole = now.saturating_duration_since(source.sent);
+        source.run.generated(tokens, took, whole);
+    }
+
     async fn next_piece(&self, source: &mut StreamSource<C, D>) -> NextPiece {
         let left = intake::remaining(&self.state, &self.request);
         let stall = self.stall_limit(source);
--- a/crates/waxwing-conduit/src/state.rs
+++ b/crates/waxwing-conduit/src/state.rs
@@ -215,6 +215,13 @@
         self.state.pump();
     }
 
+    /// Takes the end of a generation: `tokens` came in `took` behind its first event, and the run
+    /// took `whole`.
+    pub(crate) fn generated(&mut self, tokens: u64, took: Duration, whole: Duration) {
+        let mut gate = self.state.gate();
+        gate.core.generated(&self.endpoint, tokens, took, whole);
+    }
+
     /// Takes the whole answer of a plain call.
     pub(crate) fn answered(&mut self, took: Duration) {
         let now = self.state.clock.now();
--- a/crates/waxwing-fleet/src/deployments.rs
+++ b/crates/waxwing-fleet/src/deployments.rs
@@ -106,6 +106,8 @@
     pub slots: u32,
     /// Tokens that one engine's memory holds.
     pub memory_tokens: u64,
+    /// Tokens in one event of a stream.
+    pub event_tokens: u32,
 }
 
 /// A `FleetService` is a group of like endpoints.
--- a/crates/waxwing-fleet/src/dialects.rs
+++ b/crates/waxwing-fleet/src/dialects.rs
@@ -85,7 +85,9 @@
     /// Tokens of the prompt.
     pub prompt: u64,
     /// The most tokens of the answer.
-    pub answer: u64,
+    pub most: u64,
+    /// Tokens that the caller expects in the answer, right at the median.
+    pub expected: Option<u64>,
 }
 
 /// A `PromptPart` is a part of a prompt that other requests may share.
--- a/crates/waxwing-gate/src/endpoints.rs
+++ b/crates/waxwing-gate/src/endpoints.rs
@@ -9,11 +9,7 @@
 use smol_str::SmolStr;
 use waxwing_wire::messages;
 
-use crate::{options, tickets};
-
-/// The smallest prompt, in tokens, whose time to the first event tells the speed of prefill;
-/// with shorter ones the time of a decode step prevails.
-const MIN_MEASURED_PROMPT: u64 = 400;
+use crate::{models, options, tickets};
 
 /// An `EndpointUse` is what is under way at an endpoint.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
@@ -47,8 +43,8 @@
     pub own: EndpointUse,
     /// What each other entry has under way there.
     pub others: HashMap<SocketAddr, EndpointUse>,
-    /// Prompt tokens that it reads in a millisecond, once measured.
-    prefill_rate: Option<f64>,
+    /// Its speed as an engine.
+    pub speed: models::EngineSpeed,
     /// Milliseconds that a plain call takes, once measured.
     call_millis: Option<f64>,
     /// Until when it is left alone.
@@ -70,7 +66,7 @@
             heard,
             own: EndpointUse::default(),
             others: HashMap::new(),
-            prefill_rate: None,
+            speed: models::EngineSpeed::default(),
             call_millis: None,
             suspected_until: None,
             failures: 0,
@@ -103,62 +99,48 @@
         self.total().running < self.slots
     }
 
-    /// Returns the prefill rate, with the mean of the service for one that was not measured.
-    #[must_use]
-    pub fn prefill_rate(&self, typical: f64) -> f64 {
-        self.prefill_rate.unwrap_or(typical)
-    }
-
-    /// Returns the measured prefill rate.
-    #[must_use]
-    pub const fn measured_rate(&self) -> Option<f64> {
-        self.prefill_rate
-    }
-
     /// Returns the time to the first event, or to the answer of a plain call, that is expected if
     /// the request is sent now.
     #[must_use]
     pub fn expected(
         &self,
         size: tickets::WorkSize,
-        typical_rate: f64,
+        model: &models::ServiceModel,
         options: &options::GateOptions,
     ) -> Duration {
         let total = self.total();
         let crowding = f64::from(total.running) / f64::from(self.slots.max(1));
-        let millis = match size {
+        let time = match size {
             tickets::WorkSize::Call => {
                 let initial = options.initial_call_time.as_secs_f64() * 1e3;
-                self.call_millis.unwrap_or(initial) * (1.0 + crowding)
+                let millis = self.call_millis.unwrap_or(initial);
+                Duration::try_from_secs_f64(millis / 1e3)
+                    .unwrap_or(Duration::MAX)
+                    .mul_f64(1.0 + crowding)
             }
             tickets::WorkSize::Generation { prompt, .. } => {
-                let rate = self.prefill_rate(typical_rate).max(f64::MIN_POSITIVE);
                 let backlog = to_float(total.pending_prefill + prompt);
-                let penalty = options.crowding_penalty.as_secs_f64() * 1e3;
-                let speed = rate / typical_rate.max(f64::MIN_POSITIVE);
-                backlog / rate + penalty * crowding * crowding / speed.max(f64::MIN_POSITIVE)
+                model.first_event(&self.speed, backlog)
+                    + options.crowding_penalty.mul_f64(crowding * crowding)
             }
         };
         let distance = match self.data_centre == options.data_centre {
             true => Duration::ZERO,
             false => options.distance_penalty,
         };
-        Duration::try_from_secs_f64(millis / 1e3).unwrap_or(Duration::MAX) + distance
+        time + distance
     }
 
-    /// Takes the time to the first event of a generation that was sent with `backlog` prompt
-    /// tokens before its end, its own included.
-    pub fn measure_first_event(
-        &mut self,
-        backlog: u64,
-        took: Duration,
+    /// Returns the time of the whole run that is expected if the request is sent now.
+    #[must_use]
+    pub fn expected_run(
+        &self,
+        size: tickets::WorkSize,
+        model: &models::ServiceModel,
         options: &options::GateOptions,
-    ) {
-        if backlog < MIN_MEASURED_PROMPT || took.is_zero() {
-            return;
-        }
-        let rate = to_float(backlog) / (took.as_secs_f64() * 1e3);
-        self.prefill_rate = Some(smooth(self.prefill_rate, rate, options.smoothing));
+    ) -> Duration {
+        let first = self.expected(size, model, options);
+        first + model.generation(&self.speed, to_float(size.answer()))
     }
 
     /// Takes the time of a plain call.
--- a/crates/waxwing-gate/src/gate.rs
+++ b/crates/waxwing-gate/src/gate.rs
@@ -15,7 +15,7 @@
 use waxwing_fleet::registry;
 use waxwing_wire::messages;
 
-use crate::{budgets, endpoints, options, quotas, tickets};
+use crate::{budgets, endpoints, models, options, quotas, tickets};
 
 /// The place of a ticket in the queue of its service.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -45,6 +45,9 @@
     waiting: HashMap<tickets::TicketId, tickets::WaitingTicket>,
     queues: HashMap<SmolStr, BTreeSet<QueuePlace>>,
     next_ticket: u64,
+    models: HashMap<SmolStr, models::ServiceModel>,
+    /// The model of a service of which nothing is known.
+    initial_model: models::ServiceModel,
     budgets: HashMap<SmolStr, budgets::RetryBudget>,
     /// The quotas of client accounts.
     pub quotas: quotas::QuotaTable,
@@ -55,6 +58,17 @@
     changed: Vec<SmolStr>,
 }
 
+/// A `ServiceOutlook` is what the endpoints of a service can take.
+#[derive(Debug, Clone, Copy)]
+struct ServiceOutlook {
+    /// Whether any endpoint is usable.
+    usable: bool,
+    /// Free slots.
+    free: u32,
+    /// Time between two slots that get free for this entry while all are taken.
+    slot_interval: Duration,
+}
+
 /// A `PeerBook` is what another entry has told so far.
 #[derive(Debug, Default)]
 struct PeerBook {
@@ -72,6 +86,8 @@
             waiting: HashMap::new(),
             queues: HashMap::new(),
             next_ticket: 0,
+            models: HashMap::new(),
+            initial_model: models::ServiceModel::default(),
             budgets: HashMap::new(),
             quotas: quotas::QuotaTable::new(started),
             peers: HashMap::new(),
@@ -157,12 +173,18 @@
             }
         }
         self.lost_peers.remove(&peer);
+        let first = !self.peers.contains_key(&peer);
+        if first && !book.whole {
+            // Sums without the base that the first book gives say nothing.
+            return;
+        }
         let known = self.peers.entry(peer).or_default();
         for used in book.accounts {
             let account = SmolStr::new(&used.name);
             // What a peer had admitted before it was first heard lies in the past.
+            let base = if first { used.admitted } else { 0 };
             let former = known.accounts.insert(account.clone(), used.admitted);
-            let former = former.unwrap_or(used.admitted);
+            let former = former.unwrap_or(base);
             let cost = endpoints::to_float(used.admitted) - endpoints::to_float(former);
             self.quotas.observe(now, &account, cost);
         }
@@ -204,6 +226,7 @@
         messages::EntryBook {
             endpoints,
             accounts: accounts.into_iter().map(account).collect(),
+            whole: all,
         }
     }
 
@@ -314,26 +337,26 @@
             return;
         };
         let places: Vec<_> = queue.iter().copied().collect();
-        let typical = self.typical_rate(service);
-        let usable = self.is_served(now, service);
-        let mut full = false;
+        let outlook = self.outlook(now, service);
+        let mut free = outlook.free;
+        let mut ahead = 0;
         for place in places {
             let Some(ticket) = self.waiting.get(&place.ticket) else {
                 continue;
             };
-            let chosen = match full {
-                true => None,
-                false => self.choose(now, ticket, typical),
+            let chosen = match free {
+                0 => None,
+                _ => self.choose(now, ticket),
             };
             if let Some((endpoint, expected)) = chosen {
                 let decision = self.start(place, &endpoint, expected);
                 decisions.extend(decision);
+                free -= 1;
                 continue;
             }
-            // A ticket that may not go to some endpoints says nothing about the others.
-            full |= ticket.excluded.is_empty();
-            if now >= self.patience_end(ticket) {
-                let reason = match usable {
+            let start = now + outlook.slot_interval * ahead;
+            if now >= self.patience_end(ticket) || start >= self.latest_start(ticket) {
+                let reason = match outlook.usable {
                     true => tickets::RefusalReason::NoRoom,
                     false => tickets::RefusalReason::NoEndpoint,
                 };
@@ -344,47 +367,89 @@
                     reason,
                     retry_after,
                 });
+                continue;
             }
+            ahead += 1;
         }
     }
 
-    fn typical_rate(&self, service: &SmolStr) -> f64 {
-        let rates = self
+    /// Returns what a service can take at present.
+    fn outlook(&self, now: Instant, service: &SmolStr) -> ServiceOutlook {
+        let usable = self
             .endpoints
             .values()
-            .filter(|view| view.service == *service)
-            .filter_map(endpoints::EndpointView::measured_rate);
-        let (count, sum) = rates.fold((0.0, 0.0), |(count, sum), rate| (count + 1.0, sum + rate));
-        match count > 0.0 {
-            true => sum / count,
-            false => self.options.initial_prefill_rate,
+            .filter(|view| view.service == *service && view.is_usable(now, &self.options));
+        let (mut slots, mut free, mut any) = (0, 0, false);
+        for view in usable {
+            any = true;
+            slots += view.slots;
+            free += view.slots.saturating_sub(view.total().running);
+        }
+        let run_time = self.model(service).run_time();
+        // The other entries take their part of the slots that get free.
+        let entries = u32::try_from(self.peers.len() + 1).unwrap_or(u32::MAX);
+        ServiceOutlook {
+            usable: any,
+            free,
+            slot_interval: run_time * entries / slots.max(1),
         }
     }
 
-    fn is_served(&self, now: Instant, service: &SmolStr) -> bool {
-        self.endpoints
-            .values()
-            .any(|view| view.service == *service && view.is_usable(now, &self.options))
+    fn model(&self, service: &SmolStr) -> &models::ServiceModel {
+        self.models.get(service).unwrap_or(&self.initial_model)
+    }
+
+    /// Returns when a request must start at the latest to be worth its wait.
+    fn latest_start(&self, ticket: &tickets::WaitingTicket) -> Instant {
+        let end = self.patience_end(ticket);
+        if ticket.returned || ticket.resumed || ticket.size == tickets::WorkSize::Call {
+            return end;
+        }
+        let model = self.model(&ticket.service);
+        let speed = models::EngineSpeed::default();
+        let first = model.first_event(&speed, endpoints::to_float(ticket.size.prompt()));
+        end.checked_sub(first).unwrap_or(ticket.arrival)
     }
 
-    /// Returns the endpoint with the least expected time that has a free slot.
+    /// Returns the endpoint with the least expected time that has a free slot. A request that can
+    /// end in time only at endpoints that are full waits for one of those.
     fn choose(
         &self,
         now: Instant,
         ticket: &tickets::WaitingTicket,
-        typical: f64,
     ) -> Option<(SmolStr, Duration)> {
-        let candidates = self.endpoints.values().filter(|view| {
-            view.service == ticket.service
+        let model = self.model(&ticket.service);
+        let left = ticket.deadline.saturating_duration_since(now);
+        let mut best: Option<(bool, Duration, &endpoints::EndpointView)> = None;
+        let mut fits_somewhere = false;
+        for view in self.endpoints.values() {
+            let candidate = view.service == ticket.service
                 && view.is_usable(now, &self.options)
-                && view.has_room()
-                && !ticket.excluded.contains(&view.id)
-        });
-        let timed = candidates.map(|view| (view.expected(ticket.size, typical, &self.options), view));
-        let best = timed.min_by(|(left, left_view), (right, right_view)| {
-            left.cmp(right).then_with(|| left_view.id.cmp(&right_view.id))
-        });
-        best.map(|(expected, view)| (view.id.clone(), expected))
+                && !ticket.excluded.contains(&view.id);
+            if !candidate {
+                continue;
+            }
+            let run = view.expected_run(ticket.size, model, &self.options);
+            let fits = run.mul_f64(self.options.length_margin) <= left;
+            fits_somewhere |= fits;
+            if !view.has_room() {
+                continue;
+            }
+            let first = view.expected(ticket.size, model, &self.options);
+            let score = first + run.mul_f64(self.options.run_weight);
+            let better = best.is_none_or(|(best_fits, best_score, best_view)| {
+                (!fits, score, &view.id) < (!best_fits, best_score, &best_view.id)
+            });
+            if better {
+                best = Some((fits, score, view));
+            }
+        }
+        let (fits, _, view) = best?;
+        if !fits && fits_somewhere {
+            return None;
+        }
+        let expected = view.expected(ticket.size, model, &self.options);
+        Some((view.id.clone(), expected))
     }
 
     fn start(
@@ -457,13 +522,28 @@
         backlog: u64,
         took: Duration,
     ) {
+        let weight = self.options.smoothing;
         if let Some(view) = self.endpoints.get_mut(endpoint) {
             view.own.pending_prefill = view.own.pending_prefill.saturating_sub(size.prompt());
-            view.measure_first_event(backlog, took, &self.options);
+            let model = self.models.entry(view.service.clone()).or_default();
+            let backlog = endpoints::to_float(backlog);
+            model.measure_first_event(&mut view.speed, backlog, took, weight);
         }
         self.note_change(endpoint);
     }
 
+    /// Takes the end of a generation: `tokens` came in `took` behind its first event, and the run
+    /// took `whole`.
+    pub fn generated(&mut self, endpoint: &SmolStr, tokens: u64, took: Duration, whole: Duration) {
+        let weight = self.options.smoothing;
+        if let Some(view) = self.endpoints.get_mut(endpoint) {
+            let model = self.models.entry(view.service.clone()).or_default();
+            let tokens = endpoints::to_float(tokens);
+            model.measure_generation(&mut view.speed, tokens, took, weight);
+            model.measure_run(whole);
+        }
+    }
+
     /// Takes the end of a request at an endpoint; `started` tells whether its first event was
     /// taken before.
     pub fn finish(&mut self, endpoint: &SmolStr, size: tickets::WorkSize, started: bool) {
@@ -481,6 +561,8 @@
     pub fn call_took(&mut self, endpoint: &SmolStr, took: Duration) {
         if let Some(view) = self.endpoints.get_mut(endpoint) {
             view.measure_call(took, &self.options);
+            let model = self.models.entry(view.service.clone()).or_default();
+            model.measure_run(took);
         }
     }
 
--- a/crates/waxwing-gate/src/lib.rs
+++ b/crates/waxwing-gate/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod budgets;
 pub mod endpoints;
 pub mod gate;
+pub mod models;
 pub mod options;
 pub mod quotas;
 pub mod tickets;
--- a/crates/waxwing-gate/src/options.rs
+++ b/crates/waxwing-gate/src/options.rs
@@ -13,8 +13,12 @@
     /// Expected slowdown of a full batch for its members: how much later the first event of a
     /// request comes at an endpoint whose slots are all taken than at an idle one.
     pub crowding_penalty: Duration,
-    /// Prompt tokens that an engine is expected to read in a millisecond before it was measured.
-    pub initial_prefill_rate: f64,
+    /// Time by which an expected run may exceed the time that is left, as a factor: the expected
+    /// length of an answer is right at the median only.
+    pub length_margin: f64,
+    /// Weight of the expected time of a whole run against that of its first event in the choice
+    /// of an endpoint; a run that ends sooner frees its slot sooner.
+    pub run_weight: f64,
     /// Time that a plain call is expected to take before it was measured.
     pub initial_call_time: Duration,
     /// Weight of the newest measurement in a moving average.
@@ -52,7 +56,8 @@
             data_centre: smol_str::SmolStr::default(),
             distance_penalty: Duration::from_millis(4),
             crowding_penalty: Duration::from_millis(120),
-            initial_prefill_rate: 60.0,
+            length_margin: 1.4,
+            run_weight: 0.02,
             initial_call_time: Duration::from_millis(40),
             smoothing: 0.2,
             silence_limit: Duration::from_secs(5),
--- a/crates/waxwing-gate/src/tickets.rs
+++ b/crates/waxwing-gate/src/tickets.rs
@@ -23,8 +23,10 @@
     Generation {
         /// Tokens of the prompt.
         prompt: u64,
-        /// The most tokens of the answer.
+        /// Tokens that the answer is expected to have.
         answer: u64,
+        /// The most tokens of the answer.
+        most: u64,
     },
 }
 
@@ -38,12 +40,21 @@
         }
     }
 
+    /// Returns the tokens that the answer is expected to have.
+    #[must_use]
+    pub const fn answer(self) -> u64 {
+        match self {
+            Self::Call => 0,
+            Self::Generation { answer, .. } => answer,
+        }
+    }
+
     /// Returns the tokens of an engine's memory that the request takes at most.
     #[must_use]
     pub const fn memory(self) -> u64 {
         match self {
             Self::Call => 0,
-            Self::Generation { prompt, answer } => prompt + answer,
+            Self::Generation { prompt, most, .. } => prompt + most,
         }
     }
 }
--- a/crates/waxwing-wire/src/messages/fleet.rs
+++ b/crates/waxwing-wire/src/messages/fleet.rs
@@ -131,4 +131,7 @@
     /// Accounts whose use changed since the last book, or all in the first one.
     #[prost(message, repeated, tag = "2")]
     pub accounts: Vec<AccountUse>,
+    /// Whether everything is told, as in the first book on a link.
+    #[prost(bool, tag = "3")]
+    pub whole: bool,
 }
