Judge endpoints by their share of failures, not by a single one

Change: a failure ratio makes an endpoint come later in the choice, three failures in a row or a refused connection take it out; returned requests wait two objectives at most; callers return late in the time they honour.

--- a/crates/waxwing-conduit/src/intake.rs
+++ b/crates/waxwing-conduit/src/intake.rs
@@ -361,7 +361,10 @@
             answer
         }
         Err(error) => {
-            run.failed();
+            match error {
+                errors::SendError::NotSent(_) => run.unreachable(),
+                errors::SendError::Lost(_) => run.failed(),
+            }
             tracing::info!(
                 event = "send-failed",
                 id = %request.facts.id,
@@ -400,7 +403,7 @@
             load = ?facts.load
         );
         if head.status == StatusCode::MISDIRECTED_REQUEST {
-            run.failed();
+            run.unreachable();
         }
         history.excluded.push(run.endpoint.clone());
         return Ok(None);
@@ -467,6 +470,7 @@
         service: request.service.clone(),
         rank: (rank.unwrap_or(request.route.rank), request.route.rank),
         arrival: request.arrival,
+        queued: state.clock.now(),
         due: request.arrival + request.route.objective.saturating_sub(DELIVERY_MARGIN),
         deadline: request.deadline,
         size: request.size,
--- a/crates/waxwing-conduit/src/state.rs
+++ b/crates/waxwing-conduit/src/state.rs
@@ -230,6 +230,15 @@
         gate.core.succeed(now, &self.endpoint);
     }
 
+    /// Takes that the endpoint could not be reached.
+    pub(crate) fn unreachable(&mut self) {
+        let now = self.state.clock.now();
+        self.state
+            .gate()
+            .core
+            .fail_connection(now, &self.endpoint);
+    }
+
     /// Takes a failure of the endpoint.
     pub(crate) fn failed(&mut self) {
         let now = self.state.clock.now();
--- a/crates/waxwing-gate/src/endpoints.rs
+++ b/crates/waxwing-gate/src/endpoints.rs
@@ -50,6 +50,7 @@
     /// Until when it is left alone.
     suspected_until: Option<Instant>,
     failures: u32,
+    failure_ratio: f64,
 }
 
 impl EndpointView {
@@ -70,6 +71,7 @@
             call_millis: None,
             suspected_until: None,
             failures: 0,
+            failure_ratio: 0.0,
         }
     }
 
@@ -150,18 +152,39 @@
     }
 
     /// Takes a sign of life from an answer.
-    pub fn succeed(&mut self, now: Instant) {
+    pub fn succeed(&mut self, now: Instant, options: &options::GateOptions) {
         self.heard = self.heard.max(now);
         self.failures = 0;
+        self.failure_ratio -= self.failure_ratio * options.smoothing;
         self.suspected_until = None;
     }
 
-    /// Takes a failure: the endpoint is left alone for a while that doubles with each one.
+    /// Takes a failed answer, or a connection that broke. After some in a row the endpoint is left
+    /// alone for a while that doubles with each further one.
     pub fn fail(&mut self, now: Instant, options: &options::GateOptions) {
-        let doubled = options.suspicion * 2_u32.saturating_pow(self.failures.min(8));
         self.failures = self.failures.saturating_add(1);
+        self.failure_ratio += (1.0 - self.failure_ratio) * options.smoothing;
+        if let Some(extra) = self.failures.checked_sub(options.suspicious_failures) {
+            self.suspect(now, extra, options);
+        }
+    }
+
+    /// Takes a connection that could not be made: the endpoint is left alone at once.
+    pub fn fail_connection(&mut self, now: Instant, options: &options::GateOptions) {
+        self.failures = self.failures.saturating_add(1);
+        self.suspect(now, self.failures - 1, options);
+    }
+
+    fn suspect(&mut self, now: Instant, extra: u32, options: &options::GateOptions) {
+        let doubled = options.suspicion * 2_u32.saturating_pow(extra.min(8));
         self.suspected_until = Some(now + doubled.min(options.max_suspicion));
     }
+
+    /// Returns the part of its requests that it failed lately.
+    #[must_use]
+    pub const fn failure_ratio(&self) -> f64 {
+        self.failure_ratio
+    }
 }
 
 fn smooth(known: Option<f64>, newest: f64, weight: f64) -> f64 {
--- a/crates/waxwing-gate/src/gate.rs
+++ b/crates/waxwing-gate/src/gate.rs
@@ -436,7 +436,9 @@
                 continue;
             }
             let first = view.expected(ticket.size, model, &self.options);
-            let score = first + run.mul_f64(self.options.run_weight);
+            let score = first
+                + run.mul_f64(self.options.run_weight)
+                + self.options.failure_penalty.mul_f64(view.failure_ratio());
             let better = best.is_none_or(|(best_fits, best_score, best_view)| {
                 (!fits, score, &view.id) < (!best_fits, best_score, &best_view.id)
             });
@@ -489,7 +491,9 @@
         match ticket.size {
             tickets::WorkSize::Call => share(self.options.call_patience),
             tickets::WorkSize::Generation { .. } if ticket.returned || ticket.resumed => {
-                share(self.options.returned_patience)
+                let objective = ticket.due.saturating_duration_since(ticket.arrival);
+                let longest = objective.mul_f64(self.options.returned_objectives);
+                share(self.options.returned_patience).min(ticket.queued + longest)
             }
             tickets::WorkSize::Generation { .. } => ticket.due.min(ticket.deadline),
         }
@@ -511,7 +515,8 @@
         }
         // Consecutive tickets land far from each other.
         let step = u32::try_from(id.0 * 7 % 16).unwrap_or_default();
-        Some(shortest + (longest - shortest) * step / 16)
+        let spread = longest.mul_f64(self.options.retry_after_spread) * step / 16;
+        Some((longest - spread).max(shortest))
     }
 
     /// Takes the first event of a request; `backlog` is the use of the endpoint when it was sent.
@@ -569,7 +574,7 @@
     /// Takes a good answer of an endpoint.
     pub fn succeed(&mut self, now: Instant, endpoint: &SmolStr) {
         if let Some(view) = self.endpoints.get_mut(endpoint) {
-            view.succeed(now);
+            view.succeed(now, &self.options);
         }
     }
 
@@ -579,4 +584,11 @@
             view.fail(now, &self.options);
         }
     }
+
+    /// Takes a connection to an endpoint that could not be made.
+    pub fn fail_connection(&mut self, now: Instant, endpoint: &SmolStr) {
+        if let Some(view) = self.endpoints.get_mut(endpoint) {
+            view.fail_connection(now, &self.options);
+        }
+    }
 }
--- a/crates/waxwing-gate/src/options.rs
+++ b/crates/waxwing-gate/src/options.rs
@@ -32,12 +32,24 @@
     pub max_suspicion: Duration,
     /// The share of a caller's remaining time for which a request that was refused before waits.
     pub returned_patience: f64,
+    /// The latency objectives for which such a request waits at most: callers give a stream up
+    /// after four of them.
+    pub returned_objectives: f64,
+    /// Time by which an endpoint that fails all its requests seems slower than it is; one that
+    /// fails a part of them seems slower by that part of it.
+    pub failure_penalty: Duration,
+    /// Consecutive failures after which an endpoint is left alone. A single failed answer says
+    /// little: endpoints fail a part of their requests.
+    pub suspicious_failures: u32,
     /// The share of a plain call's deadline for which it waits.
     pub call_patience: f64,
     /// The shortest time after which a refused caller is asked to come back.
     pub min_retry_after: Duration,
-    /// The share of the remaining time up to which callers wait when they are asked to.
+    /// The share of the remaining time up to which callers wait when they are asked to; a third
+    /// of it is what they honour.
     pub retry_after_share: f64,
+    /// The part of that time over which callers are spread, so that they don't return together.
+    pub retry_after_spread: f64,
     /// Repeats allowed for each request to a service in `budget_window`.
     pub retry_ratio: f64,
     /// Repeats allowed beyond the ratio in `budget_window`, for all entries together.
@@ -63,10 +75,14 @@
             silence_limit: Duration::from_secs(5),
             suspicion: Duration::from_millis(600),
             max_suspicion: Duration::from_secs(4),
-            returned_patience: 0.4,
+            returned_patience: 0.25,
+            returned_objectives: 2.0,
+            failure_penalty: Duration::from_secs(2),
+            suspicious_failures: 3,
             call_patience: 0.5,
             min_retry_after: Duration::from_millis(300),
-            retry_after_share: 0.3,
+            retry_after_share: 0.33,
+            retry_after_spread: 0.4,
             retry_ratio: 0.2,
             retry_extra: 50.0,
             budget_window: Duration::from_secs(10),
--- a/crates/waxwing-gate/src/tickets.rs
+++ b/crates/waxwing-gate/src/tickets.rs
@@ -68,6 +68,8 @@
     pub rank: (u32, u32),
     /// When the request arrived.
     pub arrival: Instant,
+    /// When it began to wait; later than its arrival where it goes on elsewhere.
+    pub queued: Instant,
     /// When the answer, or its first event, is due.
     pub due: Instant,
     /// When the caller or the route gives up.
--- a/crates/waxwing-gate/tests/gate.rs
+++ b/crates/waxwing-gate/tests/gate.rs
@@ -101,7 +101,9 @@
 fn a_failing_endpoint_is_left_alone_for_a_while() {
     let now = Instant::now();
     let mut core = gate(now, &[("one", 1, 9), ("two", 2, 9)]);
-    core.fail(now, &SmolStr::new("one"));
+    for _ in 0..3 {
+        core.fail(now, &SmolStr::new("one"));
+    }
     for _ in 0..4 {
         core.offer(ticket(now, 0, 100));
     }
@@ -109,6 +111,51 @@
     assert!(started.iter().all(|(_, endpoint)| endpoint == "two"));
 }
 
+#[test]
+fn an_unreachable_endpoint_is_left_alone_at_once() {
+    let now = Instant::now();
+    let mut core = gate(now, &[("one", 1, 9)]);
+    core.fail_connection(now, &SmolStr::new("one"));
+    core.offer(ticket(now, 0, 100));
+    assert!(core.decide(now).is_empty());
+    assert_eq!(granted(&core.decide(now + millis(700))).len(), 1);
+}
+
+/// Pattern: all endpoints of a service fail one request in ten. None of them may be left alone for
+/// that, since the others would be overloaded and requests refused.
+#[test]
+fn single_failures_take_no_endpoint_out() {
+    let now = Instant::now();
+    let mut core = gate(now, &[("one", 1, 4), ("two", 2, 4), ("three", 3, 4)]);
+    for id in ["one", "two", "three"] {
+        core.succeed(now, &SmolStr::new(id));
+        core.fail(now, &SmolStr::new(id));
+    }
+    for _ in 0..12 {
+        core.offer(ticket(now, 0, 100));
+    }
+    assert_eq!(granted(&core.decide(now)).len(), 12);
+}
+
+/// Pattern: one endpoint fails nearly half of its requests while its health check is good.
+#[test]
+fn an_endpoint_that_fails_a_part_of_its_requests_comes_last() {
+    let now = Instant::now();
+    let mut core = gate(now, &[("grey", 1, 9), ("sound", 2, 9)]);
+    for round in 0..20 {
+        core.succeed(now, &SmolStr::new("sound"));
+        match round % 2 {
+            0 => core.succeed(now, &SmolStr::new("grey")),
+            _ => core.fail(now, &SmolStr::new("grey")),
+        }
+    }
+    for _ in 0..9 {
+        core.offer(ticket(now, 0, 100));
+    }
+    let started = granted(&core.decide(now));
+    assert!(started.iter().all(|(_, endpoint)| endpoint == "sound"));
+}
+
 #[test]
 fn a_silent_endpoint_is_not_used() {
     let now = Instant::now();
--- a/crates/waxwing-gate/tests/support/mod.rs
+++ b/crates/waxwing-gate/tests/support/mod.rs
@@ -48,6 +48,7 @@
         service: SmolStr::new(SERVICE),
         rank: (rank, rank),
         arrival: now,
+        queued: now,
         due: now + millis(800),
         deadline: now + millis(15_000),
         size: tickets::WorkSize::Generation {
