Wait briefly for returned requests and start short runs first

Cause: requests that came back late waited up to two objectives and took slots' turns from new ones that could still be on time. Change: returned requests wait 0.3 of an objective, and within a tier a request is ordered by its arrival plus 0.3 of its expected run.

--- a/crates/waxwing-gate/src/gate.rs
+++ b/crates/waxwing-gate/src/gate.rs
@@ -24,16 +24,15 @@
     fresh: bool,
     rank: (u32, u32),
     late: bool,
+    order: Instant,
     ticket: tickets::TicketId,
 }
 
-fn place_of(ticket: &tickets::WaitingTicket, id: tickets::TicketId) -> QueuePlace {
-    QueuePlace {
-        fresh: !ticket.resumed,
-        rank: ticket.rank,
-        late: ticket.returned,
-        ticket: id,
-    }
+/// A `QueuedTicket` is a ticket with its place.
+#[derive(Debug)]
+struct QueuedTicket {
+    ticket: tickets::WaitingTicket,
+    place: QueuePlace,
 }
 
 /// A `GateCore` is the state of the gate of one entry.
@@ -42,7 +41,7 @@
     options: options::GateOptions,
     registry: registry::EndpointRegistry,
     endpoints: HashMap<SmolStr, endpoints::EndpointView>,
-    waiting: HashMap<tickets::TicketId, tickets::WaitingTicket>,
+    waiting: HashMap<tickets::TicketId, QueuedTicket>,
     queues: HashMap<SmolStr, BTreeSet<QueuePlace>>,
     next_ticket: u64,
     models: HashMap<SmolStr, models::ServiceModel>,
@@ -291,17 +290,26 @@
     pub fn offer(&mut self, ticket: tickets::WaitingTicket) -> tickets::TicketId {
         self.next_ticket += 1;
         let id = tickets::TicketId(self.next_ticket);
+        let model = self.model(&ticket.service);
+        let run = model.run(ticket.size);
+        let place = QueuePlace {
+            fresh: !ticket.resumed,
+            rank: ticket.rank,
+            late: ticket.returned,
+            order: ticket.queued + run.mul_f64(self.options.short_first),
+            ticket: id,
+        };
         self.queues
             .entry(ticket.service.clone())
             .or_default()
-            .insert(place_of(&ticket, id));
-        self.waiting.insert(id, ticket);
+            .insert(place);
+        self.waiting.insert(id, QueuedTicket { ticket, place });
         id
     }
 
     /// Takes a request out of the queue, as when its caller has left.
     pub fn withdraw(&mut self, id: tickets::TicketId) {
-        if let Some(place) = self.waiting.get(&id).map(|ticket| place_of(ticket, id)) {
+        if let Some(place) = self.waiting.get(&id).map(|queued| queued.place) {
             self.remove(place);
         }
     }
@@ -341,7 +349,7 @@
         let mut free = outlook.free;
         let mut ahead = 0;
         for place in places {
-            let Some(ticket) = self.waiting.get(&place.ticket) else {
+            let Some(QueuedTicket { ticket, .. }) = self.waiting.get(&place.ticket) else {
                 continue;
             };
             let chosen = match free {
@@ -477,7 +485,7 @@
     }
 
     fn remove(&mut self, place: QueuePlace) -> Option<tickets::WaitingTicket> {
-        let ticket = self.waiting.remove(&place.ticket)?;
+        let QueuedTicket { ticket, .. } = self.waiting.remove(&place.ticket)?;
         if let Some(queue) = self.queues.get_mut(&ticket.service) {
             queue.remove(&place);
         }
@@ -495,7 +503,11 @@
                 let longest = objective.mul_f64(self.options.returned_objectives);
                 share(self.options.returned_patience).min(ticket.queued + longest)
             }
-            tickets::WorkSize::Generation { .. } => ticket.due.min(ticket.deadline),
+            tickets::WorkSize::Generation { .. } => {
+                let objective = ticket.due.saturating_duration_since(ticket.arrival);
+                let end = ticket.arrival + objective.mul_f64(self.options.fresh_patience);
+                end.min(ticket.deadline)
+            }
         }
     }
 
--- a/crates/waxwing-gate/src/models.rs
+++ b/crates/waxwing-gate/src/models.rs
@@ -3,6 +3,8 @@
 
 use std::time::Duration;
 
+use crate::{endpoints::to_float, tickets};
+
 /// Milliseconds to the first event of a short prompt, before anything was measured: some decode
 /// steps of a large model.
 const INITIAL_BASE_MILLIS: f64 = 60.0;
@@ -138,6 +140,17 @@
         from_millis(speed.step_millis.unwrap_or(typical) * tokens)
     }
 
+    /// Returns the time of a run at a typical engine that is idle.
+    #[must_use]
+    pub fn run(&self, size: tickets::WorkSize) -> Duration {
+        if size == tickets::WorkSize::Call {
+            return self.run_time();
+        }
+        let speed = EngineSpeed::default();
+        let first = self.first_event(&speed, to_float(size.prompt()));
+        first + self.generation(&speed, to_float(size.answer()))
+    }
+
     /// Returns the mean time of a run.
     #[must_use]
     pub fn run_time(&self) -> Duration {
--- a/crates/waxwing-gate/src/options.rs
+++ b/crates/waxwing-gate/src/options.rs
@@ -16,6 +16,9 @@
     /// Time by which an expected run may exceed the time that is left, as a factor: the expected
     /// length of an answer is right at the median only.
     pub length_margin: f64,
+    /// The part of its expected run by which a request seems to have arrived later, so that short
+    /// runs of a tier start before long ones while slots are scarce.
+    pub short_first: f64,
     /// Weight of the expected time of a whole run against that of its first event in the choice
     /// of an endpoint; a run that ends sooner frees its slot sooner.
     pub run_weight: f64,
@@ -41,6 +44,8 @@
     /// Consecutive failures after which an endpoint is left alone. A single failed answer says
     /// little: endpoints fail a part of their requests.
     pub suspicious_failures: u32,
+    /// The share of the latency objective for which a new request waits at most.
+    pub fresh_patience: f64,
     /// The share of a plain call's deadline for which it waits.
     pub call_patience: f64,
     /// The shortest time after which a refused caller is asked to come back.
@@ -69,6 +74,7 @@
             distance_penalty: Duration::from_millis(4),
             crowding_penalty: Duration::from_millis(120),
             length_margin: 1.4,
+            short_first: 0.3,
             run_weight: 0.02,
             initial_call_time: Duration::from_millis(40),
             smoothing: 0.2,
@@ -76,9 +82,10 @@
             suspicion: Duration::from_millis(600),
             max_suspicion: Duration::from_secs(4),
             returned_patience: 0.25,
-            returned_objectives: 2.0,
+            returned_objectives: 0.3,
             failure_penalty: Duration::from_secs(2),
             suspicious_failures: 3,
+            fresh_patience: 1.0,
             call_patience: 0.5,
             min_retry_after: Duration::from_millis(300),
             retry_after_share: 0.33,
