Share slots between entries by tier and by what callers ask

Change: books carry each entry's demand; an entry leaves a free slot, for 60 ms at most, to one with a more urgent request or with less than its share.

--- a/crates/waxwing-conduit/src/fleet.rs
+++ b/crates/waxwing-conduit/src/fleet.rs
@@ -18,6 +18,10 @@
 /// The shortest time between two books; what happens within it shares one message.
 const BOOK_INTERVAL: Duration = Duration::from_millis(10);
 
+/// Other entries to which books go at the shortest interval; with more of them the interval grows
+/// in proportion, so that the cost of books stays the same for each entry.
+const PEERS_PER_INTERVAL: u32 = 4;
+
 /// Time between two looks at waiting requests whose patience may have ended.
 const QUEUE_INTERVAL: Duration = Duration::from_millis(20);
 
@@ -86,7 +90,8 @@
 
     fn greet(&self, remote: network::RemoteProcess) {
         if remote.kind == messages::ProcessKind::Entry && remote.dialled {
-            let book = self.state.gate().core.take_book(true);
+            let now = self.state.clock.now();
+            let book = self.state.gate().core.take_book(now, true);
             self.network
                 .send(remote.address, messages::Body::EntryBook(book));
         }
@@ -179,6 +184,22 @@
         self.network.keep(&wanted);
     }
 
+    fn log_loads(&self, now: std::time::Instant) {
+        let loads = self.state.gate().core.loads(now);
+        for load in loads {
+            tracing::info!(
+                event = "service-load",
+                service = %load.service,
+                endpoints = load.endpoints,
+                usable = load.usable,
+                slots = load.slots,
+                running = load.running,
+                own = load.own,
+                waiting = load.waiting
+            );
+        }
+    }
+
     /// Sends a book whenever something has changed, and not more often than the interval.
     pub(crate) async fn send_books(self, shutdown: CancellationToken) {
         loop {
@@ -186,10 +207,14 @@
                 () = shutdown.cancelled() => return,
                 () = self.state.books.notified() => {}
             }
-            let book = self.state.gate().core.take_book(false);
+            let now = self.state.clock.now();
+            let book = self.state.gate().core.take_book(now, false);
             let body = messages::Body::EntryBook(book);
             self.network.tell(messages::ProcessKind::Entry, &body);
-            self.state.clock.sleep(BOOK_INTERVAL).await;
+            let peers = self.network.linked(messages::ProcessKind::Entry).len();
+            let peers = u32::try_from(peers).unwrap_or(u32::MAX);
+            let interval = BOOK_INTERVAL * peers.div_ceil(PEERS_PER_INTERVAL).max(1);
+            self.state.clock.sleep(interval).await;
         }
     }
 
@@ -206,6 +231,7 @@
                     gate.core.endpoint_ids().cloned().collect()
                 };
                 self.state.pool.prune(now, |endpoint| known.contains(endpoint));
+                self.log_loads(now);
             }
             let pause = match self.state.gate().core.waiting() {
                 0 => UPKEEP_INTERVAL,
--- a/crates/waxwing-gate/src/gate.rs
+++ b/crates/waxwing-gate/src/gate.rs
@@ -15,7 +15,7 @@
 use waxwing_fleet::registry;
 use waxwing_wire::messages;
 
-use crate::{budgets, endpoints, models, options, quotas, tickets};
+use crate::{budgets, endpoints, models, options, quotas, shares, tickets};
 
 /// The place of a ticket in the queue of its service.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -53,8 +53,16 @@
     peers: HashMap<SocketAddr, PeerBook>,
     /// Entries whose link was lost, and when. They may still run.
     lost_peers: HashMap<SocketAddr, Instant>,
+    /// Requests of callers by service.
+    recent: HashMap<SmolStr, shares::RecentRequests>,
+    /// What the other entries are asked, by service.
+    demands: HashMap<SmolStr, shares::PeerDemands>,
+    /// Since when free slots of a service are left to other entries.
+    yielding: HashMap<SmolStr, Instant>,
     /// Endpoints whose use changed since the last book.
     changed: Vec<SmolStr>,
+    /// Whether what waits has changed since the last book.
+    demand_changed: bool,
 }
 
 /// A `ServiceOutlook` is what the endpoints of a service can take.
@@ -62,12 +70,33 @@
 struct ServiceOutlook {
     /// Whether any endpoint is usable.
     usable: bool,
+    /// All slots.
+    slots: u32,
     /// Free slots.
     free: u32,
     /// Time between two slots that get free for this entry while all are taken.
     slot_interval: Duration,
 }
 
+/// A `ServiceLoad` is the load of a service as one entry sees it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ServiceLoad {
+    /// The service.
+    pub service: SmolStr,
+    /// Endpoints that are known.
+    pub endpoints: usize,
+    /// Endpoints that may get work.
+    pub usable: usize,
+    /// Slots of those.
+    pub slots: u32,
+    /// Requests of all entries at those.
+    pub running: u32,
+    /// Requests of this entry.
+    pub own: u32,
+    /// Requests that wait here.
+    pub waiting: usize,
+}
+
 /// A `PeerBook` is what another entry has told so far.
 #[derive(Debug, Default)]
 struct PeerBook {
@@ -91,7 +120,11 @@
             quotas: quotas::QuotaTable::new(started),
             peers: HashMap::new(),
             lost_peers: HashMap::new(),
+            recent: HashMap::new(),
+            demands: HashMap::new(),
+            yielding: HashMap::new(),
             changed: Vec::new(),
+            demand_changed: false,
         }
     }
 
@@ -172,6 +205,10 @@
             }
         }
         self.lost_peers.remove(&peer);
+        for demand in book.demands {
+            let demands = self.demands.entry(SmolStr::new(&demand.service)).or_default();
+            demands.insert(peer, shares::PeerDemand { demand, told: now });
+        }
         let first = !self.peers.contains_key(&peer);
         if first && !book.whole {
             // Sums without the base that the first book gives say nothing.
@@ -193,13 +230,17 @@
     pub fn forget_peer(&mut self, now: Instant, peer: SocketAddr) {
         self.peers.remove(&peer);
         self.lost_peers.insert(peer, now);
+        for demands in self.demands.values_mut() {
+            demands.remove(&peer);
+        }
         for view in self.endpoints.values_mut() {
             view.others.remove(&peer);
         }
     }
 
     /// Returns what changed since the last book, or everything.
-    pub fn take_book(&mut self, all: bool) -> messages::EntryBook {
+    pub fn take_book(&mut self, now: Instant, all: bool) -> messages::EntryBook {
+        self.demand_changed = false;
         let changed = std::mem::take(&mut self.changed);
         let ids: Vec<_> = match all {
             true => self.endpoints.keys().cloned().collect(),
@@ -226,13 +267,38 @@
             endpoints,
             accounts: accounts.into_iter().map(account).collect(),
             whole: all,
+            demands: self.own_demands(now),
         }
     }
 
+    fn own_demands(&self, now: Instant) -> Vec<messages::ServiceDemand> {
+        let demands = self.recent.iter().map(|(service, recent)| {
+            let queue = self.queues.get(service);
+            let waiting = queue.map_or(0, BTreeSet::len);
+            let first = queue.and_then(|queue| queue.iter().next());
+            let (account_rank, route_rank) = first.map_or((0, 0), |place| place.rank);
+            messages::ServiceDemand {
+                service: service.to_string(),
+                recent_thousandths: recent.thousandths(now),
+                running: self.own_running(service),
+                waiting: u32::try_from(waiting).unwrap_or(u32::MAX),
+                account_rank,
+                route_rank,
+            }
+        });
+        demands.collect()
+    }
+
+    fn own_running(&self, service: &SmolStr) -> u32 {
+        let views = self.endpoints.values();
+        let views = views.filter(|view| view.service == *service);
+        views.map(|view| view.own.running).sum()
+    }
+
     /// Tells whether there is something for the next book.
     #[must_use]
     pub fn has_changes(&self) -> bool {
-        !self.changed.is_empty()
+        self.demand_changed || !self.changed.is_empty()
     }
 
     fn note_change(&mut self, id: &SmolStr) {
@@ -241,9 +307,38 @@
         }
     }
 
+    /// Returns the load of each service.
+    #[must_use]
+    pub fn loads(&self, now: Instant) -> Vec<ServiceLoad> {
+        let mut loads: HashMap<&SmolStr, ServiceLoad> = HashMap::new();
+        for view in self.endpoints.values() {
+            let load = loads.entry(&view.service).or_insert_with(|| ServiceLoad {
+                service: view.service.clone(),
+                endpoints: 0,
+                usable: 0,
+                slots: 0,
+                running: 0,
+                own: 0,
+                waiting: self.queues.get(&view.service).map_or(0, BTreeSet::len),
+            });
+            load.endpoints += 1;
+            load.own += view.own.running;
+            if view.is_usable(now, &self.options) {
+                load.usable += 1;
+                load.slots += view.slots;
+                load.running += view.total().running;
+            }
+        }
+        loads.into_values().collect()
+    }
+
     /// Counts a request of a caller for the retry budget of its service.
     pub fn count_request(&mut self, now: Instant, service: &SmolStr) {
         self.budget(service).count_request(now);
+        self.recent
+            .entry(service.clone())
+            .or_insert_with(|| shares::RecentRequests::new(now))
+            .count(now);
     }
 
     /// Returns the number of entries whose books arrive, this one included, and of all entries
@@ -347,19 +442,26 @@
         let places: Vec<_> = queue.iter().copied().collect();
         let outlook = self.outlook(now, service);
         let mut free = outlook.free;
+        let mut running = self.own_running(service);
+        let mut yielded = false;
         let mut ahead = 0;
         for place in places {
             let Some(QueuedTicket { ticket, .. }) = self.waiting.get(&place.ticket) else {
                 continue;
             };
+            let left_to_others =
+                free > 0 && self.leaves_slot(now, service, place.rank, running, outlook.slots);
+            yielded |= left_to_others;
             let chosen = match free {
                 0 => None,
+                _ if left_to_others => None,
                 _ => self.choose(now, ticket),
             };
             if let Some((endpoint, expected)) = chosen {
                 let decision = self.start(place, &endpoint, expected);
                 decisions.extend(decision);
                 free -= 1;
+                running += 1;
                 continue;
             }
             let start = now + outlook.slot_interval * ahead;
@@ -379,6 +481,39 @@
             }
             ahead += 1;
         }
+        match yielded {
+            true => {
+                self.yielding.entry(service.clone()).or_insert(now);
+            }
+            false => {
+                self.yielding.remove(service);
+            }
+        }
+        self.demand_changed = true;
+    }
+
+    /// Tells whether a free slot is left to another entry.
+    fn leaves_slot(
+        &self,
+        now: Instant,
+        service: &SmolStr,
+        rank: (u32, u32),
+        running: u32,
+        slots: u32,
+    ) -> bool {
+        let Some(peers) = self.demands.get(service) else {
+            return false;
+        };
+        let since = self.yielding.get(service);
+        let tired = since.is_some_and(|since| {
+            now.saturating_duration_since(*since) >= self.options.yield_limit
+        });
+        let own = shares::OwnDemand {
+            recent: self.recent.get(service).map_or(0.0, |recent| recent.at(now)),
+            running,
+            rank,
+        };
+        !tired && shares::yields(now, own, peers, slots, &self.options)
     }
 
     /// Returns what a service can take at present.
@@ -398,6 +533,7 @@
         let entries = u32::try_from(self.peers.len() + 1).unwrap_or(u32::MAX);
         ServiceOutlook {
             usable: any,
+            slots,
             free,
             slot_interval: run_time * entries / slots.max(1),
         }
--- a/crates/waxwing-gate/src/lib.rs
+++ b/crates/waxwing-gate/src/lib.rs
@@ -8,4 +8,5 @@
 pub mod models;
 pub mod options;
 pub mod quotas;
+pub mod shares;
 pub mod tickets;
--- a/crates/waxwing-gate/src/options.rs
+++ b/crates/waxwing-gate/src/options.rs
@@ -61,6 +61,11 @@
     pub retry_extra: f64,
     /// The window of the retry budget.
     pub budget_window: Duration,
+    /// Time for which the demand that another entry told is taken as its present one; some
+    /// intervals between books.
+    pub demand_lifetime: Duration,
+    /// The longest time for which free slots are left to other entries, should they not take them.
+    pub yield_limit: Duration,
     /// Time for which an entry whose link was lost counts as one that may be running.
     pub lost_peer_retention: Duration,
     /// Units beyond a quota that all entries together may admit, for what their books lag.
@@ -93,6 +98,8 @@
             retry_ratio: 0.2,
             retry_extra: 50.0,
             budget_window: Duration::from_secs(10),
+            demand_lifetime: Duration::from_millis(500),
+            yield_limit: Duration::from_millis(60),
             lost_peer_retention: Duration::from_secs(20),
             quota_slack: 0.0,
         }
--- a/crates/waxwing-gate/tests/gate.rs
+++ b/crates/waxwing-gate/tests/gate.rs
@@ -54,6 +54,7 @@
         endpoints: vec![used],
         accounts: Vec::new(),
         whole: true,
+        demands: Vec::new(),
     };
     core.observe_book(now, support::address(99), book);
     for _ in 0..5 {
--- a/crates/waxwing-gate/tests/quotas.rs
+++ b/crates/waxwing-gate/tests/quotas.rs
@@ -67,7 +67,7 @@
 
 fn exchange_books(entries: &mut [gate::GateCore], now: Instant, whole: bool) {
     for sender in 0..entries.len() {
-        let book = entries[sender].take_book(whole);
+        let book = entries[sender].take_book(now, whole);
         for (receiver, core) in entries.iter_mut().enumerate() {
             if receiver != sender {
                 core.observe_book(now, address(u8::try_from(sender).unwrap()), book.clone());
--- /dev/null
+++ b/crates/waxwing-gate/tests/shares.rs
@@ -0,0 +1,111 @@
+//! Shares of entries in the slots of a service while more is asked than there is room for.
+
+mod support;
+
+use std::time::Instant;
+
+use smol_str::SmolStr;
+use waxwing_gate::{gate, tickets};
+
+use support::{address, gate, granted, millis, ticket};
+
+const SLOTS: u32 = 30;
+
+/// One request at an endpoint, and when it ends.
+struct RunningRequest {
+    entry: usize,
+    size: tickets::WorkSize,
+    ends: Instant,
+}
+
+/// Steps entries that share one endpoint, with books every 10 ms. Each entry gets a new request of
+/// tier `ranks[entry]` every `gaps[entry]` ms; each run takes 600 ms. Returns the requests that
+/// each entry started.
+fn step(
+    entries: &mut [gate::GateCore],
+    running: &mut Vec<RunningRequest>,
+    from: Instant,
+    duration: u64,
+    gaps: &[u64],
+    ranks: &[u32],
+) -> Vec<usize> {
+    let endpoint = SmolStr::new("one");
+    let mut started = vec![0; entries.len()];
+    for elapsed in 0..duration {
+        let now = from + millis(elapsed);
+        let (ended, left): (Vec<_>, Vec<_>) =
+            running.drain(..).partition(|request| request.ends <= now);
+        *running = left;
+        for request in ended {
+            entries[request.entry].finish(&endpoint, request.size, true);
+        }
+        for (entry, core) in entries.iter_mut().enumerate() {
+            if elapsed % gaps[entry] == 0 {
+                core.count_request(now, &SmolStr::new(support::SERVICE));
+                core.offer(ticket(now, ranks[entry], 100));
+            }
+            for (_, _) in granted(&core.decide(now)) {
+                started[entry] += 1;
+                let size = ticket(now, 0, 100).size;
+                let ends = now + millis(600);
+                running.push(RunningRequest { entry, size, ends });
+                core.first_event(&endpoint, size, 100, millis(60));
+                core.succeed(now, &endpoint);
+            }
+        }
+        if elapsed % 10 == 0 {
+            for sender in 0..entries.len() {
+                let book = entries[sender].take_book(now, elapsed == 0);
+                for (receiver, core) in entries.iter_mut().enumerate() {
+                    if receiver != sender {
+                        let from = address(u8::try_from(sender).unwrap());
+                        core.observe_book(now, from, book.clone());
+                    }
+                }
+            }
+        }
+    }
+    started
+}
+
+fn fleet(now: Instant) -> Vec<gate::GateCore> {
+    (0..3).map(|_| gate(now, &[("one", 1, SLOTS)])).collect()
+}
+
+/// Guards against an entry that gets no slot after a restart while the others are busy (seen on a
+/// heavy day: no request in 3 s with 15 waiting).
+#[test]
+fn an_entry_that_starts_late_gets_its_share() {
+    let start = Instant::now();
+    let mut entries = fleet(start);
+    let mut running = Vec::new();
+    // The third entry is not there yet: its callers are with the others.
+    let gaps = [10, 10, 1_000_000];
+    step(&mut entries, &mut running, start, 3_000, &gaps, &[1, 1, 1]);
+    let from = start + millis(3_000);
+    let started = step(&mut entries, &mut running, from, 4_000, &[12; 3], &[1; 3]);
+    let total: usize = started.iter().sum();
+    assert!(started[2] * 5 >= total, "{started:?}");
+}
+
+#[test]
+fn a_more_urgent_request_at_another_entry_goes_first() {
+    let start = Instant::now();
+    let mut entries = fleet(start);
+    let mut running = Vec::new();
+    let gaps = [10, 10, 60];
+    let started = step(&mut entries, &mut running, start, 5_000, &gaps, &[2, 2, 0]);
+    let asked = 5_000 / 60;
+    assert!(started[2] * 10 >= asked * 9, "{started:?} of {asked}");
+}
+
+#[test]
+fn yielding_leaves_few_slots_empty() {
+    let start = Instant::now();
+    let mut entries = fleet(start);
+    let mut running = Vec::new();
+    let started = step(&mut entries, &mut running, start, 6_000, &[10, 15, 25], &[1; 3]);
+    let total: usize = started.iter().sum();
+    let most = usize::try_from(SLOTS).unwrap() * 6_000 / 600;
+    assert!(total * 100 >= most * 93, "{total} of {most}");
+}
--- a/crates/waxwing-wire/src/messages.rs
+++ b/crates/waxwing-wire/src/messages.rs
@@ -20,7 +20,7 @@
 };
 pub use self::fleet::{
     AccountUse, DeploymentState, EndpointNotice, EndpointNotices, EndpointPhase, EndpointUse,
-    EntryBook, FleetHosts, JoinGroup,
+    EntryBook, FleetHosts, JoinGroup, ServiceDemand,
 };
 pub use self::groups::{AskGroup, GroupInfo, Quorum, Redirect, Submit, Submitted, Unavailable};
 pub use self::links::{Heartbeat, Hello, Leaving, ProcessKind};
--- a/crates/waxwing-wire/src/messages/fleet.rs
+++ b/crates/waxwing-wire/src/messages/fleet.rs
@@ -122,6 +122,29 @@
     pub admitted: u64,
 }
 
+/// A `ServiceDemand` is what one entry is asked for one service.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct ServiceDemand {
+    /// The service.
+    #[prost(string, tag = "1")]
+    pub service: String,
+    /// Requests in the last seconds, in thousandths; a moving sum.
+    #[prost(uint64, tag = "2")]
+    pub recent_thousandths: u64,
+    /// Requests at endpoints.
+    #[prost(uint32, tag = "3")]
+    pub running: u32,
+    /// Requests that wait.
+    #[prost(uint32, tag = "4")]
+    pub waiting: u32,
+    /// The tier of the client account of the most urgent request that waits.
+    #[prost(uint32, tag = "5")]
+    pub account_rank: u32,
+    /// The tier of its route.
+    #[prost(uint32, tag = "6")]
+    pub route_rank: u32,
+}
+
 /// An `EntryBook` tells the other entries what the sender has under way.
 #[derive(Clone, PartialEq, Eq, Message)]
 pub struct EntryBook {
@@ -134,4 +157,7 @@
     /// Whether everything is told, as in the first book on a link.
     #[prost(bool, tag = "3")]
     pub whole: bool,
+    /// What the sender is asked for the services that requests name.
+    #[prost(message, repeated, tag = "4")]
+    pub demands: Vec<ServiceDemand>,
 }
