--- a/crates/waxwing-conduit/src/fleet.rs
+++ b/crates/waxwing-conduit/src/fleet.rs
@@ -83,7 +83,7 @@
             match event {
                 network::NetworkEvent::Opened(remote) => self.greet(remote),
                 network::NetworkEvent::Closed(remote) => self.take_leave(remote),
-                network::NetworkEvent::Received(remote, body) => self.take_message(remote, body),
+                network::NetworkEvent::Received(remote, body) => self.take_message(remote, *body),
             }
         }
     }
@@ -230,14 +230,14 @@
                     let gate = self.state.gate();
                     gate.core.endpoint_ids().cloned().collect()
                 };
-                self.state.pool.prune(now, |endpoint| known.contains(endpoint));
+                self.state
+                    .pool
+                    .prune(now, |endpoint| known.contains(endpoint));
                 self.log_loads(now);
             }
             let pause = match self.state.gate().core.waiting() {
                 0 => UPKEEP_INTERVAL,
-                _ => {
-                    QUEUE_INTERVAL
-                }
+                _ => QUEUE_INTERVAL,
             };
             tokio::select! {
                 () = shutdown.cancelled() => return,
--- a/crates/waxwing-conduit/src/intake.rs
+++ b/crates/waxwing-conduit/src/intake.rs
@@ -151,10 +151,10 @@
     let request = Arc::new(request);
     let cost = admit(state, &request)?;
     let answered = run(state, &request).await;
-    if let (Err(failure), Some((account, cost))) = (&answered, cost) {
-        if failure.status == StatusCode::SERVICE_UNAVAILABLE {
-            state.gate().core.quotas.refund(&account, cost);
-        }
+    if let (Err(failure), Some((account, cost))) = (&answered, cost)
+        && failure.status == StatusCode::SERVICE_UNAVAILABLE
+    {
+        state.gate().core.quotas.refund(&account, cost);
     }
     answered
 }
@@ -339,9 +339,13 @@
     let repeatable = request.route.kind.is_repeatable();
     let sent = state.clock.now();
     let outgoing = outgoing(state, request, &run, last_event);
-    let sending = state
-        .pool
-        .send(&state.clock, &run.endpoint, run.address, outgoing, repeatable);
+    let sending = state.pool.send(
+        &state.clock,
+        &run.endpoint,
+        run.address,
+        outgoing,
+        repeatable,
+    );
     let left = remaining(state, request);
     let patience = silence_limit(request, &run, history);
     let outcome = tokio::select! {
@@ -494,8 +498,7 @@
     request: &AcceptedRequest,
     history: &SendHistory,
 ) -> Result<(), RequestFailure> {
-    let allowed =
-        request.route.kind.is_repeatable() && history.runs < request.route.attempts;
+    let allowed = request.route.kind.is_repeatable() && history.runs < request.route.attempts;
     match allowed && !remaining(state, request).is_zero() {
         true => Ok(()),
         false => Err(RequestFailure::new(StatusCode::BAD_GATEWAY, "answer-lost")),
@@ -540,11 +543,11 @@
     let mut headers = request.headers.clone();
     let facts = dialects::DispatchFacts {
         endpoint: &run.endpoint,
-        account: request.account.as_ref().map(|account| account.name.as_str()),
-        deadline: request
-            .facts
-            .deadline
-            .map(|_| remaining(state, request)),
+        account: request
+            .account
+            .as_ref()
+            .map(|account| account.name.as_str()),
+        deadline: request.facts.deadline.map(|_| remaining(state, request)),
         last_event,
     };
     state.dialect.dispatch(&mut headers, &facts);
--- a/crates/waxwing-conduit/src/relay.rs
+++ b/crates/waxwing-conduit/src/relay.rs
@@ -91,7 +91,9 @@
                 NextPiece::Data(data) => {
                     let complete = self.splitter.push(&data);
                     if self.splitter.is_oversized() {
-                        return self.break_off(errors::RelayError::Broken, "event-too-long").await;
+                        return self
+                            .break_off(errors::RelayError::Broken, "event-too-long")
+                            .await;
                     }
                     if complete.is_empty() {
                         continue;
@@ -122,7 +124,9 @@
                 }
                 NextPiece::CallerLeft => return self.caller_left(&source),
                 NextPiece::Late => {
-                    return self.break_off(errors::RelayError::Deadline, "deadline").await;
+                    return self
+                        .break_off(errors::RelayError::Deadline, "deadline")
+                        .await;
                 }
             }
         }
@@ -200,7 +204,8 @@
         if self.request.route.kind != deployments::RouteKind::ResumableStream
             || intake::check_repeat(&self.state, &self.request, &self.history).is_err()
         {
-            self.break_off(errors::RelayError::Broken, "not-resumable").await;
+            self.break_off(errors::RelayError::Broken, "not-resumable")
+                .await;
             return None;
         }
         let last = self.splitter.last();
@@ -225,11 +230,13 @@
             Ok(given) => {
                 let status = given.response.status().as_u16();
                 tracing::info!(event = "resumption-refused", id = %self.request.facts.id, status);
-                self.break_off(errors::RelayError::Broken, "resumption-refused").await;
+                self.break_off(errors::RelayError::Broken, "resumption-refused")
+                    .await;
                 None
             }
             Err(failure) => {
-                self.break_off(errors::RelayError::Broken, failure.reason).await;
+                self.break_off(errors::RelayError::Broken, failure.reason)
+                    .await;
                 None
             }
         }
--- a/crates/waxwing-conduit/src/state.rs
+++ b/crates/waxwing-conduit/src/state.rs
@@ -233,10 +233,7 @@
     /// Takes that the endpoint could not be reached.
     pub(crate) fn unreachable(&mut self) {
         let now = self.state.clock.now();
-        self.state
-            .gate()
-            .core
-            .fail_connection(now, &self.endpoint);
+        self.state.gate().core.fail_connection(now, &self.endpoint);
     }
 
     /// Takes a failure of the endpoint.
--- a/crates/waxwing-conduit/src/upstream.rs
+++ b/crates/waxwing-conduit/src/upstream.rs
@@ -103,7 +103,11 @@
         request: Request<Full<Bytes>>,
         repeatable: bool,
     ) -> Result<EndpointAnswer, errors::SendError> {
-        let limit = if repeatable { IDLE_LIMIT } else { SAFE_IDLE_LIMIT };
+        let limit = if repeatable {
+            IDLE_LIMIT
+        } else {
+            SAFE_IDLE_LIMIT
+        };
         let mut request = request;
         if let Some(mut sender) = self.take(endpoint, clock.now(), limit) {
             match sender.try_send_request(request).await {
--- a/crates/waxwing-fleet/src/dialects.rs
+++ b/crates/waxwing-fleet/src/dialects.rs
@@ -40,8 +40,10 @@
     ///
     /// # Errors
     /// Fails if the document can't be read in full.
-    fn deployment(&self, body: &[u8])
-    -> Result<deployments::DeploymentParts, errors::DeploymentError>;
+    fn deployment(
+        &self,
+        body: &[u8],
+    ) -> Result<deployments::DeploymentParts, errors::DeploymentError>;
 
     /// Reads the notice of an endpoint.
     ///
--- a/crates/waxwing-fleet/src/network.rs
+++ b/crates/waxwing-fleet/src/network.rs
@@ -33,7 +33,7 @@
     /// A link to or from a process is open.
     Opened(RemoteProcess),
     /// A message arrived.
-    Received(RemoteProcess, messages::Body),
+    Received(RemoteProcess, Box<messages::Body>),
     /// A link has ended.
     Closed(RemoteProcess),
 }
@@ -188,10 +188,11 @@
     pub fn tell(&self, kind: messages::ProcessKind, body: &messages::Body) {
         let mut told = HashSet::new();
         for (remote, sender) in self.senders().iter() {
-            if remote.kind == kind && told.insert(remote.address) {
-                if let Err(error) = sender.try_send(0, body.clone()) {
-                    tracing::debug!(address = %remote.address, %error, "message dropped");
-                }
+            if remote.kind != kind || !told.insert(remote.address) {
+                continue;
+            }
+            if let Err(error) = sender.try_send(0, body.clone()) {
+                tracing::debug!(address = %remote.address, %error, "message dropped");
             }
         }
     }
@@ -278,7 +279,10 @@
             ..
         } = link;
         let Some(address) = dialled.or_else(|| peer.name.parse().ok()) else {
-            tracing::warn!(name = peer.name, "a link without the address of its process");
+            tracing::warn!(
+                name = peer.name,
+                "a link without the address of its process"
+            );
             sender.close();
             return;
         };
@@ -299,7 +303,7 @@
                     if matches!(body, messages::Body::Heartbeat(_)) {
                         continue;
                     }
-                    let event = NetworkEvent::Received(remote, body);
+                    let event = NetworkEvent::Received(remote, Box::new(body));
                     if self.events.send(event).await.is_err() {
                         break waxwing_wire::errors::LinkError::Closed;
                     }
--- a/crates/waxwing-fleet/src/registry.rs
+++ b/crates/waxwing-fleet/src/registry.rs
@@ -114,10 +114,7 @@
 }
 
 /// Compares two notices under one id.
-fn compare(
-    known: &messages::EndpointNotice,
-    notice: &messages::EndpointNotice,
-) -> NoticeEffect {
+fn compare(known: &messages::EndpointNotice, notice: &messages::EndpointNotice) -> NoticeEffect {
     if notice.born != known.born {
         return match notice.born > known.born {
             true => NoticeEffect::Changed,
--- a/crates/waxwing-gate/src/gate.rs
+++ b/crates/waxwing-gate/src/gate.rs
@@ -168,7 +168,11 @@
         self.endpoints
             .retain(|other, view| view.address != address || *other == id);
         let mut view = endpoints::EndpointView::new(notice, address, heard);
-        if let Some(former) = self.endpoints.remove(&id).filter(|former| former.address == address) {
+        if let Some(former) = self
+            .endpoints
+            .remove(&id)
+            .filter(|former| former.address == address)
+        {
             let ready = view.ready;
             view = former;
             view.ready = ready;
@@ -206,7 +210,10 @@
         }
         self.lost_peers.remove(&peer);
         for demand in book.demands {
-            let demands = self.demands.entry(SmolStr::new(&demand.service)).or_default();
+            let demands = self
+                .demands
+                .entry(SmolStr::new(&demand.service))
+                .or_default();
             demands.insert(peer, shares::PeerDemand { demand, told: now });
         }
         let first = !self.peers.contains_key(&peer);
@@ -505,11 +512,13 @@
             return false;
         };
         let since = self.yielding.get(service);
-        let tired = since.is_some_and(|since| {
-            now.saturating_duration_since(*since) >= self.options.yield_limit
-        });
+        let tired = since
+            .is_some_and(|since| now.saturating_duration_since(*since) >= self.options.yield_limit);
         let own = shares::OwnDemand {
-            recent: self.recent.get(service).map_or(0.0, |recent| recent.at(now)),
+            recent: self
+                .recent
+                .get(service)
+                .map_or(0.0, |recent| recent.at(now)),
             running,
             rank,
         };
@@ -557,11 +566,7 @@
 
     /// Returns the endpoint with the least expected time that has a free slot. A request that can
     /// end in time only at endpoints that are full waits for one of those.
-    fn choose(
-        &self,
-        now: Instant,
-        ticket: &tickets::WaitingTicket,
-    ) -> Option<(SmolStr, Duration)> {
+    fn choose(&self, now: Instant, ticket: &tickets::WaitingTicket) -> Option<(SmolStr, Duration)> {
         let model = self.model(&ticket.service);
         let left = ticket.deadline.saturating_duration_since(now);
         let mut best: Option<(bool, Duration, &endpoints::EndpointView)> = None;
--- a/crates/waxwing-gate/src/models.rs
+++ b/crates/waxwing-gate/src/models.rs
@@ -84,7 +84,11 @@
         let mean_y = self.y / self.weight;
         let spread = self.xx / self.weight - mean_x * mean_x;
         let shared = self.xy / self.weight - mean_x * mean_y;
-        let slope = if spread > 1.0 { (shared / spread).max(0.0) } else { 0.0 };
+        let slope = if spread > 1.0 {
+            (shared / spread).max(0.0)
+        } else {
+            0.0
+        };
         ((mean_y - slope * mean_x).max(0.0), slope)
     }
 }
--- a/crates/waxwing-gate/src/shares.rs
+++ b/crates/waxwing-gate/src/shares.rs
@@ -97,9 +97,8 @@
     slots: u32,
     options: &options::GateOptions,
 ) -> bool {
-    let fresh = |peer: &&PeerDemand| {
-        now.saturating_duration_since(peer.told) < options.demand_lifetime
-    };
+    let fresh =
+        |peer: &&PeerDemand| now.saturating_duration_since(peer.told) < options.demand_lifetime;
     let recent = |peer: &PeerDemand| to_float(peer.demand.recent_thousandths) / THOUSANDTHS;
     let others: f64 = peers.values().filter(fresh).map(recent).sum();
     let all = (own.recent + others).max(f64::MIN_POSITIVE);
--- a/crates/waxwing-gate/tests/shares.rs
+++ b/crates/waxwing-gate/tests/shares.rs
@@ -104,7 +104,14 @@
     let start = Instant::now();
     let mut entries = fleet(start);
     let mut running = Vec::new();
-    let started = step(&mut entries, &mut running, start, 6_000, &[10, 15, 25], &[1; 3]);
+    let started = step(
+        &mut entries,
+        &mut running,
+        start,
+        6_000,
+        &[10, 15, 25],
+        &[1; 3],
+    );
     let total: usize = started.iter().sum();
     let most = usize::try_from(SLOTS).unwrap() * 6_000 / 600;
     assert!(total * 100 >= most * 93, "{total} of {most}");
--- a/crates/waxwing-registrar/src/group.rs
+++ b/crates/waxwing-registrar/src/group.rs
@@ -354,7 +354,11 @@
             return;
         }
         let Ok(store) = ids::StoreId::from_slice(&join.store) else {
-            tracing::warn!(event = "join-refused", member = join.member, "malformed store id");
+            tracing::warn!(
+                event = "join-refused",
+                member = join.member,
+                "malformed store id"
+            );
             return;
         };
         let identity = members::MemberIdentity {
@@ -484,10 +488,16 @@
                 match self.register.apply(&entry.payload) {
                     Ok(true) => {
                         let version = self.register.held().version;
-                        tracing::info!(event = "deployment-committed", version, index = entry.index);
+                        tracing::info!(
+                            event = "deployment-committed",
+                            version,
+                            index = entry.index
+                        );
                     }
                     Ok(false) => {}
-                    Err(error) => tracing::error!(%error, index = entry.index, "unreadable command"),
+                    Err(error) => {
+                        tracing::error!(%error, index = entry.index, "unreadable command")
+                    }
                 }
             }
             if let Some(waiting) = self.changes.remove(&entry.index) {
@@ -554,7 +564,9 @@
                 let _ = waiting.answer.send(Err(errors::ChangeFailure::Unavailable));
             }
         }
-        let leader = change.leader.map(|leader| repair::link_address(leader.member));
+        let leader = change
+            .leader
+            .map(|leader| repair::link_address(leader.member));
         tracing::info!(event = "log-role", role = ?change.role, term = change.term, ?leader);
         self.publish();
     }
--- a/crates/waxwing-registrar/src/host.rs
+++ b/crates/waxwing-registrar/src/host.rs
@@ -170,14 +170,12 @@
             match event {
                 network::NetworkEvent::Opened(remote) => self.greet(remote),
                 network::NetworkEvent::Closed(_) => {}
-                network::NetworkEvent::Received(remote, body) => {
-                    self.take_message(remote, body).await;
-                }
+                network::NetworkEvent::Received(remote, body) => self.take_message(remote, *body),
             }
         }
     }
 
-    async fn take_message(&self, remote: network::RemoteProcess, body: messages::Body) {
+    fn take_message(&self, remote: network::RemoteProcess, body: messages::Body) {
         let request = match body {
             messages::Body::Quorum(quorum) => group::GroupRequest::Peer {
                 from: remote.address,
--- a/crates/waxwing-registrar/src/http.rs
+++ b/crates/waxwing-registrar/src/http.rs
@@ -69,7 +69,10 @@
 ) -> Answer {
     let call = dialect.call(request.method(), request.uri().path());
     let path = request.uri().path().to_owned();
-    let body = match Limited::new(request.into_body(), MAX_BODY_BYTES).collect().await {
+    let body = match Limited::new(request.into_body(), MAX_BODY_BYTES)
+        .collect()
+        .await
+    {
         Ok(body) => body.to_bytes(),
         Err(error) => {
             tracing::info!(event = "call-refused", path, %error);
