--- a/crates/waxwing-conduit/src/errors.rs
+++ b/crates/waxwing-conduit/src/errors.rs
@@ -13,6 +13,9 @@
         /// What the operating system said.
         error: io::Error,
     },
+    /// The metrics can't be set up.
+    #[error(transparent)]
+    Metrics(#[from] prometheus::Error),
     /// The socket for links can't be opened.
     #[error(transparent)]
     Network(#[from] waxwing_fleet::errors::NetworkError),
--- a/crates/waxwing-conduit/src/intake.rs
+++ b/crates/waxwing-conduit/src/intake.rs
@@ -117,6 +117,7 @@
     };
     let mut answer = answered.unwrap_or_else(|failure| {
         let waited = state.clock.now().saturating_duration_since(arrival);
+        state.metrics.refused(failure.reason);
         tracing::info!(
             event = "request-refused",
             id = id.as_deref(),
@@ -279,9 +280,9 @@
         };
         match collected {
             Ok(body) => {
-                given
-                    .run
-                    .answered(state.clock.now().saturating_duration_since(given.sent));
+                let now = state.clock.now();
+                given.run.answered(now.saturating_duration_since(given.sent));
+                log_answer(state, request, &history, &given.run, head.status);
                 let connection = given.connection;
                 let state = state.clone();
                 tokio::spawn(async move {
@@ -307,6 +308,29 @@
     }
 }
 
+/// Logs an answer that is passed on whole.
+pub(crate) fn log_answer<C: Clock, D: dialects::RequestDialect>(
+    state: &state::EntryState<C, D>,
+    request: &AcceptedRequest,
+    history: &SendHistory,
+    run: &state::StartedRun<C, D>,
+    status: StatusCode,
+) {
+    let took = state.clock.now().saturating_duration_since(request.arrival);
+    state.metrics.answered(status.as_u16());
+    state.metrics.took("whole", took);
+    tracing::info!(
+        event = "request-answered",
+        id = %request.facts.id,
+        route = %request.route.name,
+        account = request.account.as_ref().map(|account| account.name.as_str()),
+        endpoint = %run.endpoint,
+        status = status.as_u16(),
+        sends = history.arrivals,
+        took_ms = took.as_millis()
+    );
+}
+
 /// Sends a request until an endpoint gives an answer that is worth passing on.
 pub(crate) async fn obtain<C: Clock, D: dialects::RequestDialect>(
     state: &Arc<state::EntryState<C, D>>,
@@ -338,6 +362,21 @@
 ) -> Result<Option<GivenAnswer<C, D>>, RequestFailure> {
     let repeatable = request.route.kind.is_repeatable();
     let sent = state.clock.now();
+    let waited = sent.saturating_duration_since(request.arrival);
+    state.metrics.took("waited", waited);
+    tracing::info!(
+        event = "request-started",
+        id = %request.facts.id,
+        service = %request.service,
+        endpoint = %run.endpoint,
+        address = %run.address,
+        expected_ms = run.expected.as_millis(),
+        waited_ms = waited.as_millis(),
+        left_ms = remaining(state, request).as_millis(),
+        size = ?request.size,
+        send = history.arrivals + 1,
+        last_event
+    );
     let outgoing = outgoing(state, request, &run, last_event);
     let sending = state.pool.send(
         &state.clock,
@@ -354,6 +393,7 @@
             history.arrivals += 1;
             history.runs += 1;
             if left <= patience {
+                state.metrics.sent("timed-out");
                 return Err(timed_out(history));
             }
             Err(errors::SendError::Lost("silent"))
@@ -369,6 +409,10 @@
                 errors::SendError::NotSent(_) => run.unreachable(),
                 errors::SendError::Lost(_) => run.failed(),
             }
+            state.metrics.sent(match error {
+                errors::SendError::NotSent(_) => "not-sent",
+                errors::SendError::Lost(_) => "lost",
+            });
             tracing::info!(
                 event = "send-failed",
                 id = %request.facts.id,
@@ -399,6 +443,7 @@
     let (head, incoming) = response.into_parts();
     let facts = state.dialect.answer(&request.facts.id, &head);
     if facts.not_run {
+        state.metrics.sent("refused");
         tracing::info!(
             event = "endpoint-refused",
             id = %request.facts.id,
@@ -415,6 +460,7 @@
     history.runs += 1;
     if !facts.own || !facts.sealed {
         run.failed();
+        state.metrics.sent("rejected");
         tracing::info!(
             event = "answer-rejected",
             id = %request.facts.id,
@@ -429,12 +475,24 @@
     }
     if head.status.is_server_error() {
         run.failed();
+        state.metrics.sent("failed");
+        tracing::info!(
+            event = "endpoint-failed",
+            id = %request.facts.id,
+            endpoint = %run.endpoint,
+            status = head.status.as_u16(),
+            load = ?facts.load,
+            repeatable
+        );
         let again = repeatable && history.runs < request.route.attempts;
         if again {
             history.excluded.push(run.endpoint.clone());
             return Ok(None);
         }
     }
+    if !head.status.is_server_error() {
+        state.metrics.sent("answered");
+    }
     let response = Response::from_parts(head, incoming);
     Ok(Some(GivenAnswer {
         response,
--- a/crates/waxwing-conduit/src/lib.rs
+++ b/crates/waxwing-conduit/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod events;
 mod fleet;
 mod intake;
+pub mod metrics;
 pub mod options;
 mod relay;
 pub mod roles;
--- /dev/null
+++ b/crates/waxwing-conduit/src/metrics.rs
@@ -0,0 +1,90 @@
+//! Counters and histograms of an entry; `docs/OPERATIONS.md` says what to do about each one.
+
+use std::time::Duration;
+
+use prometheus::{HistogramOpts, HistogramVec, IntCounterVec, Opts, Registry};
+use waxwing_process::metrics::LATENCY_BUCKETS;
+
+/// `EntryMetrics` are the counters and histograms of an entry. Labels are reasons and statuses
+/// only, so that the number of series stays below a hundred.
+#[derive(Debug, Clone)]
+pub struct EntryMetrics {
+    /// What is served at the metrics address.
+    pub registry: Registry,
+    answers: IntCounterVec,
+    refusals: IntCounterVec,
+    sends: IntCounterVec,
+    streams: IntCounterVec,
+    latencies: HistogramVec,
+}
+
+impl EntryMetrics {
+    /// Builds and registers everything.
+    ///
+    /// # Errors
+    /// Fails if a name or label is not valid.
+    pub fn new() -> prometheus::Result<Self> {
+        let registry = Registry::new();
+        let counter = |name: &str, help: &str, label: &str| -> prometheus::Result<_> {
+            let counter = IntCounterVec::new(Opts::new(name, help), &[label])?;
+            registry.register(Box::new(counter.clone()))?;
+            Ok(counter)
+        };
+        let answers = counter(
+            "waxwing_entry_answers_total",
+            "Answers of endpoints that were passed on, by status.",
+            "status",
+        )?;
+        let refusals = counter(
+            "waxwing_entry_refusals_total",
+            "Requests that ended without an answer of an endpoint, by reason.",
+            "reason",
+        )?;
+        let sends = counter(
+            "waxwing_entry_sends_total",
+            "Requests sent to endpoints, by what came of it.",
+            "outcome",
+        )?;
+        let streams = counter(
+            "waxwing_entry_streams_total",
+            "Streams of events, by how they ended or went on.",
+            "outcome",
+        )?;
+        let options = HistogramOpts::new(
+            "waxwing_entry_latency_seconds",
+            "Time waited for an endpoint, to the first event, and of the whole request.",
+        );
+        let options = options.buckets(LATENCY_BUCKETS.to_vec());
+        let latencies = HistogramVec::new(options, &["phase"])?;
+        registry.register(Box::new(latencies.clone()))?;
+        Ok(Self {
+            registry,
+            answers,
+            refusals,
+            sends,
+            streams,
+            latencies,
+        })
+    }
+
+    pub(crate) fn answered(&self, status: u16) {
+        self.answers.with_label_values(&[status.to_string()]).inc();
+    }
+
+    pub(crate) fn refused(&self, reason: &str) {
+        self.refusals.with_label_values(&[reason]).inc();
+    }
+
+    pub(crate) fn sent(&self, outcome: &str) {
+        self.sends.with_label_values(&[outcome]).inc();
+    }
+
+    pub(crate) fn streamed(&self, outcome: &str) {
+        self.streams.with_label_values(&[outcome]).inc();
+    }
+
+    pub(crate) fn took(&self, phase: &str, time: Duration) {
+        let histogram = self.latencies.with_label_values(&[phase]);
+        histogram.observe(time.as_secs_f64());
+    }
+}
--- a/crates/waxwing-conduit/src/relay.rs
+++ b/crates/waxwing-conduit/src/relay.rs
@@ -103,6 +103,7 @@
                         source.first = Some((now, self.splitter.last()));
                         let took = now.saturating_duration_since(source.sent);
                         source.run.first_event(took);
+                        self.state.metrics.took("first-event", took);
                     }
                     if self.pieces.send(Ok(complete)).await.is_err() {
                         return self.caller_left(&source);
@@ -111,6 +112,10 @@
                 NextPiece::End if !self.splitter.has_partial() => {
                     let now = self.state.clock.now();
                     self.take_end(&mut source, now);
+                    self.state.metrics.streamed("whole");
+                    let (state, request) = (&self.state, &self.request);
+                    let status = hyper::StatusCode::OK;
+                    intake::log_answer(state, request, &self.history, &source.run, status);
                     drop(source.run);
                     self.state.pool.give_back(source.connection, now).await;
                     return;
@@ -219,6 +224,7 @@
         match obtained {
             Ok(given) if given.response.status().is_success() => {
                 let (_, source) = StreamSource::split(given);
+                self.state.metrics.streamed("resumed");
                 tracing::info!(
                     event = "stream-resumed",
                     id = %self.request.facts.id,
@@ -243,7 +249,8 @@
     }
 
     fn caller_left(&self, source: &StreamSource<C, D>) {
-        tracing::debug!(
+        self.state.metrics.streamed("caller-left");
+        tracing::info!(
             event = "caller-left",
             id = %self.request.facts.id,
             endpoint = %source.run.endpoint,
@@ -252,11 +259,16 @@
     }
 
     async fn break_off(&self, error: errors::RelayError, reason: &str) {
+        self.state.metrics.streamed("cut");
+        let took = self.state.clock.now().saturating_duration_since(self.request.arrival);
         tracing::info!(
             event = "stream-cut",
             id = %self.request.facts.id,
+            route = %self.request.route.name,
             reason,
-            last = self.splitter.last()
+            last = self.splitter.last(),
+            sends = self.history.arrivals,
+            took_ms = took.as_millis()
         );
         let _ = self.pieces.send(Err(error)).await;
     }
--- a/crates/waxwing-conduit/src/roles.rs
+++ b/crates/waxwing-conduit/src/roles.rs
@@ -19,9 +19,10 @@
 use waxwing_core::clock::Clock;
 use waxwing_fleet::{dialects, network};
 use waxwing_gate::{gate, options as gate_options};
+use waxwing_process::metrics as served;
 use waxwing_wire::messages;
 
-use crate::{errors, fleet, intake, options, sockets, state};
+use crate::{errors, fleet, intake, metrics, options, sockets, state};
 
 /// Pause after a failed accept, most often for want of file descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
@@ -99,7 +100,12 @@
             network::ProcessNetwork::open(network_options, self.clock.clone(), ended.clone())
                 .await?;
         let core = gate::GateCore::new(gate_settings(&self.options), self.clock.now());
-        let state = state::EntryState::new(self.options, self.clock, dialect, core);
+        let metrics = metrics::EntryMetrics::new()?;
+        if let Some(address) = self.options.metrics_address {
+            let served = served::serve(address, metrics.registry.clone(), ended.clone()).await;
+            served.map_err(|error| errors::ConduitError::Bind { address, error })?;
+        }
+        let state = state::EntryState::new(self.options, self.clock, dialect, core, metrics);
         let state = Arc::new(state);
         let link = fleet::FleetLink::new(state.clone(), documents, network, seeds);
         tokio::spawn(link.clone().serve_links(events));
--- a/crates/waxwing-conduit/src/state.rs
+++ b/crates/waxwing-conduit/src/state.rs
@@ -16,7 +16,7 @@
 use waxwing_fleet::deployments;
 use waxwing_gate::{gate, tickets};
 
-use crate::{options, upstream};
+use crate::{metrics, options, upstream};
 
 /// An `EntryState` is the state of an entry; handles share it.
 pub(crate) struct EntryState<C, D> {
@@ -25,6 +25,7 @@
     pub(crate) dialect: D,
     pub(crate) deployment: ArcSwapOption<deployments::FleetDeployment>,
     pub(crate) pool: upstream::ConnectionPool,
+    pub(crate) metrics: metrics::EntryMetrics,
     gate: Mutex<GateState>,
     /// Wakes the task that sends books.
     pub(crate) books: Notify,
@@ -59,6 +60,7 @@
         clock: C,
         dialect: D,
         core: gate::GateCore,
+        metrics: metrics::EntryMetrics,
     ) -> Self {
         Self {
             options,
@@ -66,6 +68,7 @@
             dialect,
             deployment: ArcSwapOption::empty(),
             pool: upstream::ConnectionPool::default(),
+            metrics,
             gate: Mutex::new(GateState {
                 core,
                 waiters: HashMap::new(),
--- a/crates/waxwing-process/src/lib.rs
+++ b/crates/waxwing-process/src/lib.rs
@@ -2,6 +2,8 @@
 //! counters, and exit codes.
 
 pub mod arguments;
+pub mod decisions;
 pub mod export;
 pub mod logs;
+pub mod metrics;
 pub mod signals;
--- a/crates/waxwing-registrar/src/host.rs
+++ b/crates/waxwing-registrar/src/host.rs
@@ -14,7 +14,7 @@
 use waxwing_fleet::{network, registry};
 use waxwing_wire::messages;
 
-use crate::{group, options};
+use crate::{group, metrics, options};
 
 /// Time for which notices without a change are gathered before entries are told; entries need
 /// them only to know that an endpoint is alive.
@@ -30,6 +30,7 @@
     pub(crate) clock: C,
     pub(crate) group: group::GroupHandle,
     pub(crate) network: network::ProcessNetwork<C>,
+    pub(crate) metrics: metrics::RegistrarMetrics,
     registry: Arc<Mutex<registry::EndpointRegistry>>,
     refreshed: Arc<Mutex<Vec<messages::EndpointNotice>>>,
     /// The seeds of the settings in force; they may change while the process runs.
@@ -43,12 +44,14 @@
         group: group::GroupHandle,
         network: network::ProcessNetwork<C>,
         seeds: watch::Receiver<Vec<SocketAddr>>,
+        metrics: metrics::RegistrarMetrics,
     ) -> Self {
         Self {
             options: Arc::new(options),
             clock,
             group,
             network,
+            metrics,
             registry: Arc::default(),
             refreshed: Arc::default(),
             seeds,
@@ -71,6 +74,11 @@
     /// this returns, so that the acknowledgement of a drain starts after that.
     pub(crate) fn take_notice(&self, notice: messages::EndpointNotice) {
         let effect = self.registry().observe(notice.clone(), self.clock.now());
+        self.metrics.noticed(match effect {
+            registry::NoticeEffect::Stale => "stale",
+            registry::NoticeEffect::Refreshed => "refreshed",
+            registry::NoticeEffect::Changed => "changed",
+        });
         match effect {
             registry::NoticeEffect::Stale => {
                 tracing::debug!(
@@ -201,6 +209,7 @@
         loop {
             let state = {
                 let view = view.borrow_and_update();
+                self.metrics.holds(view.document.version, view.leads);
                 self.deployment(&view)
             };
             if told != (state.version, state.confirmed) {
--- a/crates/waxwing-registrar/src/http.rs
+++ b/crates/waxwing-registrar/src/http.rs
@@ -88,6 +88,7 @@
                 json(StatusCode::OK, Bytes::from_static(b"{}"))
             }
             Err(error) => {
+                host.metrics.noticed("refused");
                 tracing::info!(event = "notice-refused", %endpoint, %error);
                 text(StatusCode::BAD_REQUEST, &error.to_string())
             }
@@ -113,6 +114,7 @@
     let version = match checked {
         Ok(deployment) => deployment.version(),
         Err(error) => {
+            host.metrics.changed("refused");
             tracing::info!(event = "deployment-refused", %error);
             return text(StatusCode::BAD_REQUEST, &error.to_string());
         }
@@ -123,6 +125,11 @@
         changed = change => changed,
         () = host.clock.sleep(host.options.call_limit()) => Err(errors::ChangeFailure::Unavailable),
     };
+    host.metrics.changed(match changed {
+        Ok(_) => "acknowledged",
+        Err(errors::ChangeFailure::NotLeader(_)) => "redirected",
+        Err(errors::ChangeFailure::Unavailable) => "unavailable",
+    });
     tracing::info!(event = "deployment-answered", version, outcome = ?changed);
     match changed {
         Ok(_) => json(StatusCode::OK, Bytes::from_static(b"{}")),
--- a/crates/waxwing-registrar/src/lib.rs
+++ b/crates/waxwing-registrar/src/lib.rs
@@ -7,6 +7,7 @@
 mod group;
 mod host;
 mod http;
+pub mod metrics;
 pub mod options;
 pub mod repair;
 pub mod roles;
--- /dev/null
+++ b/crates/waxwing-registrar/src/metrics.rs
@@ -0,0 +1,68 @@
+//! Counters of a control host; `docs/OPERATIONS.md` says what to do about each one.
+
+use prometheus::{IntCounterVec, IntGauge, Opts, Registry};
+
+/// `RegistrarMetrics` are the counters of a control host.
+#[derive(Debug, Clone)]
+pub struct RegistrarMetrics {
+    /// What is served at the metrics address.
+    pub registry: Registry,
+    notices: IntCounterVec,
+    changes: IntCounterVec,
+    version: IntGauge,
+    leads: IntGauge,
+}
+
+impl RegistrarMetrics {
+    /// Builds and registers everything.
+    ///
+    /// # Errors
+    /// Fails if a name or label is not valid.
+    pub fn new() -> prometheus::Result<Self> {
+        let registry = Registry::new();
+        let counter = |name: &str, help: &str, label: &str| -> prometheus::Result<_> {
+            let counter = IntCounterVec::new(Opts::new(name, help), &[label])?;
+            registry.register(Box::new(counter.clone()))?;
+            Ok(counter)
+        };
+        let gauge = |name: &str, help: &str| -> prometheus::Result<_> {
+            let gauge = IntGauge::new(name, help)?;
+            registry.register(Box::new(gauge.clone()))?;
+            Ok(gauge)
+        };
+        Ok(Self {
+            notices: counter(
+                "waxwing_registrar_notices_total",
+                "Notices of endpoints, by effect.",
+                "effect",
+            )?,
+            changes: counter(
+                "waxwing_registrar_deployments_total",
+                "Deployments that operators sent, by outcome.",
+                "outcome",
+            )?,
+            version: gauge(
+                "waxwing_registrar_deployment_version",
+                "The version of the deployment that this host holds.",
+            )?,
+            leads: gauge(
+                "waxwing_registrar_leads",
+                "Whether this host leads the replicated log.",
+            )?,
+            registry,
+        })
+    }
+
+    pub(crate) fn noticed(&self, effect: &str) {
+        self.notices.with_label_values(&[effect]).inc();
+    }
+
+    pub(crate) fn changed(&self, outcome: &str) {
+        self.changes.with_label_values(&[outcome]).inc();
+    }
+
+    pub(crate) fn holds(&self, version: u64, leads: bool) {
+        self.version.set(i64::try_from(version).unwrap_or(i64::MAX));
+        self.leads.set(i64::from(leads));
+    }
+}
--- a/crates/waxwing-registrar/src/roles.rs
+++ b/crates/waxwing-registrar/src/roles.rs
@@ -6,9 +6,10 @@
 use tokio_util::sync::CancellationToken;
 use waxwing_core::clock::Clock;
 use waxwing_fleet::{dialects, network};
+use waxwing_process::metrics as served;
 use waxwing_wire::messages;
 
-use crate::{errors, group, host, http, options};
+use crate::{errors, group, host, http, metrics, options};
 
 /// Pause before the log is opened again after its disk failed.
 const REOPEN_PAUSE: Duration = Duration::from_millis(500);
@@ -60,6 +61,11 @@
         let (network, events) =
             network::ProcessNetwork::open(network_options, self.clock.clone(), ended.clone())
                 .await?;
+        let metrics = metrics::RegistrarMetrics::new()?;
+        if let Some(address) = options.metrics_address {
+            let served = served::serve(address, metrics.registry.clone(), ended.clone()).await;
+            served.map_err(|error| errors::RegistrarError::Bind { address, error })?;
+        }
         let (handle, mut channels) = group::channels();
         let host = host::RegistrarHost::new(
             options.clone(),
@@ -67,6 +73,7 @@
             handle,
             network.clone(),
             seeds,
+            metrics,
         );
         tokio::spawn(host.clone().serve_links(events));
         tokio::spawn(host.clone().spread_deployments(ended.clone()));
