--- a/crates/waxwing-conduit/src/intake.rs
+++ b/crates/waxwing-conduit/src/intake.rs
@@ -32,6 +32,13 @@
 /// A caller whose remaining time is below this share of the route's timeout has asked before.
 const RETURNED_SHARE: f64 = 0.93;
 
+/// Times its expected run by which a request must be able to end before the process does; the
+/// expected length of an answer is right at the median only.
+const STOPPING_RUN_FACTOR: u32 = 3;
+
+/// When a caller should come back that reached an entry about to end; another one takes it then.
+const STOPPING_RETRY_AFTER: Duration = Duration::from_millis(50);
+
 /// Headers that concern one connection only.
 const CONNECTION_HEADERS: [HeaderName; 7] = [
     header::CONNECTION,
@@ -108,6 +115,7 @@
     let (head, incoming) = request.into_parts();
     let facts = state.dialect.request(&head);
     let id = facts.as_ref().ok().map(|facts| facts.id.clone());
+    let active = state.count_active();
     let answered = match facts {
         Ok(facts) => respond(&state, arrival, head, incoming, facts).await,
         Err(error) => {
@@ -134,6 +142,7 @@
             failure.retry_after,
         )
     });
+    drop(active);
     if state.is_stopping() {
         let close = HeaderValue::from_static("close");
         answer.headers_mut().insert(header::CONNECTION, close);
@@ -150,6 +159,7 @@
 ) -> Result<Response<answers::AnswerBody>, RequestFailure> {
     let request = accept(state, arrival, head, incoming, facts).await?;
     let request = Arc::new(request);
+    check_stopping(state, &request)?;
     let cost = admit(state, &request)?;
     let answered = run(state, &request).await;
     if let (Err(failure), Some((account, cost))) = (&answered, cost)
@@ -219,6 +229,28 @@
     })
 }
 
+/// Refuses a request that could not end before the process does.
+fn check_stopping<C: Clock, D: dialects::RequestDialect>(
+    state: &state::EntryState<C, D>,
+    request: &AcceptedRequest,
+) -> Result<(), RequestFailure> {
+    let Some(end) = state.last_end() else {
+        return Ok(());
+    };
+    let run = state
+        .gate()
+        .core
+        .expected_run(&request.service, request.size);
+    match state.clock.now() + run * STOPPING_RUN_FACTOR <= end {
+        true => Ok(()),
+        false => Err(RequestFailure {
+            status: StatusCode::SERVICE_UNAVAILABLE,
+            reason: "stopping",
+            retry_after: Some(STOPPING_RETRY_AFTER),
+        }),
+    }
+}
+
 /// Takes the request from the quota of its account; returns what it took.
 fn admit<C: Clock, D: dialects::RequestDialect>(
     state: &state::EntryState<C, D>,
@@ -281,7 +313,9 @@
         match collected {
             Ok(body) => {
                 let now = state.clock.now();
-                given.run.answered(now.saturating_duration_since(given.sent));
+                given
+                    .run
+                    .answered(now.saturating_duration_since(given.sent));
                 log_answer(state, request, &history, &given.run, head.status);
                 let connection = given.connection;
                 let state = state.clone();
--- a/crates/waxwing-conduit/src/relay.rs
+++ b/crates/waxwing-conduit/src/relay.rs
@@ -61,6 +61,7 @@
     history: intake::SendHistory,
     pieces: PieceSender,
     splitter: events::EventSplitter,
+    _active: state::ActiveRequest<C, D>,
 }
 
 /// Starts to pass a stream on and returns the answer to the caller.
@@ -73,7 +74,9 @@
     let (pieces, receiver) = mpsc::channel(PIECE_QUEUE);
     let (head, source) = StreamSource::split(given);
     let splitter = events::EventSplitter::starting_after(request.facts.last_event);
+    let active = state.count_active();
     let relay = StreamRelay {
+        _active: active,
         state,
         request,
         history,
@@ -260,7 +263,11 @@
 
     async fn break_off(&self, error: errors::RelayError, reason: &str) {
         self.state.metrics.streamed("cut");
-        let took = self.state.clock.now().saturating_duration_since(self.request.arrival);
+        let took = self
+            .state
+            .clock
+            .now()
+            .saturating_duration_since(self.request.arrival);
         tracing::info!(
             event = "stream-cut",
             id = %self.request.facts.id,
--- a/crates/waxwing-conduit/src/roles.rs
+++ b/crates/waxwing-conduit/src/roles.rs
@@ -1,11 +1,6 @@
 //! The role: sockets, tasks, and the order of a shutdown.
 
-use std::{
-    convert::Infallible,
-    net::SocketAddr,
-    sync::{Arc, atomic::Ordering},
-    time::Duration,
-};
+use std::{convert::Infallible, net::SocketAddr, sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use http_body_util::Full;
@@ -27,12 +22,15 @@
 /// Pause after a failed accept, most often for want of file descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
-/// Time from the signal to stop until connections are no longer accepted: the balancer asks every
-/// second and needs two refusals.
+/// Time from the signal to stop until the balancer sends no new callers: it asks every second and
+/// needs two refusals.
 const READINESS_DELAY: Duration = Duration::from_millis(2_800);
 
-/// Time before the end of the grace at which the process ends in any case.
-const GRACE_MARGIN: Duration = Duration::from_millis(300);
+/// Time between two looks at what is being answered while the process drains.
+const DRAIN_INTERVAL: Duration = Duration::from_millis(50);
+
+/// Time after the last end of runs at which the process ends in any case, before it is killed.
+const CLOSING_TIME: Duration = Duration::from_millis(700);
 
 /// The longest time for which a connection waits for its next request; callers use theirs again
 /// within the idle time of the deployment, which is well below.
@@ -172,24 +170,11 @@
     shutdown: CancellationToken,
 ) {
     let graceful = graceful::GracefulShutdown::new();
-    let stop_accepting = CancellationToken::new();
-    let mut draining = false;
-    let mut signalled = state.clock.now();
+    let drained = drained(state.clone(), shutdown);
+    tokio::pin!(drained);
     loop {
         let accepted = tokio::select! {
-            () = stop_accepting.cancelled() => break,
-            () = shutdown.cancelled(), if !draining => {
-                draining = true;
-                signalled = state.clock.now();
-                state.stopping.store(true, Ordering::Relaxed);
-                tracing::info!(event = "entry-draining");
-                let (clock, stop) = (state.clock.clone(), stop_accepting.clone());
-                tokio::spawn(async move {
-                    clock.sleep(READINESS_DELAY).await;
-                    stop.cancel();
-                });
-                continue;
-            }
+            () = &mut drained => break,
             accepted = listener.accept() => accepted,
         };
         let stream = match accepted {
@@ -219,10 +204,26 @@
         });
     }
     drop(listener);
-    let spent = state.clock.now().saturating_duration_since(signalled);
-    let left = state.options.grace().saturating_sub(spent + GRACE_MARGIN);
+    tracing::info!(event = "entry-closing", active = state.active());
+    let end = state.last_end().unwrap_or_else(|| state.clock.now()) + CLOSING_TIME;
+    let left = end.saturating_duration_since(state.clock.now());
     tokio::select! {
         () = graceful.shutdown() => {}
         () = state.clock.sleep(left) => tracing::warn!(event = "grace-over", "requests are cut off"),
     }
 }
+
+/// Waits for the signal to stop, and then until the balancer has noticed and nothing is being
+/// answered, or the time is up. Callers whom the balancer still sends here are served meanwhile.
+async fn drained<C: Clock, D: dialects::RequestDialect>(
+    state: Arc<state::EntryState<C, D>>,
+    shutdown: CancellationToken,
+) {
+    shutdown.cancelled().await;
+    state.begin_stop();
+    state.clock.sleep(READINESS_DELAY).await;
+    let end = state.last_end();
+    while state.active() > 0 && end.is_some_and(|end| state.clock.now() < end) {
+        state.clock.sleep(DRAIN_INTERVAL).await;
+    }
+}
--- a/crates/waxwing-conduit/src/state.rs
+++ b/crates/waxwing-conduit/src/state.rs
@@ -3,10 +3,10 @@
 use std::{
     collections::HashMap,
     sync::{
-        Arc, Mutex, MutexGuard,
-        atomic::{AtomicBool, Ordering},
+        Arc, Mutex, MutexGuard, OnceLock,
+        atomic::{AtomicBool, AtomicUsize, Ordering},
     },
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use arc_swap::ArcSwapOption;
@@ -18,6 +18,10 @@
 
 use crate::{metrics, options, upstream};
 
+/// Time before the end of the grace at which runs must have ended; a run may take longer than was
+/// expected.
+const STOP_MARGIN: Duration = Duration::from_millis(1_000);
+
 /// An `EntryState` is the state of an entry; handles share it.
 pub(crate) struct EntryState<C, D> {
     pub(crate) options: options::ConduitOptions,
@@ -31,12 +35,23 @@
     pub(crate) books: Notify,
     /// Wakes the task that looks at waiting requests.
     pub(crate) queued: Notify,
-    /// Whether the process is about to end.
-    pub(crate) stopping: AtomicBool,
+    /// When the process began to stop.
+    pub(crate) stopping: OnceLock<Instant>,
+    /// Requests that are being answered.
+    active: AtomicUsize,
     /// Whether the deployment is known to be current.
     pub(crate) settled: AtomicBool,
 }
 
+/// An `ActiveRequest` counts a request that is being answered while it exists.
+pub(crate) struct ActiveRequest<C, D>(Arc<EntryState<C, D>>);
+
+impl<C, D> Drop for ActiveRequest<C, D> {
+    fn drop(&mut self) {
+        self.0.active.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
 /// A `GateState` is the gate with the tasks that wait for its decisions.
 pub(crate) struct GateState {
     pub(crate) core: gate::GateCore,
@@ -75,7 +90,8 @@
             }),
             books: Notify::new(),
             queued: Notify::new(),
-            stopping: AtomicBool::new(false),
+            stopping: OnceLock::new(),
+            active: AtomicUsize::new(0),
             settled: AtomicBool::new(false),
         }
     }
@@ -87,7 +103,31 @@
     }
 
     pub(crate) fn is_stopping(&self) -> bool {
-        self.stopping.load(Ordering::Relaxed)
+        self.stopping.get().is_some()
+    }
+
+    /// Begins to stop: the balancer is told, and only what can end in time is started.
+    pub(crate) fn begin_stop(&self) {
+        if self.stopping.set(self.clock.now()).is_ok() {
+            tracing::info!(event = "entry-draining", active = self.active());
+        }
+    }
+
+    /// Returns when runs must have ended, if the process is about to stop.
+    pub(crate) fn last_end(&self) -> Option<Instant> {
+        let since = self.stopping.get()?;
+        Some(*since + self.options.grace().saturating_sub(STOP_MARGIN))
+    }
+
+    /// Returns the number of requests that are being answered.
+    pub(crate) fn active(&self) -> usize {
+        self.active.load(Ordering::Relaxed)
+    }
+
+    /// Counts a request until the guard is dropped.
+    pub(crate) fn count_active(self: &Arc<Self>) -> ActiveRequest<C, D> {
+        self.active.fetch_add(1, Ordering::Relaxed);
+        ActiveRequest(self.clone())
     }
 
     /// Tells whether this entry takes new connections.
--- a/crates/waxwing-gate/src/gate.rs
+++ b/crates/waxwing-gate/src/gate.rs
@@ -552,6 +552,12 @@
         self.models.get(service).unwrap_or(&self.initial_model)
     }
 
+    /// Returns the time of a run at a typical engine.
+    #[must_use]
+    pub fn expected_run(&self, service: &SmolStr, size: tickets::WorkSize) -> Duration {
+        self.model(service).run(size)
+    }
+
     /// Returns when a request must start at the latest to be worth its wait.
     fn latest_start(&self, ticket: &tickets::WaitingTicket) -> Instant {
         let end = self.patience_end(ticket);
--- a/crates/waxwing-process/src/decisions.rs
+++ b/crates/waxwing-process/src/decisions.rs
@@ -25,10 +25,10 @@
 use waxwing_core::clock::Clock;
 
 /// Lines of one kind in a second; a burst of failures shows as that many examples of each kind.
-pub const LINES_PER_SECOND: f64 = 40.0;
+pub const LINES_PER_SECOND: f64 = 20.0;
 
 /// Lines of one kind that may come at once.
-pub const LINE_BURST: f64 = 80.0;
+pub const LINE_BURST: f64 = 60.0;
 
 /// Lines that wait for standard output; at 400 bytes a line they take 1.6 MB at most.
 const QUEUED_LINES: usize = 4_096;
@@ -119,8 +119,7 @@
     C: Clock,
     W: for<'writer> tracing_subscriber::fmt::MakeWriter<'writer> + Send + Sync + 'static,
 {
-    let filter =
-        EnvFilter::try_from_default_env().unwrap_or_else(|_| EnvFilter::new("info"));
+    let filter = EnvFilter::try_from_default_env().unwrap_or_else(|_| EnvFilter::new("info"));
     let lines = tracing_subscriber::fmt::layer()
         .json()
         .flatten_event(true)
