Give a free slot to the entry with the best claim, and let short calls go

Cause: with eleven entries 550 requests ran on 470 slots: several entries saw the same free slot in books some 30 ms old and all took it. Change: an entry takes a slot that it has not left itself only if no entry that waits has a better claim; services whose runs end before books arrive are not counted by books.

--- a/crates/waxwing-conduit/src/state.rs
+++ b/crates/waxwing-conduit/src/state.rs
@@ -147,12 +147,13 @@
     pub(crate) fn pump(&self) {
         let mut gate = self.gate();
         loop {
-            let decisions = gate.core.decide(self.clock.now());
+            let now = self.clock.now();
+            let decisions = gate.core.decide(now);
             if decisions.is_empty() {
                 break;
             }
             for decision in decisions {
-                gate.deliver(decision);
+                gate.deliver(now, decision);
             }
         }
         if gate.core.has_changes() {
@@ -225,7 +226,7 @@
 }
 
 impl GateState {
-    fn deliver(&mut self, decision: tickets::GateDecision) {
+    fn deliver(&mut self, now: Instant, decision: tickets::GateDecision) {
         let id = match &decision {
             tickets::GateDecision::Grant { ticket, .. }
             | tickets::GateDecision::Refuse { ticket, .. } => *ticket,
@@ -236,7 +237,7 @@
         };
         // The caller has left between the decision and its delivery.
         if let Some(tickets::GateDecision::Grant { endpoint, size, .. }) = undelivered {
-            self.core.finish(&endpoint, size, false);
+            self.core.finish(now, &endpoint, size, false);
         }
     }
 }
@@ -250,12 +251,13 @@
 
 impl<C: Clock, D> Drop for WaitingPlace<'_, C, D> {
     fn drop(&mut self) {
+        let now = self.state.clock.now();
         let mut gate = self.state.gate();
         gate.waiters.remove(&self.id);
         gate.core.withdraw(self.id);
         // A slot that was taken for a caller who has just left is free again.
         if let Ok(tickets::GateDecision::Grant { endpoint, size, .. }) = self.receiver.try_recv() {
-            gate.core.finish(&endpoint, size, false);
+            gate.core.finish(now, &endpoint, size, false);
         }
     }
 }
@@ -306,10 +308,11 @@
 
 impl<C: Clock, D> Drop for StartedRun<C, D> {
     fn drop(&mut self) {
+        let now = self.state.clock.now();
         self.state
             .gate()
             .core
-            .finish(&self.endpoint, self.size, self.started);
+            .finish(now, &self.endpoint, self.size, self.started);
         self.state.pump();
     }
 }
--- a/crates/waxwing-gate/src/endpoints.rs
+++ b/crates/waxwing-gate/src/endpoints.rs
@@ -95,10 +95,14 @@
             && self.suspected_until.is_none_or(|until| now >= until)
     }
 
-    /// Tells whether a slot is free.
+    /// Returns the free slots. What other entries run counts only where `books` can be relied on.
     #[must_use]
-    pub fn has_room(&self) -> bool {
-        self.total().running < self.slots
+    pub fn free_slots(&self, books: bool) -> u32 {
+        let running = match books {
+            true => self.total().running,
+            false => self.own.running,
+        };
+        self.slots.saturating_sub(running)
     }
 
     /// Returns the time to the first event, or to the answer of a plain call, that is expected if
--- a/crates/waxwing-gate/src/gate.rs
+++ b/crates/waxwing-gate/src/gate.rs
@@ -6,7 +6,7 @@
 //! can still overtake it.
 
 use std::{
-    collections::{BTreeSet, HashMap},
+    collections::{BTreeSet, HashMap, VecDeque},
     net::SocketAddr,
     time::{Duration, Instant},
 };
@@ -57,6 +57,8 @@
     recent: HashMap<SmolStr, shares::RecentRequests>,
     /// What the other entries are asked, by service.
     demands: HashMap<SmolStr, shares::PeerDemands>,
+    /// When requests of this entry left slots that it has not taken again, by service.
+    vacated: HashMap<SmolStr, VecDeque<Instant>>,
     /// Since when free slots of a service are left to other entries.
     yielding: HashMap<SmolStr, Instant>,
     /// Endpoints whose use changed since the last book.
@@ -70,6 +72,8 @@
 struct ServiceOutlook {
     /// Whether any endpoint is usable.
     usable: bool,
+    /// Whether the books of other entries count.
+    counted: bool,
     /// All slots.
     slots: u32,
     /// Free slots.
@@ -122,6 +126,7 @@
             lost_peers: HashMap::new(),
             recent: HashMap::new(),
             demands: HashMap::new(),
+            vacated: HashMap::new(),
             yielding: HashMap::new(),
             changed: Vec::new(),
             demand_changed: false,
@@ -456,17 +461,27 @@
             let Some(QueuedTicket { ticket, .. }) = self.waiting.get(&place.ticket) else {
                 continue;
             };
-            let left_to_others =
-                free > 0 && self.leaves_slot(now, service, place.rank, running, outlook.slots);
+            let claim = match free > 0 && outlook.counted {
+                true => self.claim(now, service, place.rank, running, outlook.slots),
+                false => shares::SlotClaim::Alone,
+            };
+            let left_to_others = match claim {
+                shares::SlotClaim::Alone | shares::SlotClaim::First => false,
+                shares::SlotClaim::OwnOnly => self.vacated(now, service) == 0,
+                shares::SlotClaim::Yields => true,
+            };
             yielded |= left_to_others;
             let chosen = match free {
                 0 => None,
                 _ if left_to_others => None,
-                _ => self.choose(now, ticket),
+                _ => self.choose(now, ticket, outlook.counted),
             };
             if let Some((endpoint, expected)) = chosen {
                 let decision = self.start(place, &endpoint, expected);
                 decisions.extend(decision);
+                if let Some(vacated) = self.vacated.get_mut(service) {
+                    vacated.pop_front();
+                }
                 free -= 1;
                 running += 1;
                 continue;
@@ -505,17 +520,26 @@
         self.demand_changed = true;
     }
 
-    /// Tells whether a free slot is left to another entry.
-    fn leaves_slot(
+    /// Returns the slots that requests of this entry left lately and that it has not taken again.
+    fn vacated(&self, now: Instant, service: &SmolStr) -> usize {
+        let limit = self.options.yield_limit;
+        let vacated = self.vacated.get(service).into_iter().flatten();
+        vacated
+            .filter(|since| now.saturating_duration_since(**since) <= limit)
+            .count()
+    }
+
+    /// Returns the claim of this entry on a free slot.
+    fn claim(
         &self,
         now: Instant,
         service: &SmolStr,
         rank: (u32, u32),
         running: u32,
         slots: u32,
-    ) -> bool {
+    ) -> shares::SlotClaim {
         let Some(peers) = self.demands.get(service) else {
-            return false;
+            return shares::SlotClaim::Alone;
         };
         let since = self.yielding.get(service);
         let tired = since
@@ -528,7 +552,10 @@
             running,
             rank,
         };
-        !tired && shares::yields(now, own, peers, slots, &self.options)
+        match tired {
+            true => shares::SlotClaim::First,
+            false => shares::claim(now, own, peers, slots, &self.options),
+        }
     }
 
     /// Returns what a service can take at present.
@@ -537,17 +564,19 @@
             .endpoints
             .values()
             .filter(|view| view.service == *service && view.is_usable(now, &self.options));
+        let run_time = self.model(service).run_time();
+        let counted = run_time >= self.options.shortest_counted_run;
         let (mut slots, mut free, mut any) = (0, 0, false);
         for view in usable {
             any = true;
             slots += view.slots;
-            free += view.slots.saturating_sub(view.total().running);
+            free += view.free_slots(counted);
         }
-        let run_time = self.model(service).run_time();
         // The other entries take their part of the slots that get free.
         let entries = u32::try_from(self.peers.len() + 1).unwrap_or(u32::MAX);
         ServiceOutlook {
             usable: any,
+            counted,
             slots,
             free,
             slot_interval: run_time * entries / slots.max(1),
@@ -578,7 +607,12 @@
 
     /// Returns the endpoint with the least expected time that has a free slot. A request that can
     /// end in time only at endpoints that are full waits for one of those.
-    fn choose(&self, now: Instant, ticket: &tickets::WaitingTicket) -> Option<(SmolStr, Duration)> {
+    fn choose(
+        &self,
+        now: Instant,
+        ticket: &tickets::WaitingTicket,
+        counted: bool,
+    ) -> Option<(SmolStr, Duration)> {
         let model = self.model(&ticket.service);
         let left = ticket.deadline.saturating_duration_since(now);
         let mut best: Option<(bool, Duration, &endpoints::EndpointView)> = None;
@@ -593,7 +627,7 @@
             let run = view.expected_run(ticket.size, model, &self.options);
             let fits = run.mul_f64(self.options.length_margin) <= left;
             fits_somewhere |= fits;
-            if !view.has_room() {
+            if view.free_slots(counted) == 0 {
                 continue;
             }
             let first = view.expected(ticket.size, model, &self.options);
@@ -719,8 +753,18 @@
 
     /// Takes the end of a request at an endpoint; `started` tells whether its first event was
     /// taken before.
-    pub fn finish(&mut self, endpoint: &SmolStr, size: tickets::WorkSize, started: bool) {
+    pub fn finish(
+        &mut self,
+        now: Instant,
+        endpoint: &SmolStr,
+        size: tickets::WorkSize,
+        started: bool,
+    ) {
         if let Some(view) = self.endpoints.get_mut(endpoint) {
+            let limit = self.options.yield_limit;
+            let vacated = self.vacated.entry(view.service.clone()).or_default();
+            vacated.retain(|since| now.saturating_duration_since(*since) <= limit);
+            vacated.push_back(now);
             view.own.running = view.own.running.saturating_sub(1);
             view.own.memory = view.own.memory.saturating_sub(size.memory());
             if !started {
--- a/crates/waxwing-gate/src/models.rs
+++ b/crates/waxwing-gate/src/models.rs
@@ -15,7 +15,7 @@
 /// Milliseconds for each token of an answer before anything was measured.
 const INITIAL_STEP_MILLIS: f64 = 4.0;
 
-/// Milliseconds of a run before anything was measured.
+/// Milliseconds of a run before anything was measured; a generation of middle length.
 const INITIAL_RUN_MILLIS: f64 = 1_000.0;
 
 /// The weight of a measurement after each further one; the last few hundred count.
--- a/crates/waxwing-gate/src/options.rs
+++ b/crates/waxwing-gate/src/options.rs
@@ -67,6 +67,9 @@
     /// Time for which the demand that another entry told is taken as its present one; some
     /// intervals between books.
     pub demand_lifetime: Duration,
+    /// The shortest mean run of a service for which books tell what runs elsewhere. Shorter runs
+    /// have ended before the other entries hear of them; their endpoints queue instead.
+    pub shortest_counted_run: Duration,
     /// The longest time for which free slots are left to other entries, should they not take them.
     pub yield_limit: Duration,
     /// Time for which an entry whose link was lost counts as one that may be running.
@@ -103,6 +106,7 @@
             retry_extra: 50.0,
             budget_window: Duration::from_secs(10),
             demand_lifetime: Duration::from_millis(500),
+            shortest_counted_run: Duration::from_millis(150),
             yield_limit: Duration::from_millis(60),
             lost_peer_retention: Duration::from_secs(20),
             quota_slack: 0.0,
--- a/crates/waxwing-gate/src/shares.rs
+++ b/crates/waxwing-gate/src/shares.rs
@@ -88,29 +88,54 @@
     pub rank: (u32, u32),
 }
 
-/// Tells whether an entry should leave a free slot to another one.
+/// A `SlotClaim` is how an entry stands against the others that wait for a slot of a service.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum SlotClaim {
+    /// Nobody else waits; any free slot may be taken.
+    Alone,
+    /// No other entry that waits has a better claim; any free slot may be taken.
+    First,
+    /// The entry may take slots that its own requests have left, and no others: several entries
+    /// see the same free slot, and only the one with the best claim takes it.
+    OwnOnly,
+    /// Another entry has a more urgent request, or less than its share while this one has more.
+    Yields,
+}
+
+/// Returns the claim of an entry on a free slot.
 #[must_use]
-pub fn yields(
+pub fn claim(
     now: Instant,
     own: OwnDemand,
     peers: &PeerDemands,
     slots: u32,
     options: &options::GateOptions,
-) -> bool {
+) -> SlotClaim {
     let fresh =
         |peer: &&PeerDemand| now.saturating_duration_since(peer.told) < options.demand_lifetime;
     let recent = |peer: &PeerDemand| to_float(peer.demand.recent_thousandths) / THOUSANDTHS;
     let others: f64 = peers.values().filter(fresh).map(recent).sum();
     let all = (own.recent + others).max(f64::MIN_POSITIVE);
     let share = |recent: f64| f64::from(slots) * recent / all;
-    let above = f64::from(own.running) >= share(own.recent);
-    peers
-        .values()
-        .filter(fresh)
-        .filter(|peer| peer.demand.waiting > 0)
-        .any(|peer| {
-            let rank = (peer.demand.account_rank, peer.demand.route_rank);
-            let below = f64::from(peer.demand.running) < share(recent(peer));
-            rank < own.rank || (rank == own.rank && above && below)
-        })
+    let use_of = |running: u32, recent: f64| {
+        f64::from(running) / share(recent).max(f64::MIN_POSITIVE)
+    };
+    let own_use = use_of(own.running, own.recent);
+    let mut claim = SlotClaim::Alone;
+    for peer in peers.values().filter(fresh) {
+        if peer.demand.waiting == 0 {
+            continue;
+        }
+        let rank = (peer.demand.account_rank, peer.demand.route_rank);
+        let peer_use = use_of(peer.demand.running, recent(peer));
+        if rank < own.rank || (rank == own.rank && own_use >= 1.0 && peer_use < 1.0) {
+            return SlotClaim::Yields;
+        }
+        let better = rank == own.rank && peer_use < own_use;
+        claim = match (claim, better) {
+            (SlotClaim::OwnOnly, _) | (_, true) => SlotClaim::OwnOnly,
+            _ => SlotClaim::First,
+        };
+    }
+    claim
 }
