--- a/crates/waxwing-gate/src/shares.rs
+++ b/crates/waxwing-gate/src/shares.rs
@@ -117,9 +117,8 @@
     let others: f64 = peers.values().filter(fresh).map(recent).sum();
     let all = (own.recent + others).max(f64::MIN_POSITIVE);
     let share = |recent: f64| f64::from(slots) * recent / all;
-    let use_of = |running: u32, recent: f64| {
-        f64::from(running) / share(recent).max(f64::MIN_POSITIVE)
-    };
+    let use_of =
+        |running: u32, recent: f64| f64::from(running) / share(recent).max(f64::MIN_POSITIVE);
     let own_use = use_of(own.running, own.recent);
     let mut claim = SlotClaim::Alone;
     for peer in peers.values().filter(fresh) {
