Carry out logs, serve HTTP and register metrics in one place each

The loop that carries out what the log asks for stood twice, and three small HTTP servers and two sets of metrics repeated each other.

--- a/crates/waxwing-conduit/src/metrics.rs
+++ b/crates/waxwing-conduit/src/metrics.rs
@@ -2,8 +2,8 @@
 
 use std::time::Duration;
 
-use prometheus::{HistogramOpts, HistogramVec, IntCounterVec, Opts, Registry};
-use waxwing_process::metrics::LATENCY_BUCKETS;
+use prometheus::{HistogramOpts, HistogramVec, IntCounterVec, Registry};
+use waxwing_process::metrics;
 
 /// `EntryMetrics` are the counters and histograms of an entry. Labels are reasons and statuses
 /// only, so that the number of series stays below a hundred.
@@ -25,11 +25,8 @@
     /// Fails if a name or label is not valid.
     pub fn new() -> prometheus::Result<Self> {
         let registry = Registry::new();
-        let counter = |name: &str, help: &str, label: &str| -> prometheus::Result<_> {
-            let counter = IntCounterVec::new(Opts::new(name, help), &[label])?;
-            registry.register(Box::new(counter.clone()))?;
-            Ok(counter)
-        };
+        let counter =
+            |name: &str, help: &str, label: &str| metrics::counter(&registry, name, help, label);
         let answers = counter(
             "waxwing_entry_answers_total",
             "Answers of endpoints that were passed on, by status.",
@@ -54,7 +51,7 @@
             "waxwing_entry_latency_seconds",
             "Time waited for an endpoint, to the first event, and of the whole request.",
         );
-        let options = options.buckets(LATENCY_BUCKETS.to_vec());
+        let options = options.buckets(metrics::LATENCY_BUCKETS.to_vec());
         let latencies = HistogramVec::new(options, &["phase"])?;
         registry.register(Box::new(latencies.clone()))?;
         Ok(Self {
--- a/crates/waxwing-conduit/src/roles.rs
+++ b/crates/waxwing-conduit/src/roles.rs
@@ -14,7 +14,7 @@
 use waxwing_core::clock::Clock;
 use waxwing_fleet::{dialects, network};
 use waxwing_gate::{gate, options as gate_options};
-use waxwing_process::metrics as served;
+use waxwing_process::{listening, metrics as served};
 use waxwing_wire::messages;
 
 use crate::{errors, fleet, intake, metrics, options, sockets, state};
@@ -100,7 +100,13 @@
         let core = gate::GateCore::new(gate_settings(&self.options), self.clock.now());
         let metrics = metrics::EntryMetrics::new()?;
         if let Some(address) = self.options.metrics_address {
-            let served = served::serve(address, metrics.registry.clone(), ended.clone()).await;
+            let served = served::serve(
+                address,
+                self.clock.clone(),
+                metrics.registry.clone(),
+                ended.clone(),
+            )
+            .await;
             served.map_err(|error| errors::ConduitError::Bind { address, error })?;
         }
         let state = state::EntryState::new(self.options, self.clock, dialect, core, metrics);
@@ -132,36 +138,19 @@
     state: Arc<state::EntryState<C, D>>,
     ended: CancellationToken,
 ) {
-    loop {
-        let accepted = tokio::select! {
-            () = ended.cancelled() => return,
-            accepted = listener.accept() => accepted,
+    let clock = state.clock.clone();
+    let respond = move |request: Request<body::Incoming>| {
+        let known = request.uri().path() == state.dialect.ready_path();
+        let status = match (known, state.is_ready()) {
+            (false, _) => StatusCode::NOT_FOUND,
+            (true, true) => StatusCode::OK,
+            (true, false) => StatusCode::SERVICE_UNAVAILABLE,
         };
-        let Ok((stream, _)) = accepted else {
-            state.clock.sleep(ACCEPT_PAUSE).await;
-            continue;
-        };
-        let state = state.clone();
-        tokio::spawn(async move {
-            let service = service::service_fn(move |request: Request<body::Incoming>| {
-                let known = request.uri().path() == state.dialect.ready_path();
-                let status = match (known, state.is_ready()) {
-                    (false, _) => StatusCode::NOT_FOUND,
-                    (true, true) => StatusCode::OK,
-                    (true, false) => StatusCode::SERVICE_UNAVAILABLE,
-                };
-                let mut answer = Response::new(Full::new(Bytes::new()));
-                *answer.status_mut() = status;
-                async move { Ok::<_, Infallible>(answer) }
-            });
-            let connection = http1::Builder::new()
-                .timer(TokioTimer::new())
-                .serve_connection(TokioIo::new(stream), service);
-            if let Err(error) = connection.await {
-                tracing::debug!(%error, "a readiness check failed");
-            }
-        });
-    }
+        let mut answer = Response::new(Full::new(Bytes::new()));
+        *answer.status_mut() = status;
+        std::future::ready(answer)
+    };
+    listening::serve(listener, clock, respond, ended).await;
 }
 
 async fn serve_callers<C: Clock, D: dialects::RequestDialect>(
--- a/crates/waxwing-control/src/driver.rs
+++ b/crates/waxwing-control/src/driver.rs
@@ -19,7 +19,7 @@
 use waxwing_quorum::{
     errors as quorum_errors, messages, node, options as quorum_options, ready, units,
 };
-use waxwing_store::writer;
+use waxwing_store::{driving, driving::LogHandler as _, writer};
 
 use crate::{commands, errors, log, machine, membership, options, peers, storage};
 
@@ -282,46 +282,80 @@
         self.members.name_of(member, &described)
     }
 
-    fn take_report(&mut self, report: writer::WriteReport) -> Result<(), errors::ControlError> {
-        match report {
-            Ok(sequence) => {
-                self.node.persisted(sequence);
-                Ok(())
-            }
-            Err(error) => {
-                self.node.storage_failed();
-                self.carry_out();
-                Err(error.into())
-            }
+    fn compact(&mut self) {
+        let status = self.node.status();
+        if status.log_bytes < self.compact_at {
+            return;
+        }
+        let machine = self.shared.read();
+        let (index, data) = (machine.applied(), machine.to_snapshot());
+        drop(machine);
+        // A large state is written less often, so that writing it stays a small share of the work.
+        self.compact_at = self.snapshot_bytes.max(data.len() as u64);
+        if let Err(error) = self.node.compact(index, data.into()) {
+            tracing::warn!(%error, "the log could not be compacted");
         }
     }
 
-    /// Carries out what the node asks for, until it asks for nothing more.
-    fn carry_out(&mut self) {
-        loop {
-            let ready = self.node.take_ready();
-            if ready.is_empty() {
-                return;
-            }
-            for outgoing in ready.messages {
-                let payload = messages::encode(&outgoing.message);
-                self.network.send_quorum(outgoing.to, payload);
-            }
-            if let Some(batch) = ready.writes {
-                // A closed queue means that a report of failure is on its way.
-                let _ = self.storage.batches.send(batch);
-            }
-            if let Some(snapshot) = ready.install {
-                self.install(&snapshot);
-            }
-            if !ready.committed.is_empty() {
-                self.apply(ready.committed);
-            }
-            self.answer_reads(ready.reads, ready.failed_reads);
-            if let Some(role) = ready.role {
-                self.take_role(role);
+    fn publish_status(&self) {
+        let status = self.node.status();
+        let members = self.node.members().iter().map(|(identity, kind)| {
+            let voter = kind == waxwing_quorum::members::MemberKind::Voter;
+            (identity.member.0, voter)
+        });
+        let leads = status.role == ready::NodeRole::Leader;
+        let next = log::LogStatus {
+            leads,
+            leader: status.leader.and_then(|leader| self.name_of(leader.member)),
+            term: status.term,
+            members: members.collect(),
+            listed: self.node.members().kind(self.node.identity()).is_some(),
+        };
+        let changed = self.shared.status.send_if_modified(|known| {
+            let changed = *known != next;
+            known.clone_from(&next);
+            changed
+        });
+        if changed {
+            let (term, leader) = (next.term, next.leader);
+            tracing::info!(term, leads, leader, "role in the replicated log");
+        }
+    }
+
+    /// Hands leadership to the voter that has most of the log, so that the group need not wait for
+    /// an election.
+    async fn leave_office(mut self) -> Result<(), errors::ControlError> {
+        let target = membership::successor(&self.node);
+        let transferred =
+            target.map(|target| self.node.transfer_leadership(self.elapsed(), target));
+        if !matches!(transferred, Some(Ok(()))) {
+            return Ok(());
+        }
+        let end = self.clock.now() + TRANSFER_LIMIT;
+        while self.node.status().role == ready::NodeRole::Leader && self.clock.now() < end {
+            self.carry_out();
+            let now = self.clock.now();
+            tokio::select! {
+                Some(request) = self.requests.recv() => self.take_requests(request),
+                Some(report) = self.storage.reports.recv() => self.take_report(report)?,
+                () = self.clock.sleep(self.next_tick.saturating_duration_since(now)) => self.tick(),
             }
         }
+        Ok(())
+    }
+}
+
+impl<C: Clock> driving::LogHandler for LogDriver<C> {
+    fn node(&mut self) -> &mut node::QuorumNode {
+        &mut self.node
+    }
+
+    fn storage(&self) -> &writer::WriterHandle {
+        &self.storage
+    }
+
+    fn send(&mut self, to: waxwing_core::ids::MemberId, payload: Bytes) {
+        self.network.send_quorum(to, payload);
     }
 
     fn install(&mut self, snapshot: &ready::Snapshot) {
@@ -370,21 +404,6 @@
         self.compact();
     }
 
-    fn compact(&mut self) {
-        let status = self.node.status();
-        if status.log_bytes < self.compact_at {
-            return;
-        }
-        let machine = self.shared.read();
-        let (index, data) = (machine.applied(), machine.to_snapshot());
-        drop(machine);
-        // A large state is written less often, so that writing it stays a small share of the work.
-        self.compact_at = self.snapshot_bytes.max(data.len() as u64);
-        if let Err(error) = self.node.compact(index, data.into()) {
-            tracing::warn!(%error, "the log could not be compacted");
-        }
-    }
-
     fn answer_reads(&mut self, reads: Vec<ready::ConfirmedRead>, failed: Vec<units::ReadToken>) {
         for read in reads {
             if let Some(answer) = self.reads.remove(&read.token.0) {
@@ -413,51 +432,4 @@
         }
         self.publish_status();
     }
-
-    fn publish_status(&self) {
-        let status = self.node.status();
-        let members = self.node.members().iter().map(|(identity, kind)| {
-            let voter = kind == waxwing_quorum::members::MemberKind::Voter;
-            (identity.member.0, voter)
-        });
-        let leads = status.role == ready::NodeRole::Leader;
-        let next = log::LogStatus {
-            leads,
-            leader: status.leader.and_then(|leader| self.name_of(leader.member)),
-            term: status.term,
-            members: members.collect(),
-            listed: self.node.members().kind(self.node.identity()).is_some(),
-        };
-        let changed = self.shared.status.send_if_modified(|known| {
-            let changed = *known != next;
-            known.clone_from(&next);
-            changed
-        });
-        if changed {
-            let (term, leader) = (next.term, next.leader);
-            tracing::info!(term, leads, leader, "role in the replicated log");
-        }
-    }
-
-    /// Hands leadership to the voter that has most of the log, so that the group need not wait for
-    /// an election.
-    async fn leave_office(mut self) -> Result<(), errors::ControlError> {
-        let target = membership::successor(&self.node);
-        let transferred =
-            target.map(|target| self.node.transfer_leadership(self.elapsed(), target));
-        if !matches!(transferred, Some(Ok(()))) {
-            return Ok(());
-        }
-        let end = self.clock.now() + TRANSFER_LIMIT;
-        while self.node.status().role == ready::NodeRole::Leader && self.clock.now() < end {
-            self.carry_out();
-            let now = self.clock.now();
-            tokio::select! {
-                Some(request) = self.requests.recv() => self.take_requests(request),
-                Some(report) = self.storage.reports.recv() => self.take_report(report)?,
-                () = self.clock.sleep(self.next_tick.saturating_duration_since(now)) => self.tick(),
-            }
-        }
-        Ok(())
-    }
 }
--- a/crates/waxwing-gate/tests/shares.rs
+++ b/crates/waxwing-gate/tests/shares.rs
@@ -11,13 +11,25 @@
 
 const SLOTS: u32 = 30;
 
+/// Sends the books of all entries to all others.
+fn exchange(entries: &mut [gate::GateCore], now: Instant, whole: bool) {
+    for sender in 0..entries.len() {
+        let book = entries[sender].take_book(now, whole);
+        for (receiver, core) in entries.iter_mut().enumerate() {
+            if receiver != sender {
+                let from = address(u8::try_from(sender).unwrap());
+                core.observe_book(now, from, book.clone());
+            }
+        }
+    }
+}
+
 /// Pattern: calls of 30 ms at three endpoints of six slots from eleven entries whose books lag by
 /// 40 ms, at half of what the endpoints can serve. Nothing has to wait (on a heavy day of such a
 /// deployment two in five calls were late or refused).
 #[test]
 fn short_calls_do_not_wait_for_lagging_books() {
     let start = Instant::now();
-    let ids = ["one", "two", "three"];
     let endpoints = [("one", 1, 6), ("two", 2, 6), ("three", 3, 6)];
     let mut entries: Vec<_> = (0..11).map(|_| gate(start, &endpoints)).collect();
     let mut running: Vec<(usize, SmolStr, Instant)> = Vec::new();
@@ -34,41 +46,30 @@
             core.finish(now, &endpoint, tickets::WorkSize::Call, false);
         }
         // 300 calls a second over all entries, several at the same moment.
-        for arrival in 0..u64::from(elapsed % 20 < 10) {
-            for entry in 0..11_usize {
-                let due = (elapsed + 7 * u64::try_from(entry).unwrap() + arrival) % 18 == 0;
-                if !due {
-                    continue;
-                }
-                asked += 1;
-                let core = &mut entries[entry];
-                core.count_request(now, &SmolStr::new(support::SERVICE));
-                core.offer(tickets::WaitingTicket {
-                    due: now + millis(150),
-                    deadline: now + millis(1_000),
-                    size: tickets::WorkSize::Call,
-                    ..ticket(now, 2, 0)
-                });
-                for (_, endpoint) in granted(&core.decide(now)) {
-                    at_once += 1;
-                    running.push((entry, endpoint, now + millis(30)));
-                }
+        let arrives = elapsed % 20 < 10;
+        for (entry, core) in entries.iter_mut().enumerate() {
+            let phase = 7 * u64::try_from(entry).unwrap();
+            if !arrives || (elapsed + phase) % 18 != 0 {
+                continue;
+            }
+            asked += 1;
+            core.count_request(now, &SmolStr::new(support::SERVICE));
+            core.offer(tickets::WaitingTicket {
+                due: now + millis(150),
+                deadline: now + millis(1_000),
+                size: tickets::WorkSize::Call,
+                ..ticket(now, 2, 0)
+            });
+            for (_, endpoint) in granted(&core.decide(now)) {
+                at_once += 1;
+                running.push((entry, endpoint, now + millis(30)));
             }
         }
         if elapsed % 40 == 0 {
-            for sender in 0..entries.len() {
-                let book = entries[sender].take_book(now, elapsed == 0);
-                for (receiver, core) in entries.iter_mut().enumerate() {
-                    if receiver != sender {
-                        let from = address(u8::try_from(sender).unwrap());
-                        core.observe_book(now, from, book.clone());
-                    }
-                }
-            }
+            exchange(&mut entries, now, elapsed == 0);
         }
     }
     assert!(at_once * 100 >= asked * 97, "{at_once} of {asked}");
-    assert_eq!(ids.len(), endpoints.len());
 }
 
 /// One request at an endpoint, and when it ends.
@@ -114,15 +115,7 @@
             }
         }
         if elapsed % 10 == 0 {
-            for sender in 0..entries.len() {
-                let book = entries[sender].take_book(now, elapsed == 0);
-                for (receiver, core) in entries.iter_mut().enumerate() {
-                    if receiver != sender {
-                        let from = address(u8::try_from(sender).unwrap());
-                        core.observe_book(now, from, book.clone());
-                    }
-                }
-            }
+            exchange(entries, now, elapsed == 0);
         }
     }
     started
--- a/crates/waxwing-process/src/lib.rs
+++ b/crates/waxwing-process/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod arguments;
 pub mod decisions;
 pub mod export;
+pub mod listening;
 pub mod logs;
 pub mod metrics;
 pub mod signals;
--- a/crates/waxwing-process/src/metrics.rs
+++ b/crates/waxwing-process/src/metrics.rs
@@ -1,14 +1,16 @@
 //! Counters and histograms in the usual text format over HTTP.
 
-use std::{convert::Infallible, net::SocketAddr};
+use std::net::SocketAddr;
 
 use bytes::Bytes;
 use http_body_util::Full;
-use hyper::{Request, Response, StatusCode, body, server::conn::http1, service};
-use hyper_util::rt::{TokioIo, TokioTimer};
-use prometheus::Encoder as _;
+use hyper::{Request, Response, StatusCode, body};
+use prometheus::{Encoder as _, IntCounterVec, IntGauge, Opts, Registry};
 use tokio::net;
 use tokio_util::sync::CancellationToken;
+use waxwing_core::clock::Clock;
+
+use crate::listening;
 
 /// Upper bounds of the buckets of latency histograms in seconds: powers of two from 5 ms, which is
 /// below a decode step, to 20 s, which is above the longest deadline.
@@ -16,45 +18,46 @@
     0.005, 0.01, 0.02, 0.04, 0.08, 0.16, 0.32, 0.64, 1.28, 2.56, 5.12, 10.24, 20.48,
 ];
 
+/// Registers a counter with one label.
+///
+/// # Errors
+/// Fails if the name or the label is not valid or is taken.
+pub fn counter(
+    registry: &Registry,
+    name: &str,
+    help: &str,
+    label: &str,
+) -> prometheus::Result<IntCounterVec> {
+    let counter = IntCounterVec::new(Opts::new(name, help), &[label])?;
+    registry.register(Box::new(counter.clone()))?;
+    Ok(counter)
+}
+
+/// Registers a gauge.
+///
+/// # Errors
+/// Fails if the name is not valid or is taken.
+pub fn gauge(registry: &Registry, name: &str, help: &str) -> prometheus::Result<IntGauge> {
+    let gauge = IntGauge::new(name, help)?;
+    registry.register(Box::new(gauge.clone()))?;
+    Ok(gauge)
+}
+
 /// Serves the metrics of a registry at `/metrics` until `shutdown`.
 ///
 /// # Errors
 /// Fails if the address can't be bound.
-pub async fn serve(
+pub async fn serve<C: Clock>(
     address: SocketAddr,
+    clock: C,
     registry: prometheus::Registry,
     shutdown: CancellationToken,
 ) -> std::io::Result<()> {
     let listener = net::TcpListener::bind(address).await?;
-    tokio::spawn(async move {
-        loop {
-            let accepted = tokio::select! {
-                () = shutdown.cancelled() => return,
-                accepted = listener.accept() => accepted,
-            };
-            let stream = match accepted {
-                Ok((stream, _)) => stream,
-                Err(error) => {
-                    tracing::warn!(%error, "no reader of metrics can be accepted");
-                    tokio::task::yield_now().await;
-                    continue;
-                }
-            };
-            let registry = registry.clone();
-            tokio::spawn(async move {
-                let service = service::service_fn(move |request: Request<body::Incoming>| {
-                    let answer = answer(&registry, request.uri().path());
-                    async move { Ok::<_, Infallible>(answer) }
-                });
-                let connection = http1::Builder::new()
-                    .timer(TokioTimer::new())
-                    .serve_connection(TokioIo::new(stream), service);
-                if let Err(error) = connection.await {
-                    tracing::debug!(%error, "a reader of metrics failed");
-                }
-            });
-        }
-    });
+    let respond = move |request: Request<body::Incoming>| {
+        std::future::ready(answer(&registry, request.uri().path()))
+    };
+    tokio::spawn(listening::serve(listener, clock, respond, shutdown));
     Ok(())
 }
 
--- a/crates/waxwing-registrar/src/group.rs
+++ b/crates/waxwing-registrar/src/group.rs
@@ -16,7 +16,7 @@
 use waxwing_quorum::{
     errors as quorum_errors, members, messages, node, options as quorum_options, ready, units,
 };
-use waxwing_store::{disk, store, writer};
+use waxwing_store::{disk, driving, driving::LogHandler as _, store, writer};
 use waxwing_wire::messages as wire;
 
 use crate::{documents, errors, options, repair};
@@ -433,48 +433,84 @@
         }
     }
 
-    fn take_report(&mut self, report: writer::WriteReport) -> Result<(), errors::RegistrarError> {
-        match report {
-            Ok(sequence) => {
-                self.node.persisted(sequence);
-                Ok(())
-            }
-            Err(error) => {
-                self.node.storage_failed();
-                self.carry_out();
-                Err(error.into())
-            }
+    fn compact(&mut self) {
+        let status = self.node.status();
+        if status.log_bytes < SNAPSHOT_BYTES.max(self.register.held().body.len() as u64) {
+            return;
+        }
+        let data = self.register.to_snapshot();
+        if let Err(error) = self.node.compact(status.applied, data) {
+            tracing::warn!(%error, "the log could not be compacted");
         }
     }
 
-    /// Carries out what the node asks for, until it asks for nothing more.
-    fn carry_out(&mut self) {
-        loop {
-            let ready = self.node.take_ready();
-            if ready.is_empty() {
-                return;
-            }
-            for outgoing in ready.messages {
-                let payload = messages::encode(&outgoing.message);
-                let quorum = wire::Quorum { group: 0, payload };
-                let address = repair::link_address(outgoing.to);
-                self.network.send(address, wire::Body::Quorum(quorum));
-            }
-            if let Some(batch) = ready.writes {
-                // A closed queue means that a report of failure is on its way.
-                let _ = self.storage.batches.send(batch);
-            }
-            if let Some(snapshot) = ready.install {
-                self.install(&snapshot);
-            }
-            if !ready.committed.is_empty() {
-                self.apply(&ready.committed);
-            }
-            self.answer_reads(ready.reads, &ready.failed_reads);
-            if let Some(role) = ready.role {
-                self.take_role(role);
+    fn publish(&self) {
+        let status = self.node.status();
+        let members = self.node.members().iter();
+        let view = GroupView {
+            leads: self.office.is_some(),
+            votes: self.node.members().is_voter(self.node.identity()),
+            voters: self.node.members().voters().count(),
+            leader: status
+                .leader
+                .map(|leader| repair::link_address(leader.member)),
+            members: members
+                .map(|(identity, _)| repair::link_address(identity.member))
+                .collect(),
+            document: self.register.held().clone(),
+        };
+        self.channels.view.send_if_modified(|known| {
+            let changed = *known != view;
+            *known = view;
+            changed
+        });
+    }
+
+    /// Hands leadership to another voter before the process ends.
+    async fn leave_office(mut self) -> Result<(), errors::RegistrarError> {
+        if self.office.is_none() {
+            return Ok(());
+        }
+        let peers = self.node.peers();
+        let voters = peers
+            .iter()
+            .filter(|peer| self.node.members().is_voter(peer.identity));
+        let Some(successor) = voters.max_by_key(|peer| (peer.heard, peer.matched)) else {
+            return Ok(());
+        };
+        let target = successor.identity.member;
+        let elapsed = self.elapsed();
+        if let Err(error) = self.node.transfer_leadership(elapsed, target) {
+            tracing::warn!(%error, "leadership could not be transferred");
+            return Ok(());
+        }
+        let limit = self.clock.now() + TRANSFER_LIMIT;
+        while self.office.is_some() && self.clock.now() < limit {
+            self.carry_out();
+            let now = self.clock.now();
+            tokio::select! {
+                Some(request) = self.channels.requests.recv() => self.take(request),
+                Some(report) = self.storage.reports.recv() => self.take_report(report)?,
+                () = self.clock.sleep(self.next_tick.saturating_duration_since(now)) => self.tick(),
             }
         }
+        Ok(())
+    }
+}
+
+impl<C: Clock> driving::LogHandler for GroupTask<'_, C> {
+    fn node(&mut self) -> &mut node::QuorumNode {
+        &mut self.node
+    }
+
+    fn storage(&self) -> &writer::WriterHandle {
+        &self.storage
+    }
+
+    fn send(&mut self, to: ids::MemberId, payload: Bytes) {
+        let quorum = wire::Quorum { group: 0, payload };
+        let address = repair::link_address(to);
+        self.network.send(address, wire::Body::Quorum(quorum));
     }
 
     fn install(&mut self, snapshot: &ready::Snapshot) {
@@ -489,8 +525,8 @@
         self.publish();
     }
 
-    fn apply(&mut self, entries: &[messages::LogEntry]) {
-        for entry in entries {
+    fn apply(&mut self, entries: Vec<messages::LogEntry>) {
+        for entry in &entries {
             if entry.kind() == messages::EntryKind::Members {
                 // The next step of a repair follows at once.
                 self.next_repair = self.clock.now();
@@ -524,18 +560,7 @@
         self.compact();
     }
 
-    fn compact(&mut self) {
-        let status = self.node.status();
-        if status.log_bytes < SNAPSHOT_BYTES.max(self.register.held().body.len() as u64) {
-            return;
-        }
-        let data = self.register.to_snapshot();
-        if let Err(error) = self.node.compact(status.applied, data) {
-            tracing::warn!(%error, "the log could not be compacted");
-        }
-    }
-
-    fn answer_reads(&mut self, reads: Vec<ready::ConfirmedRead>, failed: &[units::ReadToken]) {
+    fn answer_reads(&mut self, reads: Vec<ready::ConfirmedRead>, failed: Vec<units::ReadToken>) {
         for read in reads {
             let Some(waiting) = self.reads.remove(&read.token.0) else {
                 continue;
@@ -581,59 +606,6 @@
         tracing::info!(event = "log-role", role = ?change.role, term = change.term, ?leader);
         self.publish();
     }
-
-    fn publish(&self) {
-        let status = self.node.status();
-        let members = self.node.members().iter();
-        let view = GroupView {
-            leads: self.office.is_some(),
-            votes: self.node.members().is_voter(self.node.identity()),
-            voters: self.node.members().voters().count(),
-            leader: status
-                .leader
-                .map(|leader| repair::link_address(leader.member)),
-            members: members
-                .map(|(identity, _)| repair::link_address(identity.member))
-                .collect(),
-            document: self.register.held().clone(),
-        };
-        self.channels.view.send_if_modified(|known| {
-            let changed = *known != view;
-            *known = view;
-            changed
-        });
-    }
-
-    /// Hands leadership to another voter before the process ends.
-    async fn leave_office(mut self) -> Result<(), errors::RegistrarError> {
-        if self.office.is_none() {
-            return Ok(());
-        }
-        let peers = self.node.peers();
-        let voters = peers
-            .iter()
-            .filter(|peer| self.node.members().is_voter(peer.identity));
-        let Some(successor) = voters.max_by_key(|peer| (peer.heard, peer.matched)) else {
-            return Ok(());
-        };
-        let target = successor.identity.member;
-        let elapsed = self.elapsed();
-        if let Err(error) = self.node.transfer_leadership(elapsed, target) {
-            tracing::warn!(%error, "leadership could not be transferred");
-            return Ok(());
-        }
-        let limit = self.clock.now() + TRANSFER_LIMIT;
-        while self.office.is_some() && self.clock.now() < limit {
-            self.carry_out();
-            let now = self.clock.now();
-            tokio::select! {
-                Some(request) = self.channels.requests.recv() => self.take(request),
-                Some(report) = self.storage.reports.recv() => self.take_report(report)?,
-                () = self.clock.sleep(self.next_tick.saturating_duration_since(now)) => self.tick(),
-            }
-        }
-        Ok(())
-    }
 }
 
 fn fail(waiting: WaitingRead, failure: errors::ChangeFailure) {
--- a/crates/waxwing-registrar/src/http.rs
+++ b/crates/waxwing-registrar/src/http.rs
@@ -1,29 +1,24 @@
 //! The HTTP interface of a control host for operators and endpoints.
 
-use std::{convert::Infallible, net::SocketAddr};
+use std::net::SocketAddr;
 
 use bytes::Bytes;
 use http_body_util::{BodyExt as _, Full, Limited};
 use hyper::{
     Request, Response, StatusCode, body,
     http::{HeaderValue, header},
-    server::conn::http1,
-    service,
 };
-use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::net;
 use tokio_util::sync::CancellationToken;
 use waxwing_core::clock::Clock;
 use waxwing_fleet::{deployments, dialects};
+use waxwing_process::listening;
 
 use crate::{documents, errors, host};
 
 /// The longest body; a document with thousands of routes is a few megabytes.
 const MAX_BODY_BYTES: usize = 8 * 1024 * 1024;
 
-/// Pause after a failed accept, most often for want of file descriptors.
-const ACCEPT_PAUSE: std::time::Duration = std::time::Duration::from_millis(50);
-
 type Answer = Response<Full<Bytes>>;
 
 /// Serves calls until `shutdown`.
@@ -33,33 +28,12 @@
     dialect: D,
     shutdown: CancellationToken,
 ) {
-    loop {
-        let accepted = tokio::select! {
-            () = shutdown.cancelled() => return,
-            accepted = listener.accept() => accepted,
-        };
-        let stream = match accepted {
-            Ok((stream, _)) => stream,
-            Err(error) => {
-                tracing::warn!(%error, "no call can be accepted");
-                host.clock.sleep(ACCEPT_PAUSE).await;
-                continue;
-            }
-        };
+    let clock = host.clock.clone();
+    let respond = move |request| {
         let (host, dialect) = (host.clone(), dialect.clone());
-        tokio::spawn(async move {
-            let service = service::service_fn(move |request| {
-                let (host, dialect) = (host.clone(), dialect.clone());
-                async move { Ok::<_, Infallible>(answer(&host, &dialect, request).await) }
-            });
-            let connection = http1::Builder::new()
-                .timer(TokioTimer::new())
-                .serve_connection(TokioIo::new(stream), service);
-            if let Err(error) = connection.await {
-                tracing::debug!(%error, "a caller's connection failed");
-            }
-        });
-    }
+        async move { answer(&host, &dialect, request).await }
+    };
+    listening::serve(listener, clock, respond, shutdown).await;
 }
 
 async fn answer<C: Clock, D: dialects::ControlDialect>(
--- a/crates/waxwing-registrar/src/metrics.rs
+++ b/crates/waxwing-registrar/src/metrics.rs
@@ -1,6 +1,7 @@
 //! Counters of a control host; `docs/OPERATIONS.md` says what to do about each one.
 
-use prometheus::{IntCounterVec, IntGauge, Opts, Registry};
+use prometheus::{IntCounterVec, IntGauge, Registry};
+use waxwing_process::metrics;
 
 use crate::group;
 
@@ -24,16 +25,9 @@
     /// Fails if a name or label is not valid.
     pub fn new() -> prometheus::Result<Self> {
         let registry = Registry::new();
-        let counter = |name: &str, help: &str, label: &str| -> prometheus::Result<_> {
-            let counter = IntCounterVec::new(Opts::new(name, help), &[label])?;
-            registry.register(Box::new(counter.clone()))?;
-            Ok(counter)
-        };
-        let gauge = |name: &str, help: &str| -> prometheus::Result<_> {
-            let gauge = IntGauge::new(name, help)?;
-            registry.register(Box::new(gauge.clone()))?;
-            Ok(gauge)
-        };
+        let counter =
+            |name: &str, help: &str, label: &str| metrics::counter(&registry, name, help, label);
+        let gauge = |name: &str, help: &str| metrics::gauge(&registry, name, help);
         Ok(Self {
             notices: counter(
                 "waxwing_registrar_notices_total",
--- a/crates/waxwing-registrar/src/roles.rs
+++ b/crates/waxwing-registrar/src/roles.rs
@@ -63,7 +63,13 @@
                 .await?;
         let metrics = metrics::RegistrarMetrics::new()?;
         if let Some(address) = options.metrics_address {
-            let served = served::serve(address, metrics.registry.clone(), ended.clone()).await;
+            let served = served::serve(
+                address,
+                self.clock.clone(),
+                metrics.registry.clone(),
+                ended.clone(),
+            )
+            .await;
             served.map_err(|error| errors::RegistrarError::Bind { address, error })?;
         }
         let (handle, mut channels) = group::channels();
--- a/crates/waxwing-store/src/lib.rs
+++ b/crates/waxwing-store/src/lib.rs
@@ -10,6 +10,7 @@
 //! | `*.tmp` | unfinished files; removed at open |
 
 pub mod disk;
+pub mod driving;
 pub mod errors;
 pub mod frames;
 pub mod memory;
