Let one request wait at the door of each engine

Pattern: under overload an engine's slot stays empty while the entry hears of the end of a run and sends the next request. Change: an engine may hold one request more than it has slots.

--- a/crates/waxwing-gate/src/endpoints.rs
+++ b/crates/waxwing-gate/src/endpoints.rs
@@ -95,14 +95,16 @@
             && self.suspected_until.is_none_or(|until| now >= until)
     }
 
-    /// Returns the free slots. What other entries run counts only where `books` can be relied on.
+    /// Returns the requests that it may get now: its free slots, and `door` requests that wait there
+    /// so that no slot stays empty between two runs. What other entries run counts only where
+    /// `books` can be relied on.
     #[must_use]
-    pub fn free_slots(&self, books: bool) -> u32 {
+    pub fn free_places(&self, books: bool, door: u32) -> u32 {
         let running = match books {
             true => self.total().running,
             false => self.own.running,
         };
-        self.slots.saturating_sub(running)
+        self.slots.saturating_add(door).saturating_sub(running)
     }
 
     /// Returns the time to the first event, or to the answer of a plain call, that is expected if
--- a/crates/waxwing-gate/src/gate.rs
+++ b/crates/waxwing-gate/src/gate.rs
@@ -570,7 +570,7 @@
         for view in usable {
             any = true;
             slots += view.slots;
-            free += view.free_slots(counted);
+            free += view.free_places(counted, self.options.waiting_at_door);
         }
         // The other entries take their part of the slots that get free.
         let entries = u32::try_from(self.peers.len() + 1).unwrap_or(u32::MAX);
@@ -627,7 +627,7 @@
             let run = view.expected_run(ticket.size, model, &self.options);
             let fits = run.mul_f64(self.options.length_margin) <= left;
             fits_somewhere |= fits;
-            if view.free_slots(counted) == 0 {
+            if view.free_places(counted, self.options.waiting_at_door) == 0 {
                 continue;
             }
             let first = view.expected(ticket.size, model, &self.options);
--- a/crates/waxwing-gate/src/options.rs
+++ b/crates/waxwing-gate/src/options.rs
@@ -67,6 +67,9 @@
     /// Time for which the demand that another entry told is taken as its present one; some
     /// intervals between books.
     pub demand_lifetime: Duration,
+    /// Requests beyond its slots that an endpoint may hold, so that no slot stays empty while the
+    /// next request is on its way.
+    pub waiting_at_door: u32,
     /// The shortest mean run of a service for which books tell what runs elsewhere. Shorter runs
     /// have ended before the other entries hear of them; their endpoints queue instead.
     pub shortest_counted_run: Duration,
@@ -106,6 +109,7 @@
             retry_extra: 50.0,
             budget_window: Duration::from_secs(10),
             demand_lifetime: Duration::from_millis(500),
+            waiting_at_door: 1,
             shortest_counted_run: Duration::from_millis(150),
             yield_limit: Duration::from_millis(60),
             lost_peer_retention: Duration::from_secs(20),
--- a/crates/waxwing-gate/tests/gate.rs
+++ b/crates/waxwing-gate/tests/gate.rs
@@ -8,7 +8,7 @@
 use waxwing_gate::tickets;
 use waxwing_wire::messages;
 
-use support::{gate, granted, millis, notice, refused, ticket};
+use support::{gate, gate_with_door, granted, millis, notice, refused, ticket};
 
 #[test]
 fn an_urgent_request_overtakes_those_that_wait() {
@@ -40,6 +40,18 @@
     assert_eq!(granted(&core.decide(now)).len(), 5);
 }
 
+/// Pattern: all slots are taken and more waits. One request waits at the door of each endpoint, so
+/// that its slots are never empty between two runs, and the rest waits here.
+#[test]
+fn one_request_waits_at_the_door() {
+    let now = Instant::now();
+    let mut core = gate_with_door(now, &[("one", 1, 3), ("two", 2, 2)], 1);
+    for _ in 0..20 {
+        core.offer(ticket(now, 1, 100));
+    }
+    assert_eq!(granted(&core.decide(now)).len(), 7);
+}
+
 #[test]
 fn what_other_entries_run_takes_slots() {
     let now = Instant::now();
--- a/crates/waxwing-gate/tests/support/mod.rs
+++ b/crates/waxwing-gate/tests/support/mod.rs
@@ -35,8 +35,22 @@
     }
 }
 
+/// Builds a gate that gives an endpoint no more requests than it has slots.
 pub(crate) fn gate(now: Instant, endpoints: &[(&str, u8, u32)]) -> gate::GateCore {
-    let mut core = gate::GateCore::new(options::GateOptions::default(), now);
+    gate_with_door(now, endpoints, 0)
+}
+
+/// Builds a gate that lets `door` requests wait at each endpoint.
+pub(crate) fn gate_with_door(
+    now: Instant,
+    endpoints: &[(&str, u8, u32)],
+    door: u32,
+) -> gate::GateCore {
+    let options = options::GateOptions {
+        waiting_at_door: door,
+        ..options::GateOptions::default()
+    };
+    let mut core = gate::GateCore::new(options, now);
     for (id, host, slots) in endpoints {
         core.observe_notice(notice(id, *host, *slots), now);
     }
