--- /dev/null
+++ b/crates/waxwing-conduit/src/checks.rs
@@ -0,0 +1,161 @@
+//! Checks of a request before it waits: route, key, limits, quota, and whether it can end in time.
+
+use std::time::{Duration, Instant};
+
+use http_body_util::{BodyExt as _, Limited};
+use hyper::{
+    StatusCode, body,
+    http::{self, header},
+};
+use smol_str::SmolStr;
+use waxwing_core::clock::Clock;
+use waxwing_fleet::{deployments, dialects};
+use waxwing_gate::{quotas, tickets};
+
+use crate::{forwarding, intake, state};
+
+/// Times its expected run by which a request must be able to end before the process does; the
+/// expected length of an answer is right at the median only.
+const STOPPING_RUN_FACTOR: u32 = 3;
+
+/// When a caller should come back that reached an entry about to end; another one takes it then.
+const STOPPING_RETRY_AFTER: Duration = Duration::from_millis(50);
+
+/// Shares of a caller's remaining time after which it is asked to come back; it waits a third of
+/// it at most.
+const RETURN_SHARES: std::ops::Range<f64> = 0.2..0.33;
+
+/// Checks a request against the deployment in force and reads its body.
+pub(crate) async fn accept<C: Clock, D: dialects::RequestDialect>(
+    state: &state::EntryState<C, D>,
+    arrival: Instant,
+    head: http::request::Parts,
+    incoming: body::Incoming,
+    facts: dialects::RequestFacts,
+) -> Result<intake::AcceptedRequest, intake::RequestFailure> {
+    let unknown = intake::RequestFailure {
+        retry_after: facts.deadline.map(late_return),
+        ..intake::RequestFailure::new(StatusCode::SERVICE_UNAVAILABLE, "no-deployment")
+    };
+    let limits = state.deployment.load().as_ref().ok_or(unknown)?.limits();
+    let longest = usize::try_from(limits.body_bytes.0).unwrap_or(usize::MAX);
+    let body = Limited::new(incoming, longest).collect().await;
+    let body = body
+        .map_err(|_| intake::RequestFailure::new(StatusCode::PAYLOAD_TOO_LARGE, "body-too-long"))?
+        .to_bytes();
+    // The version that is in force once the request is whole decides.
+    let deployment = state.deployment.load_full().ok_or(unknown)?;
+    let host = head.uri.host().or_else(|| {
+        let value = head.headers.get(header::HOST)?.to_str().ok()?;
+        Some(value.split_once(':').map_or(value, |(host, _)| host))
+    });
+    let route = host.and_then(|host| deployment.route(host, head.uri.path()));
+    let route = route.ok_or(intake::RequestFailure::new(
+        StatusCode::NOT_FOUND,
+        "no-route",
+    ))?;
+    let account = match deployment.needs_keys() && !route.public {
+        true => {
+            let account = facts.key.as_ref().and_then(|key| deployment.account(key));
+            let refused = intake::RequestFailure::new(StatusCode::UNAUTHORIZED, "unknown-key");
+            Some(account.ok_or(refused)?.clone())
+        }
+        false => None,
+    };
+    let draw = rand::random_range(0..route.total_weight().max(1));
+    let service = route.target(draw).cloned().unwrap_or_default();
+    let size = match facts.tokens {
+        Some(tokens) => tickets::WorkSize::Generation {
+            prompt: tokens.prompt,
+            answer: tokens.expected.unwrap_or(tokens.most).min(tokens.most),
+            most: tokens.most,
+        },
+        None => tickets::WorkSize::Call,
+    };
+    let patience = facts.deadline.unwrap_or(route.timeout).min(route.timeout);
+    let profile = deployment.service(&service).and_then(|found| found.engine);
+    Ok(intake::AcceptedRequest {
+        event_tokens: profile.map_or(1, |profile| profile.event_tokens),
+        headers: forwarding::forwarded_headers(&state.dialect, &head.headers),
+        facts,
+        route: route.clone(),
+        service,
+        account,
+        size,
+        arrival,
+        deadline: arrival + patience,
+        method: head.method,
+        uri: head.uri,
+        body,
+    })
+}
+
+/// Returns when a caller should come back whose request can't be judged yet: late in the time that
+/// it waits at most, since the entry has just started.
+fn late_return(left: Duration) -> Duration {
+    left.mul_f64(rand::random_range(RETURN_SHARES))
+}
+
+/// Refuses a request that could not end before the process does.
+pub(crate) fn check_stopping<C: Clock, D: dialects::RequestDialect>(
+    state: &state::EntryState<C, D>,
+    request: &intake::AcceptedRequest,
+) -> Result<(), intake::RequestFailure> {
+    let Some(end) = state.last_end() else {
+        return Ok(());
+    };
+    let run = state
+        .gate()
+        .core
+        .expected_run(&request.service, request.size);
+    match state.clock.now() + run * STOPPING_RUN_FACTOR <= end {
+        true => Ok(()),
+        false => Err(intake::RequestFailure {
+            status: StatusCode::SERVICE_UNAVAILABLE,
+            reason: "stopping",
+            retry_after: Some(STOPPING_RETRY_AFTER),
+            inputs: None,
+        }),
+    }
+}
+
+/// Takes the request from the quota of its account; returns what it took.
+pub(crate) fn admit<C: Clock, D: dialects::RequestDialect>(
+    state: &state::EntryState<C, D>,
+    request: &intake::AcceptedRequest,
+) -> Result<Option<(SmolStr, f64)>, intake::RequestFailure> {
+    let now = state.clock.now();
+    let mut gate = state.gate();
+    gate.core.count_request(now, &request.service);
+    let Some(account) = &request.account else {
+        return Ok(None);
+    };
+    let Some(quota) = &account.quota else {
+        return Ok(None);
+    };
+    let cost = match (quota.unit, request.facts.tokens) {
+        (deployments::QuotaUnit::Requests, _) => 1.0,
+        (deployments::QuotaUnit::Tokens, None) => quota.default_cost,
+        (deployments::QuotaUnit::Tokens, Some(tokens)) => {
+            let sum = u32::try_from(tokens.prompt + tokens.most).unwrap_or(u32::MAX);
+            f64::from(sum)
+        }
+    };
+    let claim = quotas::QuotaClaim {
+        account: &account.name,
+        quota,
+        cost,
+    };
+    match gate.core.admit(now, claim) {
+        Ok(()) => Ok(Some((account.name.clone(), cost))),
+        Err(after) => {
+            let left = request.deadline.saturating_duration_since(now);
+            Err(intake::RequestFailure {
+                status: StatusCode::TOO_MANY_REQUESTS,
+                reason: "over-quota",
+                retry_after: Some(after.max(Duration::from_millis(200)).min(left)),
+                inputs: None,
+            })
+        }
+    }
+}
--- /dev/null
+++ b/crates/waxwing-conduit/src/forwarding.rs
@@ -0,0 +1,99 @@
+//! Requests as they go to endpoints, and answers as they go to callers.
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::{
+    Request, Response,
+    http::{self, HeaderMap, HeaderName, header},
+};
+use waxwing_core::clock::Clock;
+use waxwing_fleet::dialects;
+
+use crate::{answers, intake, state};
+
+/// Headers that concern one connection only.
+const CONNECTION_HEADERS: [HeaderName; 7] = [
+    header::CONNECTION,
+    HeaderName::from_static("keep-alive"),
+    header::PROXY_AUTHENTICATE,
+    header::TE,
+    header::TRAILER,
+    header::TRANSFER_ENCODING,
+    header::UPGRADE,
+];
+
+/// Builds the request for the endpoint of a run.
+pub(crate) fn outgoing<C: Clock, D: dialects::RequestDialect>(
+    state: &state::EntryState<C, D>,
+    request: &intake::AcceptedRequest,
+    run: &state::StartedRun<C, D>,
+    last_event: Option<u64>,
+) -> Request<Full<Bytes>> {
+    let mut outgoing = Request::new(Full::new(request.body.clone()));
+    *outgoing.method_mut() = request.method.clone();
+    let path = request.uri.path_and_query().cloned();
+    *outgoing.uri_mut() = path.map_or_else(|| request.uri.clone(), http::Uri::from);
+    let mut headers = request.headers.clone();
+    let facts = dialects::DispatchFacts {
+        endpoint: &run.endpoint,
+        account: request
+            .account
+            .as_ref()
+            .map(|account| account.name.as_str()),
+        deadline: request
+            .facts
+            .deadline
+            .map(|_| intake::remaining(state, request)),
+        last_event,
+    };
+    state.dialect.dispatch(&mut headers, &facts);
+    *outgoing.headers_mut() = headers;
+    outgoing
+}
+
+/// Returns the caller's headers without those of its connection and those that are the system's.
+pub(crate) fn forwarded_headers<D: dialects::RequestDialect>(
+    dialect: &D,
+    headers: &HeaderMap,
+) -> HeaderMap {
+    let named = connection_options(headers);
+    let mut forwarded = HeaderMap::with_capacity(headers.len() + 4);
+    for (name, value) in headers {
+        let own = CONNECTION_HEADERS.contains(name)
+            || named.contains(name)
+            || *name == header::CONTENT_LENGTH
+            || *name == header::EXPECT;
+        if !own && !dialect.is_reserved(name) {
+            forwarded.append(name.clone(), value.clone());
+        }
+    }
+    forwarded
+}
+
+/// Returns the headers that `Connection` names.
+fn connection_options(headers: &HeaderMap) -> Vec<HeaderName> {
+    let values = headers.get_all(header::CONNECTION).iter();
+    let names = values.filter_map(|value| value.to_str().ok());
+    let names = names.flat_map(|value| value.split(','));
+    names.filter_map(|name| name.trim().parse().ok()).collect()
+}
+
+/// Builds the answer to the caller from the head of the endpoint's answer.
+pub(crate) fn returned_answer(
+    head: http::response::Parts,
+    body: answers::AnswerBody,
+) -> Response<answers::AnswerBody> {
+    let named = connection_options(&head.headers);
+    let mut answer = Response::new(body);
+    *answer.status_mut() = head.status;
+    let headers = answer.headers_mut();
+    for (name, value) in &head.headers {
+        let own = CONNECTION_HEADERS.contains(name)
+            || named.contains(name)
+            || *name == header::CONTENT_LENGTH;
+        if !own {
+            headers.append(name.clone(), value.clone());
+        }
+    }
+    answer
+}
--- a/crates/waxwing-conduit/src/intake.rs
+++ b/crates/waxwing-conduit/src/intake.rs
@@ -7,7 +7,7 @@
 };
 
 use bytes::Bytes;
-use http_body_util::{BodyExt as _, Full, Limited};
+use http_body_util::{BodyExt as _, Limited};
 use hyper::{
     Request, Response, StatusCode, body,
     http::{self, HeaderMap, HeaderName, HeaderValue, header},
@@ -15,9 +15,9 @@
 use smol_str::SmolStr;
 use waxwing_core::clock::Clock;
 use waxwing_fleet::{deployments, dialects};
-use waxwing_gate::{quotas, tickets};
+use waxwing_gate::tickets;
 
-use crate::{answers, errors, relay, state, upstream};
+use crate::{answers, checks, errors, forwarding, relay, state, upstream};
 
 /// The longest plain answer that is read whole before its head is passed on.
 const MAX_ANSWER_BYTES: usize = 16 * 1024 * 1024;
@@ -32,32 +32,10 @@
 /// A caller whose remaining time is below this share of the route's timeout has asked before.
 const RETURNED_SHARE: f64 = 0.93;
 
-/// Times its expected run by which a request must be able to end before the process does; the
-/// expected length of an answer is right at the median only.
-const STOPPING_RUN_FACTOR: u32 = 3;
-
-/// When a caller should come back that reached an entry about to end; another one takes it then.
-const STOPPING_RETRY_AFTER: Duration = Duration::from_millis(50);
-
-/// Shares of a caller's remaining time after which it is asked to come back; it waits a third of
-/// it at most.
-const RETURN_SHARES: std::ops::Range<f64> = 0.2..0.33;
-
 /// Time for which a caller may leave a connection idle, as every answer tells. Each connection
 /// takes some 20 KB, and a heavy day has thousands of them.
 pub(crate) const KEPT_IDLE: Duration = Duration::from_secs(4);
 
-/// Headers that concern one connection only.
-const CONNECTION_HEADERS: [HeaderName; 7] = [
-    header::CONNECTION,
-    HeaderName::from_static("keep-alive"),
-    header::PROXY_AUTHENTICATE,
-    header::TE,
-    header::TRAILER,
-    header::TRANSFER_ENCODING,
-    header::UPGRADE,
-];
-
 /// An `AcceptedRequest` is a request that is proper and allowed.
 pub(crate) struct AcceptedRequest {
     pub(crate) facts: dialects::RequestFacts,
@@ -69,10 +47,11 @@
     pub(crate) deadline: Instant,
     /// Tokens in one event of a stream.
     pub(crate) event_tokens: u32,
-    method: http::Method,
-    uri: http::Uri,
-    headers: HeaderMap,
-    body: Bytes,
+    pub(crate) method: http::Method,
+    pub(crate) uri: http::Uri,
+    /// The caller's headers that go on to endpoints.
+    pub(crate) headers: HeaderMap,
+    pub(crate) body: Bytes,
 }
 
 /// A `GivenAnswer` is an answer of an endpoint that is worth passing on.
@@ -180,10 +159,10 @@
     incoming: body::Incoming,
     facts: dialects::RequestFacts,
 ) -> Result<Response<answers::AnswerBody>, RequestFailure> {
-    let request = accept(state, arrival, head, incoming, facts).await?;
+    let request = checks::accept(state, arrival, head, incoming, facts).await?;
     let request = Arc::new(request);
-    check_stopping(state, &request)?;
-    let cost = admit(state, &request)?;
+    checks::check_stopping(state, &request)?;
+    let cost = checks::admit(state, &request)?;
     let answered = run(state, &request).await;
     if let (Err(failure), Some((account, cost))) = (&answered, cost)
         && failure.status == StatusCode::SERVICE_UNAVAILABLE
@@ -193,138 +172,6 @@
     answered
 }
 
-/// Checks a request against the deployment in force and reads its body.
-async fn accept<C: Clock, D: dialects::RequestDialect>(
-    state: &state::EntryState<C, D>,
-    arrival: Instant,
-    head: http::request::Parts,
-    incoming: body::Incoming,
-    facts: dialects::RequestFacts,
-) -> Result<AcceptedRequest, RequestFailure> {
-    let unknown = RequestFailure {
-        retry_after: facts.deadline.map(late_return),
-        ..RequestFailure::new(StatusCode::SERVICE_UNAVAILABLE, "no-deployment")
-    };
-    let limits = state.deployment.load().as_ref().ok_or(unknown)?.limits();
-    let longest = usize::try_from(limits.body_bytes.0).unwrap_or(usize::MAX);
-    let body = Limited::new(incoming, longest).collect().await;
-    let body = body
-        .map_err(|_| RequestFailure::new(StatusCode::PAYLOAD_TOO_LARGE, "body-too-long"))?
-        .to_bytes();
-    // The version that is in force once the request is whole decides.
-    let deployment = state.deployment.load_full().ok_or(unknown)?;
-    let host = head.uri.host().or_else(|| {
-        let value = head.headers.get(header::HOST)?.to_str().ok()?;
-        Some(value.split_once(':').map_or(value, |(host, _)| host))
-    });
-    let route = host.and_then(|host| deployment.route(host, head.uri.path()));
-    let route = route.ok_or(RequestFailure::new(StatusCode::NOT_FOUND, "no-route"))?;
-    let account = match deployment.needs_keys() && !route.public {
-        true => {
-            let account = facts.key.as_ref().and_then(|key| deployment.account(key));
-            let refused = RequestFailure::new(StatusCode::UNAUTHORIZED, "unknown-key");
-            Some(account.ok_or(refused)?.clone())
-        }
-        false => None,
-    };
-    let draw = rand::random_range(0..route.total_weight().max(1));
-    let service = route.target(draw).cloned().unwrap_or_default();
-    let size = match facts.tokens {
-        Some(tokens) => tickets::WorkSize::Generation {
-            prompt: tokens.prompt,
-            answer: tokens.expected.unwrap_or(tokens.most).min(tokens.most),
-            most: tokens.most,
-        },
-        None => tickets::WorkSize::Call,
-    };
-    let patience = facts.deadline.unwrap_or(route.timeout).min(route.timeout);
-    let profile = deployment.service(&service).and_then(|found| found.engine);
-    Ok(AcceptedRequest {
-        event_tokens: profile.map_or(1, |profile| profile.event_tokens),
-        headers: forwarded_headers(&state.dialect, &head.headers),
-        facts,
-        route: route.clone(),
-        service,
-        account,
-        size,
-        arrival,
-        deadline: arrival + patience,
-        method: head.method,
-        uri: head.uri,
-        body,
-    })
-}
-
-/// Refuses a request that could not end before the process does.
-fn check_stopping<C: Clock, D: dialects::RequestDialect>(
-    state: &state::EntryState<C, D>,
-    request: &AcceptedRequest,
-) -> Result<(), RequestFailure> {
-    let Some(end) = state.last_end() else {
-        return Ok(());
-    };
-    let run = state
-        .gate()
-        .core
-        .expected_run(&request.service, request.size);
-    match state.clock.now() + run * STOPPING_RUN_FACTOR <= end {
-        true => Ok(()),
-        false => Err(RequestFailure {
-            status: StatusCode::SERVICE_UNAVAILABLE,
-            reason: "stopping",
-            retry_after: Some(STOPPING_RETRY_AFTER),
-            inputs: None,
-        }),
-    }
-}
-
-/// Returns when a caller should come back whose request can't be judged yet: late in the time that
-/// it waits at most, since the entry has just started.
-fn late_return(left: Duration) -> Duration {
-    left.mul_f64(rand::random_range(RETURN_SHARES))
-}
-
-/// Takes the request from the quota of its account; returns what it took.
-fn admit<C: Clock, D: dialects::RequestDialect>(
-    state: &state::EntryState<C, D>,
-    request: &AcceptedRequest,
-) -> Result<Option<(SmolStr, f64)>, RequestFailure> {
-    let now = state.clock.now();
-    let mut gate = state.gate();
-    gate.core.count_request(now, &request.service);
-    let Some(account) = &request.account else {
-        return Ok(None);
-    };
-    let Some(quota) = &account.quota else {
-        return Ok(None);
-    };
-    let cost = match (quota.unit, request.facts.tokens) {
-        (deployments::QuotaUnit::Requests, _) => 1.0,
-        (deployments::QuotaUnit::Tokens, None) => quota.default_cost,
-        (deployments::QuotaUnit::Tokens, Some(tokens)) => {
-            let sum = u32::try_from(tokens.prompt + tokens.most).unwrap_or(u32::MAX);
-            f64::from(sum)
-        }
-    };
-    let claim = quotas::QuotaClaim {
-        account: &account.name,
-        quota,
-        cost,
-    };
-    match gate.core.admit(now, claim) {
-        Ok(()) => Ok(Some((account.name.clone(), cost))),
-        Err(after) => {
-            let left = request.deadline.saturating_duration_since(now);
-            Err(RequestFailure {
-                status: StatusCode::TOO_MANY_REQUESTS,
-                reason: "over-quota",
-                retry_after: Some(after.max(Duration::from_millis(200)).min(left)),
-                inputs: None,
-            })
-        }
-    }
-}
-
 /// Runs a request and builds the answer to its caller.
 async fn run<C: Clock, D: dialects::RequestDialect>(
     state: &Arc<state::EntryState<C, D>>,
@@ -358,7 +205,7 @@
                     state.pool.give_back(connection, now).await;
                 });
                 let body = answers::AnswerBody::whole(body.to_bytes());
-                return Ok(returned_answer(head, body));
+                return Ok(forwarding::returned_answer(head, body));
             }
             Err(error) => {
                 given.run.failed();
@@ -445,7 +292,7 @@
         send = history.arrivals + 1,
         last_event
     );
-    let outgoing = outgoing(state, request, &run, last_event);
+    let outgoing = forwarding::outgoing(state, request, &run, last_event);
     let sending = state.pool.send(
         &state.clock,
         &run.endpoint,
@@ -657,72 +504,3 @@
         _ => RequestFailure::new(StatusCode::BAD_GATEWAY, reason),
     }
 }
-
-fn outgoing<C: Clock, D: dialects::RequestDialect>(
-    state: &state::EntryState<C, D>,
-    request: &AcceptedRequest,
-    run: &state::StartedRun<C, D>,
-    last_event: Option<u64>,
-) -> Request<Full<Bytes>> {
-    let mut outgoing = Request::new(Full::new(request.body.clone()));
-    *outgoing.method_mut() = request.method.clone();
-    let path = request.uri.path_and_query().cloned();
-    *outgoing.uri_mut() = path.map_or_else(|| request.uri.clone(), http::Uri::from);
-    let mut headers = request.headers.clone();
-    let facts = dialects::DispatchFacts {
-        endpoint: &run.endpoint,
-        account: request
-            .account
-            .as_ref()
-            .map(|account| account.name.as_str()),
-        deadline: request.facts.deadline.map(|_| remaining(state, request)),
-        last_event,
-    };
-    state.dialect.dispatch(&mut headers, &facts);
-    *outgoing.headers_mut() = headers;
-    outgoing
-}
-
-/// Returns the caller's headers without those of its connection and those that are the system's.
-fn forwarded_headers<D: dialects::RequestDialect>(dialect: &D, headers: &HeaderMap) -> HeaderMap {
-    let named = connection_options(headers);
-    let mut forwarded = HeaderMap::with_capacity(headers.len() + 4);
-    for (name, value) in headers {
-        let own = CONNECTION_HEADERS.contains(name)
-            || named.contains(name)
-            || *name == header::CONTENT_LENGTH
-            || *name == header::EXPECT;
-        if !own && !dialect.is_reserved(name) {
-            forwarded.append(name.clone(), value.clone());
-        }
-    }
-    forwarded
-}
-
-/// Returns the headers that `Connection` names.
-fn connection_options(headers: &HeaderMap) -> Vec<HeaderName> {
-    let values = headers.get_all(header::CONNECTION).iter();
-    let names = values.filter_map(|value| value.to_str().ok());
-    let names = names.flat_map(|value| value.split(','));
-    names.filter_map(|name| name.trim().parse().ok()).collect()
-}
-
-/// Builds the answer to the caller from the head of the endpoint's answer.
-pub(crate) fn returned_answer(
-    head: http::response::Parts,
-    body: answers::AnswerBody,
-) -> Response<answers::AnswerBody> {
-    let named = connection_options(&head.headers);
-    let mut answer = Response::new(body);
-    *answer.status_mut() = head.status;
-    let headers = answer.headers_mut();
-    for (name, value) in &head.headers {
-        let own = CONNECTION_HEADERS.contains(name)
-            || named.contains(name)
-            || *name == header::CONTENT_LENGTH;
-        if !own {
-            headers.append(name.clone(), value.clone());
-        }
-    }
-    answer
-}
--- a/crates/waxwing-conduit/src/lib.rs
+++ b/crates/waxwing-conduit/src/lib.rs
@@ -3,9 +3,11 @@
 //! place in the system.
 
 mod answers;
+mod checks;
 pub mod errors;
 pub mod events;
 mod fleet;
+mod forwarding;
 mod intake;
 pub mod metrics;
 pub mod options;
--- a/crates/waxwing-conduit/src/relay.rs
+++ b/crates/waxwing-conduit/src/relay.rs
@@ -8,7 +8,7 @@
 use waxwing_core::clock::Clock;
 use waxwing_fleet::{deployments, dialects};
 
-use crate::{answers, errors, events, intake, state, upstream};
+use crate::{answers, errors, events, forwarding, intake, state, upstream};
 
 /// Pieces that may wait for a slow caller; a stream's events are small.
 const PIECE_QUEUE: usize = 32;
@@ -84,7 +84,7 @@
         splitter,
     };
     tokio::spawn(relay.run(source));
-    intake::returned_answer(head, answers::AnswerBody::Pieces(receiver))
+    forwarding::returned_answer(head, answers::AnswerBody::Pieces(receiver))
 }
 
 impl<C: Clock, D: dialects::RequestDialect> StreamRelay<C, D> {
--- /dev/null
+++ b/crates/waxwing-gate/src/gate/deciding.rs
@@ -0,0 +1,304 @@
+//! What becomes of requests that wait: which one starts next and where, and who is refused.
+
+use std::time::{Duration, Instant};
+
+use smol_str::SmolStr;
+
+use super::{GateCore, QueuePlace, QueuedTicket, ServiceOutlook};
+use crate::{endpoints, models, shares, tickets};
+
+impl GateCore {
+    /// Decides what can be decided now.
+    pub fn decide(&mut self, now: Instant) -> Vec<tickets::GateDecision> {
+        let mut decisions = Vec::new();
+        let services: Vec<_> = self
+            .queues
+            .iter()
+            .filter(|(_, queue)| !queue.is_empty())
+            .map(|(service, _)| service.clone())
+            .collect();
+        for service in services {
+            self.decide_service(now, &service, &mut decisions);
+        }
+        decisions
+    }
+
+    fn decide_service(
+        &mut self,
+        now: Instant,
+        service: &SmolStr,
+        decisions: &mut Vec<tickets::GateDecision>,
+    ) {
+        let Some(queue) = self.queues.get(service) else {
+            return;
+        };
+        let places: Vec<_> = queue.iter().copied().collect();
+        let outlook = self.outlook(now, service);
+        let mut free = outlook.free;
+        let mut running = self.own_running(service);
+        let mut yielded = false;
+        let mut ahead = 0;
+        for place in places {
+            let Some(QueuedTicket { ticket, .. }) = self.waiting.get(&place.ticket) else {
+                continue;
+            };
+            let claim = match free > 0 && outlook.counted {
+                true => self.claim(now, service, place.rank, running, outlook.slots),
+                false => shares::SlotClaim::Alone,
+            };
+            let left_to_others = match claim {
+                shares::SlotClaim::Alone | shares::SlotClaim::First => false,
+                shares::SlotClaim::OwnOnly => self.vacated(now, service) == 0,
+                shares::SlotClaim::Yields => true,
+            };
+            yielded |= left_to_others;
+            let chosen = match free {
+                0 => None,
+                _ if left_to_others => None,
+                _ => self.choose(now, ticket, outlook.counted),
+            };
+            if let Some((endpoint, expected)) = chosen {
+                let decision = self.start(place, &endpoint, expected);
+                decisions.extend(decision);
+                if let Some(vacated) = self.vacated.get_mut(service) {
+                    vacated.pop_front();
+                }
+                free -= 1;
+                running += 1;
+                continue;
+            }
+            let start = now + outlook.slot_interval * ahead;
+            if now >= self.patience_end(ticket) || start >= self.latest_start(ticket) {
+                let reason = match outlook.usable {
+                    true => tickets::RefusalReason::NoRoom,
+                    false => tickets::RefusalReason::NoEndpoint,
+                };
+                let retry_after = self.retry_after(now, ticket, place.ticket);
+                self.remove(place);
+                decisions.push(tickets::GateDecision::Refuse {
+                    ticket: place.ticket,
+                    reason,
+                    retry_after,
+                    inputs: tickets::RefusalInputs {
+                        ahead,
+                        slots: outlook.slots,
+                        free,
+                        slot_interval: outlook.slot_interval,
+                    },
+                });
+                continue;
+            }
+            ahead += 1;
+        }
+        match yielded {
+            true => {
+                self.yielding.entry(service.clone()).or_insert(now);
+            }
+            false => {
+                self.yielding.remove(service);
+            }
+        }
+        self.demand_changed = true;
+    }
+
+    /// Returns the slots that requests of this entry left lately and that it has not taken again.
+    fn vacated(&self, now: Instant, service: &SmolStr) -> usize {
+        let limit = self.options.yield_limit;
+        let vacated = self.vacated.get(service).into_iter().flatten();
+        vacated
+            .filter(|since| now.saturating_duration_since(**since) <= limit)
+            .count()
+    }
+
+    /// Returns the claim of this entry on a free slot.
+    fn claim(
+        &self,
+        now: Instant,
+        service: &SmolStr,
+        rank: (u32, u32),
+        running: u32,
+        slots: u32,
+    ) -> shares::SlotClaim {
+        let Some(peers) = self.demands.get(service) else {
+            return shares::SlotClaim::Alone;
+        };
+        let since = self.yielding.get(service);
+        let tired = since
+            .is_some_and(|since| now.saturating_duration_since(*since) >= self.options.yield_limit);
+        let own = shares::OwnDemand {
+            recent: self
+                .recent
+                .get(service)
+                .map_or(0.0, |recent| recent.at(now)),
+            running,
+            rank,
+        };
+        match tired {
+            true => shares::SlotClaim::First,
+            false => shares::claim(now, own, peers, slots, &self.options),
+        }
+    }
+
+    /// Returns what a service can take at present.
+    fn outlook(&self, now: Instant, service: &SmolStr) -> ServiceOutlook {
+        let usable = self
+            .endpoints
+            .values()
+            .filter(|view| view.service == *service && view.is_usable(now, &self.options));
+        let run_time = self.model(service).run_time();
+        let counted = run_time >= self.options.shortest_counted_run;
+        let (mut slots, mut free, mut any) = (0, 0, false);
+        for view in usable {
+            any = true;
+            slots += view.slots;
+            free += view.free_places(counted, self.options.waiting_at_door);
+        }
+        // The other entries take their part of the slots that get free.
+        let entries = u32::try_from(self.peers.len() + 1).unwrap_or(u32::MAX);
+        ServiceOutlook {
+            usable: any,
+            counted,
+            slots,
+            free,
+            slot_interval: run_time * entries / slots.max(1),
+        }
+    }
+
+    pub(super) fn model(&self, service: &SmolStr) -> &models::ServiceModel {
+        self.models.get(service).unwrap_or(&self.initial_model)
+    }
+
+    /// Returns the time of a run at a typical engine.
+    #[must_use]
+    pub fn expected_run(&self, service: &SmolStr, size: tickets::WorkSize) -> Duration {
+        self.model(service).run(size)
+    }
+
+    /// Returns when a request must start at the latest to be worth its wait.
+    fn latest_start(&self, ticket: &tickets::WaitingTicket) -> Instant {
+        let end = self.patience_end(ticket);
+        if ticket.returned || ticket.resumed || ticket.size == tickets::WorkSize::Call {
+            return end;
+        }
+        let model = self.model(&ticket.service);
+        let speed = models::EngineSpeed::default();
+        let first = model.first_event(&speed, endpoints::to_float(ticket.size.prompt()));
+        end.checked_sub(first).unwrap_or(ticket.arrival)
+    }
+
+    /// Returns the endpoint with the least expected time that has a free slot. A request that can
+    /// end in time only at endpoints that are full waits for one of those.
+    fn choose(
+        &self,
+        now: Instant,
+        ticket: &tickets::WaitingTicket,
+        counted: bool,
+    ) -> Option<(SmolStr, Duration)> {
+        let model = self.model(&ticket.service);
+        let left = ticket.deadline.saturating_duration_since(now);
+        let mut best: Option<(bool, Duration, &endpoints::EndpointView)> = None;
+        let mut fits_somewhere = false;
+        for view in self.endpoints.values() {
+            let candidate = view.service == ticket.service
+                && view.is_usable(now, &self.options)
+                && !ticket.excluded.contains(&view.id);
+            if !candidate {
+                continue;
+            }
+            let run = view.expected_run(ticket.size, model, &self.options);
+            let fits = run.mul_f64(self.options.length_margin) <= left;
+            fits_somewhere |= fits;
+            if view.free_places(counted, self.options.waiting_at_door) == 0 {
+                continue;
+            }
+            let first = view.expected(ticket.size, model, &self.options);
+            let score = first
+                + run.mul_f64(self.options.run_weight)
+                + self.options.failure_penalty.mul_f64(view.failure_ratio());
+            let better = best.is_none_or(|(best_fits, best_score, best_view)| {
+                (!fits, score, &view.id) < (!best_fits, best_score, &best_view.id)
+            });
+            if better {
+                best = Some((fits, score, view));
+            }
+        }
+        let (fits, _, view) = best?;
+        if !fits && fits_somewhere {
+            return None;
+        }
+        let expected = view.expected(ticket.size, model, &self.options);
+        Some((view.id.clone(), expected))
+    }
+
+    fn start(
+        &mut self,
+        place: QueuePlace,
+        endpoint: &SmolStr,
+        expected: Duration,
+    ) -> Option<tickets::GateDecision> {
+        let ticket = self.remove(place)?;
+        let view = self.endpoints.get_mut(endpoint)?;
+        view.own.running += 1;
+        view.own.pending_prefill += ticket.size.prompt();
+        view.own.memory += ticket.size.memory();
+        let address = view.address;
+        self.note_change(endpoint);
+        Some(tickets::GateDecision::Grant {
+            ticket: place.ticket,
+            endpoint: endpoint.clone(),
+            address,
+            expected,
+            size: ticket.size,
+        })
+    }
+
+    pub(super) fn remove(&mut self, place: QueuePlace) -> Option<tickets::WaitingTicket> {
+        let QueuedTicket { ticket, .. } = self.waiting.remove(&place.ticket)?;
+        if let Some(queue) = self.queues.get_mut(&ticket.service) {
+            queue.remove(&place);
+        }
+        Some(ticket)
+    }
+
+    /// Returns until when a ticket waits.
+    fn patience_end(&self, ticket: &tickets::WaitingTicket) -> Instant {
+        let left = ticket.deadline.saturating_duration_since(ticket.arrival);
+        let share = |share: f64| ticket.arrival + left.mul_f64(share);
+        match ticket.size {
+            tickets::WorkSize::Call => share(self.options.call_patience),
+            tickets::WorkSize::Generation { .. } if ticket.resumed => {
+                (ticket.queued + self.options.resumed_patience).min(ticket.deadline)
+            }
+            tickets::WorkSize::Generation { .. } if ticket.returned => {
+                let objective = ticket.due.saturating_duration_since(ticket.arrival);
+                let longest = objective.mul_f64(self.options.returned_objectives);
+                share(self.options.returned_patience).min(ticket.queued + longest)
+            }
+            tickets::WorkSize::Generation { .. } => {
+                let objective = ticket.due.saturating_duration_since(ticket.arrival);
+                let end = ticket.arrival + objective.mul_f64(self.options.fresh_patience);
+                end.min(ticket.deadline)
+            }
+        }
+    }
+
+    /// Returns when a refused caller should come back. Callers are spread over the time that they
+    /// are willing to wait, so that they do not return together.
+    fn retry_after(
+        &self,
+        now: Instant,
+        ticket: &tickets::WaitingTicket,
+        id: tickets::TicketId,
+    ) -> Option<Duration> {
+        let left = ticket.deadline.saturating_duration_since(now);
+        let longest = left.mul_f64(self.options.retry_after_share);
+        let shortest = self.options.min_retry_after;
+        if longest < shortest {
+            return None;
+        }
+        // Consecutive tickets land far from each other.
+        let step = u32::try_from(id.0 * 7 % 16).unwrap_or_default();
+        let spread = longest.mul_f64(self.options.retry_after_spread) * step / 16;
+        Some((longest - spread).max(shortest))
+    }
+}
--- a/crates/waxwing-registrar/src/host.rs
+++ b/crates/waxwing-registrar/src/host.rs
@@ -14,7 +14,7 @@
 use waxwing_fleet::{network, registry};
 use waxwing_wire::messages;
 
-use crate::{group, metrics, options};
+use crate::{handles, metrics, options};
 
 /// Time for which notices without a change are gathered before entries are told; entries need
 /// them only to know that an endpoint is alive.
@@ -28,7 +28,7 @@
 pub(crate) struct RegistrarHost<C> {
     pub(crate) options: Arc<options::RegistrarOptions>,
     pub(crate) clock: C,
-    pub(crate) group: group::GroupHandle,
+    pub(crate) group: handles::GroupHandle,
     pub(crate) network: network::ProcessNetwork<C>,
     pub(crate) metrics: metrics::RegistrarMetrics,
     registry: Arc<Mutex<registry::EndpointRegistry>>,
@@ -41,7 +41,7 @@
     pub(crate) fn new(
         options: options::RegistrarOptions,
         clock: C,
-        group: group::GroupHandle,
+        group: handles::GroupHandle,
         network: network::ProcessNetwork<C>,
         seeds: watch::Receiver<Vec<SocketAddr>>,
         metrics: metrics::RegistrarMetrics,
@@ -117,7 +117,7 @@
         }
     }
 
-    fn deployment(&self, view: &group::GroupView) -> messages::DeploymentState {
+    fn deployment(&self, view: &handles::GroupView) -> messages::DeploymentState {
         messages::DeploymentState {
             version: view.document.version,
             body: view.document.body.clone(),
@@ -185,11 +185,11 @@
 
     fn take_message(&self, remote: network::RemoteProcess, body: messages::Body) {
         let request = match body {
-            messages::Body::Quorum(quorum) => group::GroupRequest::Peer {
+            messages::Body::Quorum(quorum) => handles::GroupRequest::Peer {
                 from: remote.address,
                 payload: quorum.payload,
             },
-            messages::Body::JoinGroup(join) => group::GroupRequest::Join(join),
+            messages::Body::JoinGroup(join) => handles::GroupRequest::Join(join),
             messages::Body::EndpointNotices(notices) => return self.take_relayed(notices),
             other => {
                 tracing::debug!(address = %remote.address, ?other, "unexpected message");
--- a/crates/waxwing-registrar/src/lib.rs
+++ b/crates/waxwing-registrar/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod documents;
 pub mod errors;
 mod group;
+mod handles;
 mod host;
 mod http;
 pub mod metrics;
--- a/crates/waxwing-registrar/src/metrics.rs
+++ b/crates/waxwing-registrar/src/metrics.rs
@@ -3,7 +3,7 @@
 use prometheus::{IntCounterVec, IntGauge, Registry};
 use waxwing_process::metrics;
 
-use crate::group;
+use crate::handles;
 
 /// `RegistrarMetrics` are the counters of a control host.
 #[derive(Debug, Clone)]
@@ -67,7 +67,7 @@
         self.changes.with_label_values(&[outcome]).inc();
     }
 
-    pub(crate) fn holds(&self, view: &group::GroupView) {
+    pub(crate) fn holds(&self, view: &handles::GroupView) {
         let version = view.document.version;
         self.version.set(i64::try_from(version).unwrap_or(i64::MAX));
         self.leads.set(i64::from(view.leads));
--- a/crates/waxwing-registrar/src/roles.rs
+++ b/crates/waxwing-registrar/src/roles.rs
@@ -9,7 +9,7 @@
 use waxwing_process::metrics as served;
 use waxwing_wire::messages;
 
-use crate::{errors, group, host, http, metrics, options};
+use crate::{errors, group, handles, host, http, metrics, options};
 
 /// Pause before the log is opened again after its disk failed.
 const REOPEN_PAUSE: Duration = Duration::from_millis(500);
@@ -72,7 +72,7 @@
             .await;
             served.map_err(|error| errors::RegistrarError::Bind { address, error })?;
         }
-        let (handle, mut channels) = group::channels();
+        let (handle, mut channels) = handles::channels();
         let host = host::RegistrarHost::new(
             options.clone(),
             self.clock.clone(),
@@ -99,7 +99,7 @@
             // Notices of endpoints need no disk, so the process goes on without its log.
             if let Err(error) = ran {
                 tracing::error!(event = "log-lost", %error, "the log is opened again");
-                group::abandon(&mut channels);
+                handles::abandon(&mut channels);
                 self.clock.sleep(REOPEN_PAUSE).await;
             }
         }
