--- a/crates/waxwing-core/tests/events.rs
+++ b/crates/waxwing-core/tests/events.rs
@@ -24,9 +24,15 @@
 
 fn logged() -> BTreeSet<String> {
     let mut names = BTreeSet::new();
-    for folder in LOGGING {
-        for entry in fs::read_dir(root().join(folder)).unwrap() {
-            let text = fs::read_to_string(entry.unwrap().path()).unwrap();
+    let mut folders: Vec<_> = LOGGING.iter().map(|folder| root().join(folder)).collect();
+    while let Some(folder) = folders.pop() {
+        for entry in fs::read_dir(folder).unwrap() {
+            let path = entry.unwrap().path();
+            if path.is_dir() {
+                folders.push(path);
+                continue;
+            }
+            let text = fs::read_to_string(path).unwrap();
             for part in text.split("event = \"").skip(1) {
                 names.insert(part.split('"').next().unwrap().to_owned());
             }
