--- a/crates/waxwing-settings/src/files.rs
+++ b/crates/waxwing-settings/src/files.rs
@@ -10,6 +10,9 @@
 /// The longest settings file in bytes.
 pub const MAX_FILE_BYTES: u64 = 8 * 1024 * 1024;
 
+/// What the standard library says of a text that is no socket address.
+const ADDRESS_ERROR: &str = "invalid socket address syntax";
+
 /// Reads a file and parses it.
 ///
 /// # Errors
@@ -64,7 +67,11 @@
     let split = detail
         .split_once(", expected ")
         .or(detail.split_once("; allowed: "));
-    let (found, allowed) = split.unwrap_or((detail, "a value of the documented form"));
+    let (found, allowed) = match split {
+        Some(split) => split,
+        None if detail == ADDRESS_ERROR => ("a text that is no address", "`ip:port`"),
+        None => (detail, "a value of the documented form"),
+    };
     let steps = path.trim_start_matches('.').replace('.', "/");
     errors::SettingsError::Value {
         file,
