--- a/crates/waxwing-conduit/src/checks.rs
+++ b/crates/waxwing-conduit/src/checks.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use http_body_util::{BodyExt as _, Limited};
+use http_body_util::{BodyExt as _, LengthLimitError, Limited};
 use hyper::{
     StatusCode, body,
     http::{self, header},
@@ -25,6 +25,9 @@
 /// it at most.
 const RETURN_SHARES: std::ops::Range<f64> = 0.2..0.33;
 
+/// What reading a bounded body fails with.
+type BodyError = Box<dyn std::error::Error + Send + Sync>;
+
 /// Checks a request against the deployment in force and reads its body.
 pub(crate) async fn accept<C: Clock, D: dialects::RequestDialect>(
     state: &state::EntryState<C, D>,
@@ -40,9 +43,7 @@
     let limits = state.deployment.load().as_ref().ok_or(unknown)?.limits();
     let longest = usize::try_from(limits.body_bytes.0).unwrap_or(usize::MAX);
     let body = Limited::new(incoming, longest).collect().await;
-    let body = body
-        .map_err(|_| intake::RequestFailure::new(StatusCode::PAYLOAD_TOO_LARGE, "body-too-long"))?
-        .to_bytes();
+    let body = body.map_err(|error| body_failure(&error))?.to_bytes();
     // The version that is in force once the request is whole decides.
     let deployment = state.deployment.load_full().ok_or(unknown)?;
     let host = head.uri.host().or_else(|| {
@@ -90,6 +91,14 @@
     })
 }
 
+/// Tells a body that is too long from one whose connection broke.
+fn body_failure(error: &BodyError) -> intake::RequestFailure {
+    match error.is::<LengthLimitError>() {
+        true => intake::RequestFailure::new(StatusCode::PAYLOAD_TOO_LARGE, "body-too-long"),
+        false => intake::RequestFailure::new(StatusCode::BAD_REQUEST, "body-broken"),
+    }
+}
+
 /// Returns when a caller should come back whose request can't be judged yet: late in the time that
 /// it waits at most, since the entry has just started.
 fn late_return(left: Duration) -> Duration {
