--- a/crates/waxwing-conduit/src/checks.rs
+++ b/crates/waxwing-conduit/src/checks.rs
@@ -12,11 +12,7 @@
 use waxwing_fleet::{deployments, dialects};
 use waxwing_gate::{quotas, tickets};
 
-use crate::{forwarding, intake, state};
-
-/// Times its expected run by which a request must be able to end before the process does; the
-/// expected length of an answer is right at the median only.
-const STOPPING_RUN_FACTOR: u32 = 3;
+use crate::{forwarding, intake, state, stopping};
 
 /// When a caller should come back that reached an entry about to end; another one takes it then.
 const STOPPING_RETRY_AFTER: Duration = Duration::from_millis(50);
@@ -110,14 +106,16 @@
     state: &state::EntryState<C, D>,
     request: &intake::AcceptedRequest,
 ) -> Result<(), intake::RequestFailure> {
-    let Some(end) = state.last_end() else {
+    let Some(since) = state.stopping.get() else {
         return Ok(());
     };
     let run = state
         .gate()
         .core
         .expected_run(&request.service, request.size);
-    match state.clock.now() + run * STOPPING_RUN_FACTOR <= end {
+    let elapsed = state.clock.now().saturating_duration_since(*since);
+    let generation = request.size != tickets::WorkSize::Call;
+    match stopping::may_start(elapsed, state.options.grace(), generation, run) {
         true => Ok(()),
         false => Err(intake::RequestFailure {
             status: StatusCode::SERVICE_UNAVAILABLE,
--- a/crates/waxwing-conduit/src/lib.rs
+++ b/crates/waxwing-conduit/src/lib.rs
@@ -15,4 +15,5 @@
 pub mod roles;
 mod sockets;
 mod state;
+pub mod stopping;
 mod upstream;
--- a/crates/waxwing-conduit/src/state.rs
+++ b/crates/waxwing-conduit/src/state.rs
@@ -16,11 +16,7 @@
 use waxwing_fleet::deployments;
 use waxwing_gate::{gate, tickets};
 
-use crate::{metrics, options, upstream};
-
-/// Time before the end of the grace at which runs must have ended; a run may take longer than was
-/// expected.
-const STOP_MARGIN: Duration = Duration::from_millis(1_000);
+use crate::{metrics, options, stopping, upstream};
 
 /// An `EntryState` is the state of an entry; handles share it.
 pub(crate) struct EntryState<C, D> {
@@ -124,7 +120,7 @@
     /// Returns when runs must have ended, if the process is about to stop.
     pub(crate) fn last_end(&self) -> Option<Instant> {
         let since = self.stopping.get()?;
-        Some(*since + self.options.grace().saturating_sub(STOP_MARGIN))
+        Some(*since + self.options.grace().saturating_sub(stopping::STOP_MARGIN))
     }
 
     /// Returns the number of requests that are being answered.
