Compute expected times once, and drop what nothing reads

Read again as a whole, the change had some things twice or for nothing: - the choice of an endpoint computed the time to the first event three times for each candidate; it is computed once and carried along; - smooth and the conversion of milliseconds stood in endpoints.rs and in models.rs; endpoints.rs calls those of models.rs; - the memory of runs, and the most tokens of an answer for it, were kept, summed and sent in books, and no decision read them; they are gone. Field 4 of EndpointUse stays unused; - the small HTTP server was generic over bodies, though all are whole, and named a dyn error for it; so did the check of a body; - a link was chosen by collecting and sorting at most two; - refusals spelt out empty fields, and one had a time without a name.

--- a/crates/waxwing-conduit/src/checks.rs
+++ b/crates/waxwing-conduit/src/checks.rs
@@ -17,13 +17,13 @@
 /// When a caller should come back that reached an entry about to end; another one takes it then.
 const STOPPING_RETRY_AFTER: Duration = Duration::from_millis(50);
 
+/// The shortest time after which a caller over its quota should come back; some round trips.
+const MIN_QUOTA_RETRY: Duration = Duration::from_millis(200);
+
 /// Shares of a caller's remaining time after which it is asked to come back; it waits a third of
 /// it at most.
 const RETURN_SHARES: std::ops::Range<f64> = 0.2..0.33;
 
-/// What reading a bounded body fails with.
-type BodyError = Box<dyn std::error::Error + Send + Sync>;
-
 /// Checks a request against the deployment in force and reads its body.
 pub(crate) async fn accept<C: Clock, D: dialects::RequestDialect>(
     state: &state::EntryState<C, D>,
@@ -39,7 +39,8 @@
     let limits = state.deployment.load().as_ref().ok_or(unknown)?.limits();
     let longest = usize::try_from(limits.body_bytes.0).unwrap_or(usize::MAX);
     let body = Limited::new(incoming, longest).collect().await;
-    let body = body.map_err(|error| body_failure(&error))?.to_bytes();
+    let body = body.map_err(|error| body_failure(error.is::<LengthLimitError>()))?;
+    let body = body.to_bytes();
     // The version that is in force once the request is whole decides.
     let deployment = state.deployment.load_full().ok_or(unknown)?;
     let host = head.uri.host().or_else(|| {
@@ -65,7 +66,6 @@
         Some(tokens) => tickets::WorkSize::Generation {
             prompt: tokens.prompt,
             answer: tokens.expected.unwrap_or(tokens.most).min(tokens.most),
-            most: tokens.most,
         },
         None => tickets::WorkSize::Call,
     };
@@ -88,8 +88,8 @@
 }
 
 /// Tells a body that is too long from one whose connection broke.
-fn body_failure(error: &BodyError) -> intake::RequestFailure {
-    match error.is::<LengthLimitError>() {
+fn body_failure(too_long: bool) -> intake::RequestFailure {
+    match too_long {
         true => intake::RequestFailure::new(StatusCode::PAYLOAD_TOO_LARGE, "body-too-long"),
         false => intake::RequestFailure::new(StatusCode::BAD_REQUEST, "body-broken"),
     }
@@ -118,10 +118,8 @@
     match stopping::may_start(elapsed, state.options.grace(), generation, run) {
         true => Ok(()),
         false => Err(intake::RequestFailure {
-            status: StatusCode::SERVICE_UNAVAILABLE,
-            reason: "stopping",
             retry_after: Some(STOPPING_RETRY_AFTER),
-            inputs: None,
+            ..intake::RequestFailure::new(StatusCode::SERVICE_UNAVAILABLE, "stopping")
         }),
     }
 }
@@ -158,10 +156,8 @@
         Err(after) => {
             let left = request.deadline.saturating_duration_since(now);
             Err(intake::RequestFailure {
-                status: StatusCode::TOO_MANY_REQUESTS,
-                reason: "over-quota",
-                retry_after: Some(after.max(Duration::from_millis(200)).min(left)),
-                inputs: None,
+                retry_after: Some(after.max(MIN_QUOTA_RETRY).min(left)),
+                ..intake::RequestFailure::new(StatusCode::TOO_MANY_REQUESTS, "over-quota")
             })
         }
     }
--- a/crates/waxwing-fleet/src/network.rs
+++ b/crates/waxwing-fleet/src/network.rs
@@ -174,13 +174,11 @@
     /// is one; returns whether it was queued.
     pub fn send(&self, address: SocketAddr, body: messages::Body) -> bool {
         let senders = self.senders();
-        let mut links: Vec<_> = senders
+        let links = senders
             .iter()
-            .filter(|(remote, _)| remote.address == address)
-            .collect();
-        links.sort_by_key(|(remote, _)| !remote.dialled);
+            .filter(|(remote, _)| remote.address == address);
         links
-            .first()
+            .min_by_key(|(remote, _)| !remote.dialled)
             .is_some_and(|(_, sender)| sender.try_send(0, body).is_ok())
     }
 
--- a/crates/waxwing-gate/src/endpoints.rs
+++ b/crates/waxwing-gate/src/endpoints.rs
@@ -18,8 +18,6 @@
     pub running: u32,
     /// Prompt tokens of those that have not produced anything yet.
     pub pending_prefill: u64,
-    /// Tokens of memory that they take at most.
-    pub memory: u64,
 }
 
 /// An `EndpointView` is one endpoint as this entry sees it.
@@ -83,7 +81,6 @@
             .fold(self.own, |sum, other| EndpointUse {
                 running: sum.running + other.running,
                 pending_prefill: sum.pending_prefill + other.pending_prefill,
-                memory: sum.memory + other.memory,
             })
     }
 
@@ -120,11 +117,9 @@
         let crowding = f64::from(total.running) / f64::from(self.slots.max(1));
         let time = match size {
             tickets::WorkSize::Call => {
-                let initial = options.initial_call_time.as_secs_f64() * 1e3;
+                let initial = models::to_millis(options.initial_call_time);
                 let millis = self.call_millis.unwrap_or(initial);
-                Duration::try_from_secs_f64(millis / 1e3)
-                    .unwrap_or(Duration::MAX)
-                    .mul_f64(1.0 + crowding)
+                models::from_millis(millis).mul_f64(1.0 + crowding)
             }
             tickets::WorkSize::Generation { prompt, .. } => {
                 let backlog = to_float(total.pending_prefill + prompt);
@@ -139,22 +134,16 @@
         time + distance
     }
 
-    /// Returns the time of the whole run that is expected if the request is sent now.
+    /// Returns the time that is expected from the first event to the end of the answer.
     #[must_use]
-    pub fn expected_run(
-        &self,
-        size: tickets::WorkSize,
-        model: &models::ServiceModel,
-        options: &options::GateOptions,
-    ) -> Duration {
-        let first = self.expected(size, model, options);
-        first + model.generation(&self.speed, to_float(size.answer()))
+    pub fn expected_rest(&self, size: tickets::WorkSize, model: &models::ServiceModel) -> Duration {
+        model.generation(&self.speed, to_float(size.answer()))
     }
 
     /// Takes the time of a plain call.
     pub fn measure_call(&mut self, took: Duration, options: &options::GateOptions) {
-        let millis = took.as_secs_f64() * 1e3;
-        self.call_millis = Some(smooth(self.call_millis, millis, options.smoothing));
+        let millis = models::to_millis(took);
+        self.call_millis = Some(models::smooth(self.call_millis, millis, options.smoothing));
     }
 
     /// Takes a sign of life from an answer.
@@ -193,10 +182,6 @@
     }
 }
 
-fn smooth(known: Option<f64>, newest: f64, weight: f64) -> f64 {
-    known.map_or(newest, |known| known + (newest - known) * weight)
-}
-
 #[expect(
     clippy::cast_precision_loss,
     reason = "counts of tokens are far below 2^52"
--- a/crates/waxwing-gate/src/gate.rs
+++ b/crates/waxwing-gate/src/gate.rs
@@ -343,7 +343,6 @@
             vacated.retain(|since| now.saturating_duration_since(*since) <= limit);
             vacated.push_back(now);
             view.own.running = view.own.running.saturating_sub(1);
-            view.own.memory = view.own.memory.saturating_sub(size.memory());
             if !started {
                 view.own.pending_prefill = view.own.pending_prefill.saturating_sub(size.prompt());
             }
--- a/crates/waxwing-gate/src/gate/books.rs
+++ b/crates/waxwing-gate/src/gate/books.rs
@@ -16,7 +16,6 @@
                 let other = endpoints::EndpointUse {
                     running: used.running,
                     pending_prefill: used.pending_prefill,
-                    memory: used.memory,
                 };
                 match used.running {
                     0 => view.others.remove(&peer),
@@ -76,7 +75,6 @@
                 id: id.to_string(),
                 running: own.running,
                 pending_prefill: own.pending_prefill,
-                memory: own.memory,
             }
         });
         let endpoints = endpoints.collect();
--- a/crates/waxwing-gate/src/gate/deciding.rs
+++ b/crates/waxwing-gate/src/gate/deciding.rs
@@ -196,7 +196,7 @@
     ) -> Option<(SmolStr, Duration)> {
         let model = self.model(&ticket.service);
         let left = ticket.deadline.saturating_duration_since(now);
-        let mut best: Option<(bool, Duration, &endpoints::EndpointView)> = None;
+        let mut best: Option<(bool, Duration, &SmolStr, Duration)> = None;
         let mut fits_somewhere = false;
         for view in self.endpoints.values() {
             let candidate = view.service == ticket.service
@@ -205,29 +205,24 @@
             if !candidate {
                 continue;
             }
-            let run = view.expected_run(ticket.size, model, &self.options);
+            let first = view.expected(ticket.size, model, &self.options);
+            let run = first + view.expected_rest(ticket.size, model);
             let fits = run.mul_f64(self.options.length_margin) <= left;
             fits_somewhere |= fits;
             if view.free_places(counted, self.options.waiting_at_door) == 0 {
                 continue;
             }
-            let first = view.expected(ticket.size, model, &self.options);
             let score = first
                 + run.mul_f64(self.options.run_weight)
                 + self.options.failure_penalty.mul_f64(view.failure_ratio());
-            let better = best.is_none_or(|(best_fits, best_score, best_view)| {
-                (!fits, score, &view.id) < (!best_fits, best_score, &best_view.id)
-            });
-            if better {
-                best = Some((fits, score, view));
-            }
+            let offered = (!fits, score, &view.id, first);
+            best = Some(best.map_or(offered, |best| best.min(offered)));
         }
-        let (fits, _, view) = best?;
-        if !fits && fits_somewhere {
+        let (late, _, endpoint, expected) = best?;
+        if late && fits_somewhere {
             return None;
         }
-        let expected = view.expected(ticket.size, model, &self.options);
-        Some((view.id.clone(), expected))
+        Some((endpoint.clone(), expected))
     }
 
     fn start(
@@ -240,7 +235,6 @@
         let view = self.endpoints.get_mut(endpoint)?;
         view.own.running += 1;
         view.own.pending_prefill += ticket.size.prompt();
-        view.own.memory += ticket.size.memory();
         let address = view.address;
         self.note_change(endpoint);
         Some(tickets::GateDecision::Grant {
--- a/crates/waxwing-gate/src/models.rs
+++ b/crates/waxwing-gate/src/models.rs
@@ -202,14 +202,15 @@
     }
 }
 
-fn smooth(known: Option<f64>, newest: f64, weight: f64) -> f64 {
+/// Moves an average toward the newest measurement.
+pub(crate) fn smooth(known: Option<f64>, newest: f64, weight: f64) -> f64 {
     known.map_or(newest, |known| known + (newest - known) * weight)
 }
 
-fn to_millis(duration: Duration) -> f64 {
+pub(crate) fn to_millis(duration: Duration) -> f64 {
     duration.as_secs_f64() * 1e3
 }
 
-fn from_millis(millis: f64) -> Duration {
+pub(crate) fn from_millis(millis: f64) -> Duration {
     Duration::try_from_secs_f64(millis / 1e3).unwrap_or(Duration::MAX)
 }
--- a/crates/waxwing-gate/src/tickets.rs
+++ b/crates/waxwing-gate/src/tickets.rs
@@ -25,8 +25,6 @@
         prompt: u64,
         /// Tokens that the answer is expected to have.
         answer: u64,
-        /// The most tokens of the answer.
-        most: u64,
     },
 }
 
@@ -48,15 +46,6 @@
             Self::Generation { answer, .. } => answer,
         }
     }
-
-    /// Returns the tokens of an engine's memory that the request takes at most.
-    #[must_use]
-    pub const fn memory(self) -> u64 {
-        match self {
-            Self::Call => 0,
-            Self::Generation { prompt, most, .. } => prompt + most,
-        }
-    }
 }
 
 /// A `WaitingTicket` is a request that waits for an endpoint.
--- a/crates/waxwing-gate/tests/gate.rs
+++ b/crates/waxwing-gate/tests/gate.rs
@@ -60,7 +60,6 @@
         id: "one".to_owned(),
         running: 2,
         pending_prefill: 0,
-        memory: 0,
     };
     let book = messages::EntryBook {
         endpoints: vec![used],
--- a/crates/waxwing-gate/tests/models.rs
+++ b/crates/waxwing-gate/tests/models.rs
@@ -54,7 +54,6 @@
         size: tickets::WorkSize::Generation {
             prompt: 600,
             answer: 2_000,
-            most: 3_000,
         },
         ..ticket(now, 1, 600)
     };
@@ -88,7 +87,6 @@
         size: tickets::WorkSize::Generation {
             prompt: 100,
             answer,
-            most: 4_000,
         },
         ..ticket(now, 1, 100)
     };
--- a/crates/waxwing-gate/tests/support/mod.rs
+++ b/crates/waxwing-gate/tests/support/mod.rs
@@ -68,7 +68,6 @@
         size: tickets::WorkSize::Generation {
             prompt,
             answer: 300,
-            most: 300,
         },
         returned: false,
         resumed: false,
--- a/crates/waxwing-process/src/listening.rs
+++ b/crates/waxwing-process/src/listening.rs
@@ -2,6 +2,8 @@
 
 use std::{convert::Infallible, time::Duration};
 
+use bytes::Bytes;
+use http_body_util::Full;
 use hyper::{Request, Response, body, server::conn::http1, service};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::net;
@@ -12,7 +14,7 @@
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
 /// Answers requests with `respond` until `shutdown`.
-pub async fn serve<C, R, F, B>(
+pub async fn serve<C, R, F>(
     listener: net::TcpListener,
     clock: C,
     respond: R,
@@ -20,10 +22,7 @@
 ) where
     C: Clock,
     R: Fn(Request<body::Incoming>) -> F + Clone + Send + 'static,
-    F: Future<Output = Response<B>> + Send + 'static,
-    B: body::Body<Data: Send, Error: Into<Box<dyn std::error::Error + Send + Sync>>>
-        + Send
-        + 'static,
+    F: Future<Output = Response<Full<Bytes>>> + Send + 'static,
 {
     loop {
         let accepted = tokio::select! {
--- a/crates/waxwing-wire/src/messages/fleet.rs
+++ b/crates/waxwing-wire/src/messages/fleet.rs
@@ -106,9 +106,6 @@
     /// Prompt tokens of those that have not produced anything yet.
     #[prost(uint64, tag = "3")]
     pub pending_prefill: u64,
-    /// Tokens of memory that they take.
-    #[prost(uint64, tag = "4")]
-    pub memory: u64,
 }
 
 /// An `AccountUse` is what one entry has admitted for one client account.
