Judge the sums of other entries by the life that they belong to

A new entry took itself for the only one; what was admitted before links were open never counted; a whole book for one link took the news from all others; and the sums of a restarted entry, whose old link was not lost yet, seemed to fall, and the difference was given back. Change: shares count entries that control hosts tell of, whole books leave the news alone and carry the age of their entry, and sums of a later start begin at zero.

--- a/crates/waxwing-conduit/src/fleet.rs
+++ b/crates/waxwing-conduit/src/fleet.rs
@@ -165,9 +165,17 @@
             .expect("the table of hosts is never left half changed");
         known.control = parse(&hosts.control);
         // Entries that one control host doesn't see may be linked to another one.
+        let own = self.state.options.link_address;
         let entries: HashSet<SocketAddr> = parse(&hosts.entries);
+        let others: Vec<_> = entries
+            .iter()
+            .filter(|entry| **entry != own)
+            .copied()
+            .collect();
         known.entries.extend(entries);
         drop(known);
+        let now = self.state.clock.now();
+        self.state.gate().core.expect_peers(now, &others);
         self.keep_links();
     }
 
--- a/crates/waxwing-gate/src/gate.rs
+++ b/crates/waxwing-gate/src/gate.rs
@@ -54,8 +54,8 @@
     /// The quotas of client accounts.
     pub quotas: quotas::QuotaTable,
     peers: HashMap<SocketAddr, PeerBook>,
-    /// Entries whose link was lost, and when. They may still run.
-    lost_peers: HashMap<SocketAddr, Instant>,
+    /// Entries without a link that may be running.
+    lost_peers: HashMap<SocketAddr, LostPeer>,
     /// Requests of callers by service.
     recent: HashMap<SmolStr, shares::RecentRequests>,
     /// What the other entries are asked, by service.
@@ -105,11 +105,32 @@
 }
 
 /// A `PeerBook` is what another entry has told so far.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 struct PeerBook {
+    /// When it has started, by its own account.
+    born: Instant,
+    /// Units that it had admitted, by account.
     accounts: HashMap<SmolStr, u64>,
 }
 
+impl PeerBook {
+    fn new(born: Instant) -> Self {
+        Self {
+            born,
+            accounts: HashMap::new(),
+        }
+    }
+}
+
+/// A `LostPeer` is an entry without a link that may be running.
+#[derive(Debug)]
+struct LostPeer {
+    /// When its link was lost or it was last told of.
+    since: Instant,
+    /// What it told before; `None` if it was never linked.
+    book: Option<PeerBook>,
+}
+
 impl GateCore {
     /// Builds an empty gate.
     #[must_use]
--- a/crates/waxwing-gate/src/gate/books.rs
+++ b/crates/waxwing-gate/src/gate/books.rs
@@ -1,13 +1,28 @@
 //! Books: what entries tell each other about their runs, their quotas and their demand.
 
-use std::{collections::BTreeSet, net::SocketAddr, time::Instant};
+use std::{
+    collections::BTreeSet,
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
 
 use smol_str::SmolStr;
 use waxwing_wire::messages;
 
-use super::GateCore;
+use super::{GateCore, LostPeer, PeerBook};
 use crate::{endpoints, shares};
 
+/// How much later the start of a peer may seem when its next whole book comes, for the time that
+/// books take; a process is back after half a second at the earliest.
+const SAME_LIFE_MARGIN: Duration = Duration::from_millis(400);
+
+/// Returns the part of a peer's sums that falls into the time since this entry has started, which
+/// is used up from its start on; what the peer admitted before is covered by that.
+fn part_of(peer_age: Duration, own_age: Duration) -> f64 {
+    let peer_age = peer_age.as_secs_f64().max(f64::MIN_POSITIVE);
+    (own_age.as_secs_f64() / peer_age).min(1.0)
+}
+
 impl GateCore {
     /// Takes the book of another entry.
     pub fn observe_book(&mut self, now: Instant, peer: SocketAddr, book: messages::EntryBook) {
@@ -23,7 +38,6 @@
                 };
             }
         }
-        self.lost_peers.remove(&peer);
         for demand in book.demands {
             let demands = self
                 .demands
@@ -31,27 +45,61 @@
                 .or_default();
             demands.insert(peer, shares::PeerDemand { demand, told: now });
         }
-        let first = !self.peers.contains_key(&peer);
-        if first && !book.whole {
-            // Sums without the base that the first book gives say nothing.
+        let part = match book.whole {
+            true => self.greet_peer(now, peer, book.age_millis),
+            false => 1.0,
+        };
+        // Sums without the base that a whole book gives say nothing.
+        let Some(known) = self.peers.get_mut(&peer) else {
             return;
-        }
-        let known = self.peers.entry(peer).or_default();
+        };
         for used in book.accounts {
             let account = SmolStr::new(&used.name);
-            // What a peer had admitted before it was first heard lies in the past.
-            let base = if first { used.admitted } else { 0 };
-            let former = known.accounts.insert(account.clone(), used.admitted);
-            let former = former.unwrap_or(base);
-            let cost = endpoints::to_float(used.admitted) - endpoints::to_float(former);
+            let admitted = endpoints::to_float(used.admitted);
+            let cost = match known.accounts.insert(account.clone(), used.admitted) {
+                Some(former) => admitted - endpoints::to_float(former),
+                None => admitted * part,
+            };
             self.quotas.observe(now, &account, cost);
         }
     }
 
+    /// Prepares for a book with everything, and returns the part of sums without a base that is
+    /// news here. The sums of a peer go on where they stood before its link was lost, unless it has
+    /// started again: its new link may be open before the old one is found lost.
+    fn greet_peer(&mut self, now: Instant, peer: SocketAddr, age_millis: u64) -> f64 {
+        let age = Duration::from_millis(age_millis);
+        let born = now.checked_sub(age).unwrap_or(now);
+        let lost = self.lost_peers.remove(&peer).and_then(|lost| lost.book);
+        let former = self.peers.remove(&peer).or(lost);
+        let part = match &former {
+            Some(_) => 1.0,
+            None => part_of(age, self.quotas.age(now)),
+        };
+        let same_life = former.filter(|former| born <= former.born + SAME_LIFE_MARGIN);
+        let book = same_life.unwrap_or_else(|| PeerBook::new(born));
+        self.peers.insert(peer, book);
+        part
+    }
+
+    /// Takes which other entries there are. Until their books arrive, they may use their part of
+    /// the quotas.
+    pub fn expect_peers(&mut self, now: Instant, peers: &[SocketAddr]) {
+        for peer in peers {
+            if !self.peers.contains_key(peer) {
+                let lost = self.lost_peers.entry(*peer).or_insert(LostPeer {
+                    since: now,
+                    book: None,
+                });
+                lost.since = now;
+            }
+        }
+    }
+
     /// Forgets what an entry that can't be reached had under way.
     pub fn forget_peer(&mut self, now: Instant, peer: SocketAddr) {
-        self.peers.remove(&peer);
-        self.lost_peers.insert(peer, now);
+        let book = self.peers.remove(&peer);
+        self.lost_peers.insert(peer, LostPeer { since: now, book });
         for demands in self.demands.values_mut() {
             demands.remove(&peer);
         }
@@ -62,12 +110,12 @@
 
     /// Returns what changed since the last book, or everything.
     pub fn take_book(&mut self, now: Instant, all: bool) -> messages::EntryBook {
-        self.demand_changed = false;
-        let changed = std::mem::take(&mut self.changed);
+        // A book with everything is for one peer; what changed is still news for the others.
         let ids: Vec<_> = match all {
             true => self.endpoints.keys().cloned().collect(),
-            false => changed,
+            false => std::mem::take(&mut self.changed),
         };
+        self.demand_changed &= all;
         let endpoints = ids.into_iter().map(|id| {
             let own = self.endpoints.get(&id).map(|view| view.own);
             let own = own.unwrap_or_default();
@@ -78,8 +126,10 @@
             }
         });
         let endpoints = endpoints.collect();
-        let changed = self.quotas.take_changes();
-        let accounts = if all { self.quotas.all() } else { changed };
+        let accounts = match all {
+            true => self.quotas.all(),
+            false => self.quotas.take_changes(),
+        };
         let account = |(name, admitted): (SmolStr, u64)| messages::AccountUse {
             name: name.to_string(),
             admitted,
@@ -88,6 +138,7 @@
             endpoints,
             accounts: accounts.into_iter().map(account).collect(),
             whole: all,
+            age_millis: u64::try_from(self.quotas.age(now).as_millis()).unwrap_or(u64::MAX),
             demands: self.own_demands(now),
         }
     }
@@ -130,12 +181,15 @@
 
     /// Returns the number of entries whose books arrive, this one included, and of all entries
     /// that may be running.
-    pub(super) fn entries(&mut self, now: Instant) -> (u32, u32) {
+    pub(super) fn entries(&self, now: Instant) -> (u32, u32) {
         let retention = self.options.lost_peer_retention;
-        self.lost_peers
-            .retain(|_, lost| now.saturating_duration_since(*lost) < retention);
+        // What a peer had admitted is kept for the time at which its link opens again.
+        let lost = self
+            .lost_peers
+            .values()
+            .filter(|lost| now.saturating_duration_since(lost.since) < retention);
+        let lost = u32::try_from(lost.count()).unwrap_or(u32::MAX);
         let reached = u32::try_from(self.peers.len() + 1).unwrap_or(u32::MAX);
-        let lost = u32::try_from(self.lost_peers.len()).unwrap_or(u32::MAX);
         (reached, reached.saturating_add(lost))
     }
 }
--- a/crates/waxwing-gate/src/quotas.rs
+++ b/crates/waxwing-gate/src/quotas.rs
@@ -67,6 +67,12 @@
         }
     }
 
+    /// Returns for how long the process has run.
+    #[must_use]
+    pub fn age(&self, now: Instant) -> Duration {
+        now.saturating_duration_since(self.started)
+    }
+
     /// Admits a request, or returns the time after which there is room for it.
     ///
     /// # Errors
--- a/crates/waxwing-gate/tests/gate.rs
+++ b/crates/waxwing-gate/tests/gate.rs
@@ -66,6 +66,7 @@
         accounts: Vec::new(),
         whole: true,
         demands: Vec::new(),
+        age_millis: 0,
     };
     core.observe_book(now, support::address(99), book);
     for _ in 0..5 {
--- a/crates/waxwing-gate/tests/quotas.rs
+++ b/crates/waxwing-gate/tests/quotas.rs
@@ -5,6 +5,7 @@
 use std::time::Instant;
 
 use smol_str::SmolStr;
+use test_case::test_case;
 use waxwing_fleet::deployments;
 use waxwing_gate::{gate, options, quotas};
 
@@ -35,9 +36,13 @@
 /// Sends requests of 10 units for `seconds` to all entries by turns, far beyond the quota, and
 /// returns the units that were admitted. Books are exchanged every 20 ms among those linked.
 fn flood(entries: &mut [gate::GateCore], from: Instant, seconds: u64, linked: bool) -> f64 {
+    flood_for(entries, from, seconds * 1_000, linked)
+}
+
+fn flood_for(entries: &mut [gate::GateCore], from: Instant, duration: u64, linked: bool) -> f64 {
     let (account, quota) = (account(), quota());
     let mut admitted = 0.0;
-    for step in 0..seconds * 1_000 {
+    for step in 0..duration {
         let now = from + millis(step);
         for core in entries.iter_mut() {
             let claim = quotas::QuotaClaim {
@@ -119,6 +124,119 @@
     assert!(admitted >= RATE * 7.0, "{admitted}");
 }
 
+/// Guards against entries that restart together and admit the whole quota each until their links
+/// are open (found by a hunted day of our own: nine entries in a rolling restart).
+#[test]
+fn entries_that_restart_together_make_good_what_they_admitted_alone() {
+    let start = Instant::now();
+    let mut entries: Vec<_> = (0..9).map(|_| entry(start)).collect();
+    let mut admitted = flood_for(&mut entries, start, 500, false);
+    link(&mut entries, start + millis(500));
+    admitted += flood_for(&mut entries, start + millis(500), 7_500, true);
+    assert!(admitted <= (RATE * 8.0 + RATE) * 1.1, "{admitted}");
+    assert!(admitted >= RATE * 6.0, "{admitted}");
+}
+
+/// Guards against an entry that takes itself for the only one before its links are open.
+#[test]
+fn an_entry_that_was_told_of_others_keeps_to_its_share_before_they_are_linked() {
+    let start = Instant::now();
+    let mut entries = [entry(start)];
+    entries[0].expect_peers(start, &[address(1), address(2)]);
+    let admitted = flood_for(&mut entries, start, 3_000, false);
+    assert!(admitted <= RATE * 1.1, "{admitted}");
+}
+
+/// Guards against a link that opens again: what the other entry admitted long ago must not count.
+#[test_case(3_000; "after a short cut")]
+#[test_case(30_000; "after the entry no longer counts as running")]
+fn a_link_that_opens_again_counts_only_what_was_admitted_meanwhile(cut_millis: u64) {
+    let start = Instant::now();
+    let mut entries = [entry(start), entry(start)];
+    link(&mut entries, start);
+    let from = start + millis(5_000);
+    flood_for(&mut entries, from, 4_000, true);
+    let cut = from + millis(4_000);
+    entries[0].forget_peer(cut, address(1));
+    // Counting entries is what lets go of those that are lost for long.
+    let (account, quota) = (account(), quota());
+    let small = quotas::QuotaClaim {
+        account: &account,
+        quota: &quota,
+        cost: 1.0,
+    };
+    let _ = entries[0].admit(cut + millis(cut_millis - 10), small);
+    let later = cut + millis(cut_millis);
+    let book = entries[1].take_book(later, true);
+    entries[0].observe_book(later, address(1), book);
+    let claim = quotas::QuotaClaim {
+        account: &account,
+        quota: &quota,
+        cost: RATE * 0.9,
+    };
+    assert!(entries[0].admit(later, claim).is_ok());
+}
+
+/// Guards against a link that opens and takes the news from all other links.
+#[test]
+fn a_whole_book_leaves_what_the_next_one_tells() {
+    let start = Instant::now();
+    let mut core = entry(start);
+    let from = start + millis(5_000);
+    let (account, quota) = (account(), quota());
+    let claim = quotas::QuotaClaim {
+        account: &account,
+        quota: &quota,
+        cost: 10.0,
+    };
+    assert!(core.admit(from, claim).is_ok());
+    assert_eq!(core.take_book(from, true).accounts.len(), 1);
+    assert_eq!(core.take_book(from, false).accounts.len(), 1);
+    assert_eq!(core.take_book(from, false).accounts.len(), 0);
+}
+
+/// Guards against a new entry that counts all that long-running ones ever admitted: each link then
+/// used up a burst, and accounts within their quota were refused for seconds.
+#[test]
+fn a_new_entry_does_not_count_what_others_admitted_long_ago() {
+    let start = Instant::now();
+    let mut entries: Vec<_> = (0..8).map(|_| entry(start)).collect();
+    link(&mut entries, start);
+    let from = start + millis(5_000);
+    flood_for(&mut entries, from, 10_000, true);
+    let restart = from + millis(10_000);
+    entries.push(entry(restart));
+    let linked = restart + millis(300);
+    link(&mut entries, linked);
+    let (account, quota) = (account(), quota());
+    let claim = quotas::QuotaClaim {
+        account: &account,
+        quota: &quota,
+        cost: RATE * 0.9,
+    };
+    let later = linked + millis(1_500);
+    assert!(entries[8].admit(later, claim).is_ok());
+}
+
+/// Guards against the sums of a new life that are taken for those of the former one: its new link
+/// opened before the old one was found lost, the sums seemed to fall, and the bucket was emptied
+/// (found by a hunted day of our own).
+#[test]
+fn a_restart_whose_old_link_is_not_lost_yet_gives_nothing_back() {
+    let start = Instant::now();
+    let mut entries = [entry(start), entry(start)];
+    link(&mut entries, start);
+    let from = start + millis(5_000);
+    flood_for(&mut entries, from, 6_000, true);
+    let restart = from + millis(6_000);
+    entries[1] = entry(restart);
+    flood_for(&mut entries[1..], restart, 300, false);
+    let book = entries[1].take_book(restart + millis(300), true);
+    entries[0].observe_book(restart + millis(300), address(1), book);
+    let admitted = flood_for(&mut entries[..1], restart + millis(300), 150, false);
+    assert!(admitted <= RATE * 0.5, "{admitted}");
+}
+
 #[test]
 fn an_account_that_others_serve_is_counted_before_its_first_call_here() {
     let start = Instant::now();
--- a/crates/waxwing-wire/src/messages/fleet.rs
+++ b/crates/waxwing-wire/src/messages/fleet.rs
@@ -157,4 +157,7 @@
     /// What the sender is asked for the services that requests name.
     #[prost(message, repeated, tag = "4")]
     pub demands: Vec<ServiceDemand>,
+    /// Milliseconds since the sender has started, by which its sums are judged.
+    #[prost(uint64, tag = "5")]
+    pub age_millis: u64,
 }
