Let a fleet without agents run the baselines

The setting routing of an entry selects one; the gate then starts each request at once at what the policy picks among its usable endpoints, on the load that endpoints tell in their answers. The round of a service is split into placing, giving up and refusing.

--- a/crates/waxwing-conduit/src/intake.rs
+++ b/crates/waxwing-conduit/src/intake.rs
@@ -357,6 +357,9 @@
     let (response, connection) = answer.split();
     let (head, incoming) = response.into_parts();
     let facts = state.dialect.answer(&request.facts.id, &head);
+    if let Some(load) = facts.load {
+        run.reported(load);
+    }
     if facts.not_run {
         state.metrics.sent("refused");
         tracing::info!(
--- a/crates/waxwing-conduit/src/options.rs
+++ b/crates/waxwing-conduit/src/options.rs
@@ -3,6 +3,7 @@
 use std::{net::SocketAddr, time::Duration};
 
 use smol_str::SmolStr;
+use waxwing_settings::view;
 
 /// `ConduitOptions` configure an entry.
 #[derive(Debug, Clone, serde::Deserialize)]
@@ -36,6 +37,9 @@
     /// Units beyond a quota that all entries together may admit while their books lag.
     #[serde(default)]
     pub quota_slack: f64,
+    /// How endpoints are picked; all but the default are baselines for measurement.
+    #[serde(default)]
+    pub routing: view::RoutingPolicy,
     /// Seconds from the signal to stop until the process is killed.
     #[serde(default = "default_grace_seconds")]
     pub grace_seconds: f64,
--- a/crates/waxwing-conduit/src/roles.rs
+++ b/crates/waxwing-conduit/src/roles.rs
@@ -125,6 +125,8 @@
 fn gate_settings(options: &options::ConduitOptions) -> gate_options::GateOptions {
     gate_options::GateOptions {
         data_centre: options.data_centre.clone(),
+        routing: options.routing,
+        routing_seed: rand::random(),
         retry_ratio: options.retry_ratio,
         retry_extra: options.retry_extra,
         budget_window: options.retry_window(),
--- a/crates/waxwing-conduit/src/state.rs
+++ b/crates/waxwing-conduit/src/state.rs
@@ -13,7 +13,7 @@
 use smol_str::SmolStr;
 use tokio::sync::{Notify, oneshot};
 use waxwing_core::clock::Clock;
-use waxwing_fleet::deployments;
+use waxwing_fleet::{deployments, dialects};
 use waxwing_gate::{gate, tickets};
 
 use crate::{metrics, options, stopping, upstream};
@@ -289,6 +289,12 @@
         gate.core.succeed(now, &self.endpoint);
     }
 
+    /// Takes the load that the endpoint told.
+    pub(crate) fn reported(&self, load: dialects::LoadFacts) {
+        let requests = load.running.saturating_add(load.waiting);
+        self.state.gate().core.reported(&self.endpoint, requests);
+    }
+
     /// Takes that the endpoint could not be reached.
     pub(crate) fn unreachable(&mut self) {
         let now = self.state.clock.now();
--- a/crates/waxwing-gate/src/endpoints.rs
+++ b/crates/waxwing-gate/src/endpoints.rs
@@ -41,6 +41,8 @@
     pub own: EndpointUse,
     /// What each other entry has under way there.
     pub others: HashMap<SocketAddr, EndpointUse>,
+    /// The requests that it told to hold in its last answer.
+    pub reported: u32,
     /// Its speed as an engine.
     pub speed: models::EngineSpeed,
     /// Milliseconds that a plain call takes, once measured.
@@ -65,6 +67,7 @@
             heard,
             own: EndpointUse::default(),
             others: HashMap::new(),
+            reported: 0,
             speed: models::EngineSpeed::default(),
             call_millis: None,
             suspected_until: None,
--- a/crates/waxwing-gate/src/gate.rs
+++ b/crates/waxwing-gate/src/gate.rs
@@ -18,7 +18,7 @@
 use waxwing_fleet::registry;
 use waxwing_wire::messages;
 
-use crate::{budgets, endpoints, models, options, quotas, shares, tickets};
+use crate::{baselines, budgets, endpoints, models, options, quotas, shares, tickets};
 
 /// The place of a ticket in the queue of its service.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -62,6 +62,8 @@
     demands: HashMap<SmolStr, shares::PeerDemands>,
     /// When requests of this entry left slots that it has not taken again, by service.
     vacated: HashMap<SmolStr, VecDeque<Instant>>,
+    /// The choice of endpoints in place of the gate's own; `None` unless a baseline is measured.
+    baselines: Option<baselines::BaselineChoice>,
     /// Since when free slots of a service are left to other entries.
     yielding: HashMap<SmolStr, Instant>,
     /// Endpoints whose use changed since the last book.
@@ -85,6 +87,20 @@
     slot_interval: Duration,
 }
 
+/// A `ServiceRound` is what has been decided for a service in one round.
+#[derive(Debug)]
+struct ServiceRound {
+    outlook: ServiceOutlook,
+    /// Free slots that are left.
+    free: u32,
+    /// Requests of this entry at endpoints.
+    running: u32,
+    /// Requests that go on waiting before the next one.
+    ahead: u32,
+    /// Whether a free slot was left to another entry.
+    yielded: bool,
+}
+
 /// A `ServiceLoad` is the load of a service as one entry sees it.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct ServiceLoad {
@@ -136,6 +152,7 @@
     #[must_use]
     pub fn new(options: options::GateOptions, started: Instant) -> Self {
         Self {
+            baselines: baselines::BaselineChoice::new(options.routing, options.routing_seed),
             options,
             registry: registry::EndpointRegistry::default(),
             endpoints: HashMap::new(),
@@ -380,6 +397,13 @@
         }
     }
 
+    /// Takes the requests that an endpoint tells to hold, running and waiting.
+    pub fn reported(&mut self, endpoint: &SmolStr, requests: u32) {
+        if let Some(view) = self.endpoints.get_mut(endpoint) {
+            view.reported = requests;
+        }
+    }
+
     /// Takes a good answer of an endpoint.
     pub fn succeed(&mut self, now: Instant, endpoint: &SmolStr) {
         if let Some(view) = self.endpoints.get_mut(endpoint) {
--- a/crates/waxwing-gate/src/gate/deciding.rs
+++ b/crates/waxwing-gate/src/gate/deciding.rs
@@ -4,7 +4,7 @@
 
 use smol_str::SmolStr;
 
-use super::{GateCore, QueuePlace, QueuedTicket, ServiceOutlook};
+use super::{GateCore, QueuePlace, QueuedTicket, ServiceOutlook, ServiceRound};
 use crate::{endpoints, models, shares, tickets};
 
 impl GateCore {
@@ -34,63 +34,35 @@
         };
         let places: Vec<_> = queue.iter().copied().collect();
         let outlook = self.outlook(now, service);
-        let mut free = outlook.free;
-        let mut running = self.own_running(service);
-        let mut yielded = false;
-        let mut ahead = 0;
+        let mut round = ServiceRound {
+            outlook,
+            free: outlook.free,
+            running: self.own_running(service),
+            ahead: 0,
+            yielded: false,
+        };
         for place in places {
             let Some(QueuedTicket { ticket, .. }) = self.waiting.get(&place.ticket) else {
                 continue;
             };
-            let claim = match free > 0 && outlook.counted {
-                true => self.claim(now, service, place.rank, running, outlook.slots),
-                false => shares::SlotClaim::Alone,
-            };
-            let left_to_others = match claim {
-                shares::SlotClaim::Alone | shares::SlotClaim::First => false,
-                shares::SlotClaim::OwnOnly => self.vacated(now, service) == 0,
-                shares::SlotClaim::Yields => true,
-            };
-            yielded |= left_to_others;
-            let chosen = match free {
-                0 => None,
-                _ if left_to_others => None,
-                _ => self.choose(now, ticket, outlook.counted),
-            };
-            if let Some((endpoint, expected)) = chosen {
+            if let Some((endpoint, expected)) =
+                self.place_ticket(now, place.ticket, ticket, &mut round)
+            {
                 let decision = self.start(place, &endpoint, expected);
                 decisions.extend(decision);
                 if let Some(vacated) = self.vacated.get_mut(service) {
                     vacated.pop_front();
                 }
-                free -= 1;
-                running += 1;
-                continue;
-            }
-            let start = now + outlook.slot_interval * ahead;
-            if now >= self.patience_end(ticket) || start >= self.latest_start(ticket) {
-                let reason = match outlook.usable {
-                    true => tickets::RefusalReason::NoRoom,
-                    false => tickets::RefusalReason::NoEndpoint,
-                };
-                let retry_after = self.retry_after(now, ticket, place.ticket);
+                round.free = round.free.saturating_sub(1);
+                round.running += 1;
+            } else if self.is_hopeless(now, ticket, &round) {
+                decisions.push(self.refusal(now, place, ticket, &round));
                 self.remove(place);
-                decisions.push(tickets::GateDecision::Refuse {
-                    ticket: place.ticket,
-                    reason,
-                    retry_after,
-                    inputs: tickets::RefusalInputs {
-                        ahead,
-                        slots: outlook.slots,
-                        free,
-                        slot_interval: outlook.slot_interval,
-                    },
-                });
-                continue;
+            } else {
+                round.ahead += 1;
             }
-            ahead += 1;
         }
-        match yielded {
+        match round.yielded {
             true => {
                 self.yielding.entry(service.clone()).or_insert(now);
             }
@@ -101,6 +73,71 @@
         self.demand_changed = true;
     }
 
+    /// Returns the endpoint at which a request starts now and the time to its first event, or
+    /// `None` if it waits.
+    fn place_ticket(
+        &self,
+        now: Instant,
+        id: tickets::TicketId,
+        ticket: &tickets::WaitingTicket,
+        round: &mut ServiceRound,
+    ) -> Option<(SmolStr, Duration)> {
+        if let Some(baselines) = &self.baselines {
+            let views = self.candidates(now, ticket);
+            let view = baselines.choose(views, id)?;
+            let model = self.model(&ticket.service);
+            let expected = view.expected(ticket.size, model, &self.options);
+            return Some((view.id.clone(), expected));
+        }
+        if round.free == 0 {
+            return None;
+        }
+        let left_to_others = match self.claim(now, ticket, round) {
+            shares::SlotClaim::Alone | shares::SlotClaim::First => false,
+            shares::SlotClaim::OwnOnly => self.vacated(now, &ticket.service) == 0,
+            shares::SlotClaim::Yields => true,
+        };
+        round.yielded |= left_to_others;
+        match left_to_others {
+            true => None,
+            false => self.choose(now, ticket, round.outlook.counted),
+        }
+    }
+
+    /// Tells whether a request that waits will not start while that is of use to its caller.
+    fn is_hopeless(
+        &self,
+        now: Instant,
+        ticket: &tickets::WaitingTicket,
+        round: &ServiceRound,
+    ) -> bool {
+        let start = now + round.outlook.slot_interval * round.ahead;
+        now >= self.patience_end(ticket) || start >= self.latest_start(ticket)
+    }
+
+    fn refusal(
+        &self,
+        now: Instant,
+        place: QueuePlace,
+        ticket: &tickets::WaitingTicket,
+        round: &ServiceRound,
+    ) -> tickets::GateDecision {
+        tickets::GateDecision::Refuse {
+            ticket: place.ticket,
+            reason: match round.outlook.usable {
+                true => tickets::RefusalReason::NoRoom,
+                false => tickets::RefusalReason::NoEndpoint,
+            },
+            retry_after: self.retry_after(now, ticket, place.ticket),
+            inputs: tickets::RefusalInputs {
+                ahead: round.ahead,
+                slots: round.outlook.slots,
+                free: round.free,
+                slot_interval: round.outlook.slot_interval,
+            },
+        }
+    }
+
     /// Returns the slots that requests of this entry left lately and that it has not taken again.
     fn vacated(&self, now: Instant, service: &SmolStr) -> usize {
         let limit = self.options.yield_limit;
@@ -114,12 +151,11 @@
     fn claim(
         &self,
         now: Instant,
-        service: &SmolStr,
-        rank: (u32, u32),
-        running: u32,
-        slots: u32,
+        ticket: &tickets::WaitingTicket,
+        round: &ServiceRound,
     ) -> shares::SlotClaim {
-        let Some(peers) = self.demands.get(service) else {
+        let service = &ticket.service;
+        let Some(peers) = self.demands.get(service).filter(|_| round.outlook.counted) else {
             return shares::SlotClaim::Alone;
         };
         let since = self.yielding.get(service);
@@ -130,12 +166,12 @@
                 .recent
                 .get(service)
                 .map_or(0.0, |recent| recent.at(now)),
-            running,
-            rank,
+            running: round.running,
+            rank: ticket.rank,
         };
         match tired {
             true => shares::SlotClaim::First,
-            false => shares::claim(now, own, peers, slots, &self.options),
+            false => shares::claim(now, own, peers, round.outlook.slots, &self.options),
         }
     }
 
@@ -186,6 +222,19 @@
         end.checked_sub(first).unwrap_or(ticket.arrival)
     }
 
+    /// Returns the endpoints that may get a request, whether they have a free slot or not.
+    fn candidates<'a>(
+        &'a self,
+        now: Instant,
+        ticket: &'a tickets::WaitingTicket,
+    ) -> impl Iterator<Item = &'a endpoints::EndpointView> {
+        self.endpoints.values().filter(move |view| {
+            view.service == ticket.service
+                && view.is_usable(now, &self.options)
+                && !ticket.excluded.contains(&view.id)
+        })
+    }
+
     /// Returns the endpoint with the least expected time that has a free slot. A request that can
     /// end in time only at endpoints that are full waits for one of those.
     fn choose(
@@ -198,13 +247,7 @@
         let left = ticket.deadline.saturating_duration_since(now);
         let mut best: Option<(bool, Duration, &SmolStr, Duration)> = None;
         let mut fits_somewhere = false;
-        for view in self.endpoints.values() {
-            let candidate = view.service == ticket.service
-                && view.is_usable(now, &self.options)
-                && !ticket.excluded.contains(&view.id);
-            if !candidate {
-                continue;
-            }
+        for view in self.candidates(now, ticket) {
             let first = view.expected(ticket.size, model, &self.options);
             let run = first + view.expected_rest(ticket.size, model);
             let fits = run.mul_f64(self.options.length_margin) <= left;
--- a/crates/waxwing-gate/src/lib.rs
+++ b/crates/waxwing-gate/src/lib.rs
@@ -2,6 +2,7 @@
 //! who waits and who is refused. Nothing here does I/O or reads a clock; every call is told the
 //! time. `docs/platform.md` gives the place of the gate in the system.
 
+pub mod baselines;
 pub mod budgets;
 pub mod endpoints;
 pub mod gate;
--- a/crates/waxwing-gate/src/options.rs
+++ b/crates/waxwing-gate/src/options.rs
@@ -2,11 +2,18 @@
 
 use std::time::Duration;
 
+use waxwing_settings::view;
+
 /// A `GateOptions` is the set of bounds and weights of a gate.
 #[derive(Debug, Clone)]
 pub struct GateOptions {
     /// The data centre of the entry.
     pub data_centre: smol_str::SmolStr,
+    /// How endpoints are picked. All but late binding are baselines for measurement: they send
+    /// each request at once, whether a slot is free or not.
+    pub routing: view::RoutingPolicy,
+    /// The seed of the baselines that draw endpoints.
+    pub routing_seed: u64,
     /// Added to the expected time of an endpoint in another data centre; the bytes between data
     /// centres are paid for, so a near endpoint is preferred where it costs callers nothing.
     pub distance_penalty: Duration,
@@ -85,6 +92,8 @@
     fn default() -> Self {
         Self {
             data_centre: smol_str::SmolStr::default(),
+            routing: view::RoutingPolicy::LateBinding,
+            routing_seed: 0,
             distance_penalty: Duration::from_millis(4),
             crowding_penalty: Duration::from_millis(120),
             length_margin: 1.4,
--- /dev/null
+++ b/crates/waxwing-gate/tests/baselines.rs
@@ -0,0 +1,78 @@
+//! Pattern: the same load under the baselines that the gate is measured against.
+
+mod support;
+
+use std::{collections::BTreeMap, time::Instant};
+
+use smol_str::SmolStr;
+use test_case::test_case;
+use waxwing_gate::{gate, options};
+use waxwing_settings::view::RoutingPolicy;
+
+use support::{gate, granted, notice, ticket};
+
+const REQUESTS: usize = 60;
+
+fn core(now: Instant, routing: RoutingPolicy) -> gate::GateCore {
+    let options = options::GateOptions {
+        routing,
+        ..options::GateOptions::default()
+    };
+    let mut core = gate::GateCore::new(options, now);
+    for (id, host) in [("one", 1), ("two", 2), ("three", 3)] {
+        core.observe_notice(notice(id, host, 2), now);
+    }
+    core
+}
+
+fn starts(core: &mut gate::GateCore, now: Instant) -> BTreeMap<SmolStr, usize> {
+    let mut starts = BTreeMap::new();
+    for _ in 0..REQUESTS {
+        core.offer(ticket(now, 1, 100));
+        for (_, endpoint) in granted(&core.decide(now)) {
+            *starts.entry(endpoint).or_default() += 1;
+        }
+    }
+    starts
+}
+
+#[test_case(RoutingPolicy::Random)]
+#[test_case(RoutingPolicy::RoundRobin)]
+#[test_case(RoutingPolicy::LeastReported)]
+#[test_case(RoutingPolicy::TwoChoices)]
+fn a_baseline_starts_every_request_at_once(routing: RoutingPolicy) {
+    let now = Instant::now();
+    let mut core = core(now, routing);
+    let starts = starts(&mut core, now);
+    assert_eq!(starts.values().sum::<usize>(), REQUESTS);
+    assert!(starts.len() == 3, "{starts:?}");
+}
+
+#[test]
+fn round_robin_uses_all_endpoints_equally() {
+    let now = Instant::now();
+    let mut core = core(now, RoutingPolicy::RoundRobin);
+    let starts = starts(&mut core, now);
+    assert!(
+        starts.values().all(|count| *count == REQUESTS / 3),
+        "{starts:?}"
+    );
+}
+
+#[test]
+fn least_reported_follows_what_endpoints_told() {
+    let now = Instant::now();
+    let mut core = core(now, RoutingPolicy::LeastReported);
+    core.reported(&SmolStr::new("one"), 4);
+    core.reported(&SmolStr::new("two"), 1);
+    core.reported(&SmolStr::new("three"), 9);
+    let starts = starts(&mut core, now);
+    assert_eq!(starts, BTreeMap::from([(SmolStr::new("two"), REQUESTS)]));
+}
+
+#[test]
+fn the_default_keeps_to_the_slots() {
+    let now = Instant::now();
+    let mut core = gate(now, &[("one", 1, 2), ("two", 2, 2), ("three", 3, 2)]);
+    assert_eq!(starts(&mut core, now).values().sum::<usize>(), 6);
+}
