Log the tier, the return and the time to the first event of requests

Cause: the decision log did not tell which tier a refusal hit, whether a caller counted as one that had been refused before, or which account was over its quota by how much.

--- a/crates/waxwing-conduit/src/checks.rs
+++ b/crates/waxwing-conduit/src/checks.rs
@@ -154,6 +154,16 @@
     match gate.core.admit(now, claim) {
         Ok(()) => Ok(Some((account.name.clone(), cost))),
         Err(after) => {
+            tracing::info!(
+                event = "quota-reached",
+                id = %request.facts.id,
+                account = %account.name,
+                route = %request.route.name,
+                cost,
+                rate = quota.rate,
+                burst = quota.burst,
+                room_after_ms = after.as_millis()
+            );
             let left = request.deadline.saturating_duration_since(now);
             Err(intake::RequestFailure {
                 retry_after: Some(after.max(MIN_QUOTA_RETRY).min(left)),
--- a/crates/waxwing-conduit/src/intake.rs
+++ b/crates/waxwing-conduit/src/intake.rs
@@ -54,6 +54,21 @@
     pub(crate) body: Bytes,
 }
 
+impl AcceptedRequest {
+    /// Returns the rank of its client account, or else of its route, and that of its route.
+    pub(crate) fn rank(&self) -> (u32, u32) {
+        let rank = self.account.as_ref().and_then(|account| account.rank);
+        (rank.unwrap_or(self.route.rank), self.route.rank)
+    }
+
+    /// Tells whether its caller was probably refused before: it has less time than its route
+    /// gives.
+    fn is_returned(&self) -> bool {
+        let patience = self.deadline.saturating_duration_since(self.arrival);
+        patience < self.route.timeout.mul_f64(RETURNED_SHARE)
+    }
+}
+
 /// A `GivenAnswer` is an answer of an endpoint that is worth passing on.
 pub(crate) struct GivenAnswer<C: Clock, D> {
     pub(crate) response: Response<body::Incoming>,
@@ -123,6 +138,9 @@
             reason = failure.reason,
             waited_ms = waited.as_millis(),
             retry_after_ms = failure.retry_after.map(|after| after.as_millis()),
+            rank = failure.inputs.map(|inputs| inputs.rank.0),
+            route_rank = failure.inputs.map(|inputs| inputs.rank.1),
+            returned = failure.inputs.map(|inputs| inputs.returned),
             ahead = failure.inputs.map(|inputs| inputs.ahead),
             slots = failure.inputs.map(|inputs| inputs.slots),
             free = failure.inputs.map(|inputs| inputs.free),
@@ -242,6 +260,7 @@
         endpoint = %run.endpoint,
         status = status.as_u16(),
         sends = history.arrivals,
+        first_event_ms = run.first_event_time().map(|first| first.as_millis()),
         took_ms = took.as_millis()
     );
 }
@@ -288,6 +307,9 @@
         expected_ms = run.expected.as_millis(),
         waited_ms = waited.as_millis(),
         left_ms = remaining(state, request).as_millis(),
+        rank = request.rank().0,
+        route_rank = request.rank().1,
+        returned = request.is_returned(),
         size = ?request.size,
         send = history.arrivals + 1,
         last_event
@@ -442,19 +464,15 @@
     history: &SendHistory,
     last_event: Option<u64>,
 ) -> Result<state::StartedRun<C, D>, RequestFailure> {
-    let timeout = request.route.timeout;
-    let patience = request.deadline.saturating_duration_since(request.arrival);
-    let returned = patience < timeout.mul_f64(RETURNED_SHARE);
-    let rank = request.account.as_ref().and_then(|account| account.rank);
     let ticket = tickets::WaitingTicket {
         service: request.service.clone(),
-        rank: (rank.unwrap_or(request.route.rank), request.route.rank),
+        rank: request.rank(),
         arrival: request.arrival,
         queued: state.clock.now(),
         due: request.arrival + request.route.objective.saturating_sub(DELIVERY_MARGIN),
         deadline: request.deadline,
         size: request.size,
-        returned,
+        returned: request.is_returned(),
         // A caller that resumes a stream has a part of the answer, and less is left to do.
         resumed: history.runs > 0 || last_event.is_some(),
         excluded: history.excluded.clone(),
--- a/crates/waxwing-conduit/src/state.rs
+++ b/crates/waxwing-conduit/src/state.rs
@@ -70,7 +70,8 @@
     pub(crate) expected: Duration,
     size: tickets::WorkSize,
     backlog: u64,
-    started: bool,
+    /// The time from its sending to its first event, once that came.
+    first_event_time: Option<Duration>,
 }
 
 impl<C: Clock, D> EntryState<C, D> {
@@ -192,7 +193,7 @@
                     expected,
                     size,
                     backlog,
-                    started: false,
+                    first_event_time: None,
                 })
             }
             Ok(tickets::GateDecision::Refuse {
@@ -261,10 +262,10 @@
 impl<C: Clock, D> StartedRun<C, D> {
     /// Takes the first event of the answer, `took` after the request was sent.
     pub(crate) fn first_event(&mut self, took: Duration) {
-        if self.started {
+        if self.first_event_time.is_some() {
             return;
         }
-        self.started = true;
+        self.first_event_time = Some(took);
         let now = self.state.clock.now();
         let mut gate = self.state.gate();
         let core = &mut gate.core;
@@ -274,6 +275,11 @@
         self.state.pump();
     }
 
+    /// Returns the time from its sending to its first event.
+    pub(crate) const fn first_event_time(&self) -> Option<Duration> {
+        self.first_event_time
+    }
+
     /// Takes the end of a generation: `tokens` came in `took` behind its first event, and the run
     /// took `whole`.
     pub(crate) fn generated(&mut self, tokens: u64, took: Duration, whole: Duration) {
@@ -311,10 +317,12 @@
 impl<C: Clock, D> Drop for StartedRun<C, D> {
     fn drop(&mut self) {
         let now = self.state.clock.now();
-        self.state
-            .gate()
-            .core
-            .finish(now, &self.endpoint, self.size, self.started);
+        self.state.gate().core.finish(
+            now,
+            &self.endpoint,
+            self.size,
+            self.first_event_time.is_some(),
+        );
         self.state.pump();
     }
 }
--- a/crates/waxwing-gate/src/gate/deciding.rs
+++ b/crates/waxwing-gate/src/gate/deciding.rs
@@ -130,6 +130,8 @@
             },
             retry_after: self.retry_after(now, ticket, place.ticket),
             inputs: tickets::RefusalInputs {
+                rank: ticket.rank,
+                returned: ticket.returned,
                 ahead: round.ahead,
                 slots: round.outlook.slots,
                 free: round.free,
--- a/crates/waxwing-gate/src/tickets.rs
+++ b/crates/waxwing-gate/src/tickets.rs
@@ -96,6 +96,10 @@
 /// `RefusalInputs` are what a refusal was decided on.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct RefusalInputs {
+    /// The tier: the rank of the client account, or else of the route, and that of the route.
+    pub rank: (u32, u32),
+    /// Whether the caller had been refused before.
+    pub returned: bool,
     /// Requests that would have started before.
     pub ahead: u32,
     /// Slots of the endpoints that may get work, over the whole fleet.
