Keep room in an account's quota for its urgent requests

Cause: an account beyond its quota got it in order of arrival.

A tier that finds no room leaves half of the quota to itself: less urgent tiers see half of it, a quarter below two such tiers. That lasts as long as either asks for more than there is. The quota as a whole stays the same.

--- a/crates/waxwing-conduit/src/checks.rs
+++ b/crates/waxwing-conduit/src/checks.rs
@@ -150,6 +150,7 @@
         account: &account.name,
         quota,
         cost,
+        rank: request.rank(),
     };
     match gate.core.admit(now, claim) {
         Ok(()) => Ok(Some((account.name.clone(), cost))),
--- a/crates/waxwing-gate/src/quotas.rs
+++ b/crates/waxwing-gate/src/quotas.rs
@@ -3,6 +3,9 @@
 //! Each entry keeps the same token bucket for an account and fills in what the other entries say
 //! they admitted. While the books of the others lag, all entries together may admit more than the
 //! quota by what arrives in that time; the slack of the options covers it.
+//!
+//! An account that asks for more than its quota gets it for its urgent requests first. Without
+//! that rule its many small requests would keep the bucket so full that a large one never fits.
 
 use std::{
     collections::HashMap,
@@ -22,6 +25,26 @@
     updated: Instant,
 }
 
+/// Time for which room is kept for a tier after one of its requests, or a less urgent one, found
+/// none; some intervals between the large requests of a busy account.
+const RESERVE_TIME: Duration = Duration::from_secs(1);
+
+/// The part of the room that each more urgent tier that found none leaves to the tiers below it.
+const TIER_LEAVES: f64 = 0.5;
+
+/// A `TierShortage` is a tier of an account that found no room.
+#[derive(Debug, Clone, Copy)]
+struct TierShortage {
+    rank: (u32, u32),
+    last: Instant,
+}
+
+impl TierShortage {
+    fn lasts(&self, now: Instant) -> bool {
+        now.saturating_duration_since(self.last) < RESERVE_TIME
+    }
+}
+
 /// A `QuotaTable` holds the buckets of all accounts.
 #[derive(Debug)]
 pub struct QuotaTable {
@@ -31,6 +54,8 @@
     buckets: HashMap<SmolStr, QuotaBucket>,
     /// Units that this entry has admitted since its start.
     admitted: HashMap<SmolStr, f64>,
+    /// Tiers that found no room lately, by account.
+    shortages: HashMap<SmolStr, Vec<TierShortage>>,
     changed: Vec<SmolStr>,
 }
 
@@ -43,6 +68,8 @@
     pub quota: &'a deployments::AccountQuota,
     /// Units that the request takes.
     pub cost: f64,
+    /// The tier of the request.
+    pub rank: (u32, u32),
 }
 
 /// A `QuotaReach` is how far the books of other entries can be relied on.
@@ -63,6 +90,7 @@
             started,
             buckets: HashMap::new(),
             admitted: HashMap::new(),
+            shortages: HashMap::new(),
             changed: Vec::new(),
         }
     }
@@ -87,13 +115,18 @@
             account,
             quota,
             cost,
+            rank,
         } = claim;
         let rate = quota.rate * reach.share;
         let capacity = quota.burst.max(cost) * reach.share;
+        let left = self.left_to(now, account, rank);
         let bucket = self.bucket(now, account, rate, capacity);
-        let room = capacity + reach.slack * reach.share - bucket.used;
+        // A request that is larger than what is left to its tier fits an empty bucket.
+        let limit = (capacity * left).max(cost.min(capacity));
+        let room = limit + reach.slack * reach.share * left - bucket.used;
         if cost > room {
             let missing = cost - room;
+            self.note_shortage(now, account, rank);
             let seconds = missing / rate.max(f64::MIN_POSITIVE);
             return Err(Duration::try_from_secs_f64(seconds).unwrap_or(Duration::MAX));
         }
@@ -102,6 +135,25 @@
         Ok(())
     }
 
+    /// Returns the part of a quota that a tier may use: all of it, unless more urgent requests of
+    /// the account found no room lately.
+    fn left_to(&self, now: Instant, account: &SmolStr, rank: (u32, u32)) -> f64 {
+        let shortages = self.shortages.get(account).into_iter().flatten();
+        let urgent = shortages.filter(|shortage| shortage.rank < rank && shortage.lasts(now));
+        urgent.fold(1.0, |left, _| left * TIER_LEAVES)
+    }
+
+    /// Takes that a request found no room. The shortages of more urgent tiers last for as long as
+    /// less urgent ones ask for what is kept for them.
+    fn note_shortage(&mut self, now: Instant, account: &SmolStr, rank: (u32, u32)) {
+        let shortages = self.shortages.entry(account.clone()).or_default();
+        shortages.retain(|shortage| shortage.lasts(now) && shortage.rank != rank);
+        for shortage in shortages.iter_mut().filter(|shortage| shortage.rank < rank) {
+            shortage.last = now;
+        }
+        shortages.push(TierShortage { rank, last: now });
+    }
+
     /// Gives back what a request that did not run had taken.
     pub fn refund(&mut self, account: &SmolStr, cost: f64) {
         if let Some(bucket) = self.buckets.get_mut(account) {
--- a/crates/waxwing-gate/tests/quotas.rs
+++ b/crates/waxwing-gate/tests/quotas.rs
@@ -13,6 +13,9 @@
 
 const RATE: f64 = 1_000.0;
 
+const URGENT: (u32, u32) = (1, 0);
+const BULK: (u32, u32) = (1, 2);
+
 fn quota() -> deployments::AccountQuota {
     deployments::AccountQuota {
         unit: deployments::QuotaUnit::Tokens,
@@ -49,6 +52,7 @@
                 account: &account,
                 quota: &quota,
                 cost: 10.0,
+                rank: BULK,
             };
             if core.admit(now, claim).is_ok() {
                 admitted += 10.0;
@@ -164,6 +168,7 @@
         account: &account,
         quota: &quota,
         cost: 1.0,
+        rank: BULK,
     };
     let _ = entries[0].admit(cut + millis(cut_millis - 10), small);
     let later = cut + millis(cut_millis);
@@ -173,6 +178,7 @@
         account: &account,
         quota: &quota,
         cost: RATE * 0.9,
+        rank: BULK,
     };
     assert!(entries[0].admit(later, claim).is_ok());
 }
@@ -188,6 +194,7 @@
         account: &account,
         quota: &quota,
         cost: 10.0,
+        rank: BULK,
     };
     assert!(core.admit(from, claim).is_ok());
     assert_eq!(core.take_book(from, true).accounts.len(), 1);
@@ -213,6 +220,7 @@
         account: &account,
         quota: &quota,
         cost: RATE * 0.9,
+        rank: BULK,
     };
     let later = linked + millis(1_500);
     assert!(entries[8].admit(later, claim).is_ok());
@@ -248,6 +256,7 @@
         account: &account,
         quota: &quota,
         cost: RATE,
+        rank: BULK,
     };
     assert!(entries[0].admit(from, claim).is_ok());
     exchange(&mut entries, from);
@@ -264,9 +273,82 @@
         account: &account,
         quota: &quota,
         cost: RATE,
+        rank: BULK,
     };
     assert!(core.admit(from, claim).is_ok());
     assert_eq!(core.admit(from, claim), Err(millis(1_000)));
     core.quotas.refund(&account, RATE);
     assert!(core.admit(from, claim).is_ok());
 }
+
+/// Sends bulk of 10 units every millisecond, ten times the quota, and an urgent request of 200
+/// units at an interval; returns the units that were admitted of either.
+fn flood_tiers(entries: &mut [gate::GateCore], from: Instant, urgent_every: u64) -> (f64, f64) {
+    let (account, quota) = (account(), quota());
+    let mut admitted = (0.0, 0.0);
+    for step in 0..10_000 {
+        let now = from + millis(step);
+        let count = u64::try_from(entries.len()).unwrap();
+        let place = usize::try_from(step % count).unwrap();
+        let claim = |cost, rank| quotas::QuotaClaim {
+            account: &account,
+            quota: &quota,
+            cost,
+            rank,
+        };
+        if step % urgent_every == urgent_every - 1
+            && entries[place].admit(now, claim(200.0, URGENT)).is_ok()
+        {
+            admitted.0 += 200.0;
+        }
+        if entries[place].admit(now, claim(10.0, BULK)).is_ok() {
+            admitted.1 += 10.0;
+        }
+        if step % 20 == 0 {
+            exchange(entries, now);
+        }
+    }
+    admitted
+}
+
+/// Pattern: an account asks for far more than its quota, in many small requests of a low tier and
+/// some large urgent ones. The small ones fill the quota as soon as there is room for one of them.
+#[test_case(1; "one entry")]
+#[test_case(3; "three entries")]
+fn large_urgent_requests_of_an_account_over_its_quota_come_before_small_bulk(count: usize) {
+    let start = Instant::now();
+    let mut entries: Vec<_> = (0..count).map(|_| entry(start)).collect();
+    link(&mut entries, start);
+    // Urgent requests for 0.8 of the quota; every 251 ms, so that each entry gets some.
+    let (urgent, bulk) = flood_tiers(&mut entries, start + millis(5_000), 251);
+    assert!(urgent >= 0.9 * 40.0 * 200.0, "{urgent} urgent, {bulk} bulk");
+    assert!(urgent + bulk <= RATE * 11.5, "{urgent} urgent, {bulk} bulk");
+    assert!(urgent + bulk >= RATE * 9.0, "{urgent} urgent, {bulk} bulk");
+}
+
+#[test]
+fn bulk_gets_the_whole_quota_where_nothing_urgent_is_short() {
+    let start = Instant::now();
+    let mut entries = [entry(start)];
+    let (_, bulk) = flood_tiers(&mut entries, start + millis(5_000), u64::MAX);
+    assert!(bulk >= RATE * 10.0, "{bulk}");
+}
+
+#[test]
+fn a_request_above_what_is_left_to_its_tier_fits_an_empty_quota() {
+    let start = Instant::now();
+    let mut core = entry(start);
+    let from = start + millis(5_000);
+    let (account, quota) = (account(), quota());
+    let claim = |cost, rank| quotas::QuotaClaim {
+        account: &account,
+        quota: &quota,
+        cost,
+        rank,
+    };
+    assert!(core.admit(from, claim(RATE, URGENT)).is_ok());
+    assert!(core.admit(from, claim(RATE, URGENT)).is_err());
+    let later = from + millis(1_000);
+    assert!(core.admit(later - millis(1), claim(RATE, URGENT)).is_err());
+    assert!(core.admit(later, claim(RATE, BULK)).is_ok());
+}
