Tell returned callers by the patience of the others on their route

Cause: a caller with less than 0.93 of its route's timeout counted as refused before. A change of a timeout by the operator would have turned all callers into returned ones, or none.

The longest patience among the callers of a route in the last seconds is learned; below 0.82 of it a caller counts as returned, since a refused one is asked to let at least a fifth of its time pass.

--- a/crates/waxwing-conduit/src/checks.rs
+++ b/crates/waxwing-conduit/src/checks.rs
@@ -69,7 +69,13 @@
         },
         None => tickets::WorkSize::Call,
     };
-    let patience = facts.deadline.unwrap_or(route.timeout).min(route.timeout);
+    let given = facts.deadline.unwrap_or(route.timeout);
+    let patience = given.min(route.timeout);
+    let returned = state
+        .gate()
+        .core
+        .patience
+        .observe(arrival, &route.name, given);
     let profile = deployment.service(&service).and_then(|found| found.engine);
     Ok(intake::AcceptedRequest {
         event_tokens: profile.map_or(1, |profile| profile.event_tokens),
@@ -81,6 +87,7 @@
         size,
         arrival,
         deadline: arrival + patience,
+        returned,
         method: head.method,
         uri: head.uri,
         body,
--- a/crates/waxwing-conduit/src/intake.rs
+++ b/crates/waxwing-conduit/src/intake.rs
@@ -29,9 +29,6 @@
 /// Time before an objective at which an answer must leave the entry to be on time at the caller.
 const DELIVERY_MARGIN: Duration = Duration::from_millis(15);
 
-/// A caller whose remaining time is below this share of the route's timeout has asked before.
-const RETURNED_SHARE: f64 = 0.93;
-
 /// Time for which a caller may leave a connection idle, as every answer tells. Each connection
 /// takes some 20 KB, and a heavy day has thousands of them.
 pub(crate) const KEPT_IDLE: Duration = Duration::from_secs(4);
@@ -45,6 +42,8 @@
     pub(crate) size: tickets::WorkSize,
     pub(crate) arrival: Instant,
     pub(crate) deadline: Instant,
+    /// Whether its caller has probably been refused before.
+    pub(crate) returned: bool,
     /// Tokens in one event of a stream.
     pub(crate) event_tokens: u32,
     pub(crate) method: http::Method,
@@ -60,13 +59,6 @@
         let rank = self.account.as_ref().and_then(|account| account.rank);
         (rank.unwrap_or(self.route.rank), self.route.rank)
     }
-
-    /// Tells whether its caller was probably refused before: it has less time than its route
-    /// gives.
-    fn is_returned(&self) -> bool {
-        let patience = self.deadline.saturating_duration_since(self.arrival);
-        patience < self.route.timeout.mul_f64(RETURNED_SHARE)
-    }
 }
 
 /// A `GivenAnswer` is an answer of an endpoint that is worth passing on.
@@ -309,7 +301,7 @@
         left_ms = remaining(state, request).as_millis(),
         rank = request.rank().0,
         route_rank = request.rank().1,
-        returned = request.is_returned(),
+        returned = request.returned,
         size = ?request.size,
         send = history.arrivals + 1,
         last_event
@@ -472,7 +464,7 @@
         due: request.arrival + request.route.objective.saturating_sub(DELIVERY_MARGIN),
         deadline: request.deadline,
         size: request.size,
-        returned: request.is_returned(),
+        returned: request.returned,
         // A caller that resumes a stream has a part of the answer, and less is left to do.
         resumed: history.runs > 0 || last_event.is_some(),
         excluded: history.excluded.clone(),
--- a/crates/waxwing-gate/src/gate.rs
+++ b/crates/waxwing-gate/src/gate.rs
@@ -18,7 +18,7 @@
 use waxwing_fleet::registry;
 use waxwing_wire::messages;
 
-use crate::{baselines, budgets, endpoints, models, options, quotas, shares, tickets};
+use crate::{baselines, budgets, endpoints, models, options, patience, quotas, shares, tickets};
 
 /// The place of a ticket in the queue of its service.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -51,6 +51,8 @@
     /// The model of a service of which nothing is known.
     initial_model: models::ServiceModel,
     budgets: HashMap<SmolStr, budgets::RetryBudget>,
+    /// How long the callers of each route wait.
+    pub patience: patience::PatienceTable,
     /// The quotas of client accounts.
     pub quotas: quotas::QuotaTable,
     peers: HashMap<SocketAddr, PeerBook>,
@@ -162,6 +164,7 @@
             models: HashMap::new(),
             initial_model: models::ServiceModel::default(),
             budgets: HashMap::new(),
+            patience: patience::PatienceTable::default(),
             quotas: quotas::QuotaTable::new(started),
             peers: HashMap::new(),
             lost_peers: HashMap::new(),
--- a/crates/waxwing-gate/src/lib.rs
+++ b/crates/waxwing-gate/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod gate;
 pub mod models;
 pub mod options;
+pub mod patience;
 pub mod quotas;
 pub mod shares;
 pub mod tickets;
