Keep the queues of short calls at the entries

Cause: runs under 150 ms aren't counted in books, and each entry alone sent an endpoint as many calls as it has slots.

An endpoint's own count of waiting requests now lowers the calls that an entry sends at once (by 0.7, at most once per run) and a short queue raises them again. A call that could only start too late is refused while there is an endpoint at all, since it would take the place of one that can be in time.

--- a/crates/waxwing-conduit/src/state.rs
+++ b/crates/waxwing-conduit/src/state.rs
@@ -297,8 +297,8 @@
 
     /// Takes the load that the endpoint told.
     pub(crate) fn reported(&self, load: dialects::LoadFacts) {
-        let requests = load.running.saturating_add(load.waiting);
-        self.state.gate().core.reported(&self.endpoint, requests);
+        let now = self.state.clock.now();
+        self.state.gate().core.reported(now, &self.endpoint, load);
     }
 
     /// Takes that the endpoint could not be reached.
--- a/crates/waxwing-gate/src/endpoints.rs
+++ b/crates/waxwing-gate/src/endpoints.rs
@@ -7,6 +7,7 @@
 };
 
 use smol_str::SmolStr;
+use waxwing_fleet::dialects;
 use waxwing_wire::messages;
 
 use crate::{models, options, tickets};
@@ -47,6 +48,10 @@
     pub speed: models::EngineSpeed,
     /// Milliseconds that a plain call takes, once measured.
     call_millis: Option<f64>,
+    /// Calls that this entry sends there at once, once its load was told.
+    call_limit: Option<f64>,
+    /// When that was last lowered.
+    limit_cut: Option<Instant>,
     /// Until when it is left alone.
     suspected_until: Option<Instant>,
     failures: u32,
@@ -70,6 +75,8 @@
             reported: 0,
             speed: models::EngineSpeed::default(),
             call_millis: None,
+            call_limit: None,
+            limit_cut: None,
             suspected_until: None,
             failures: 0,
             failure_ratio: 0.0,
@@ -97,14 +104,18 @@
 
     /// Returns the requests that it may get now: its free slots, and `door` requests that wait there
     /// so that no slot stays empty between two runs. What other entries run counts only where
-    /// `books` can be relied on.
+    /// `books` can be relied on; elsewhere the queue that it tells limits this entry.
     #[must_use]
     pub fn free_places(&self, books: bool, door: u32) -> u32 {
-        let running = match books {
-            true => self.total().running,
-            false => self.own.running,
-        };
-        self.slots.saturating_add(door).saturating_sub(running)
+        let places = self.slots.saturating_add(door);
+        if books {
+            return places.saturating_sub(self.total().running);
+        }
+        let running = f64::from(self.own.running);
+        match self.call_limit {
+            Some(limit) if running + 1.0 > limit => 0,
+            _ => places.saturating_sub(self.own.running),
+        }
     }
 
     /// Returns the time to the first event, or to the answer of a plain call, that is expected if
@@ -143,6 +154,31 @@
         model.generation(&self.speed, to_float(size.answer()))
     }
 
+    /// Takes the load that it tells in an answer. A queue there that is longer than a part of its
+    /// slots lowers the calls that this entry sends at once; a shorter one raises them again.
+    pub fn observe_load(
+        &mut self,
+        now: Instant,
+        load: dialects::LoadFacts,
+        options: &options::GateOptions,
+    ) {
+        self.reported = load.running.saturating_add(load.waiting);
+        let most = f64::from(self.slots.saturating_add(options.waiting_at_door));
+        let limit = self.call_limit.unwrap_or(most);
+        let longest = f64::from(self.slots) * options.queue_share;
+        if f64::from(load.waiting) <= longest {
+            self.call_limit = Some((limit + options.limit_step / limit).min(most));
+            return;
+        }
+        // The calls that are under way were sent under the former limit.
+        let pause = models::from_millis(self.call_millis.unwrap_or_default());
+        let just_cut = |since| now.saturating_duration_since(since) < pause;
+        if !self.limit_cut.is_some_and(just_cut) {
+            self.call_limit = Some((limit * options.limit_cut).max(1.0));
+            self.limit_cut = Some(now);
+        }
+    }
+
     /// Takes the time of a plain call.
     pub fn measure_call(&mut self, took: Duration, options: &options::GateOptions) {
         let millis = models::to_millis(took);
--- a/crates/waxwing-gate/src/gate.rs
+++ b/crates/waxwing-gate/src/gate.rs
@@ -15,7 +15,7 @@
 };
 
 use smol_str::SmolStr;
-use waxwing_fleet::registry;
+use waxwing_fleet::{dialects, registry};
 use waxwing_wire::messages;
 
 use crate::{baselines, budgets, endpoints, models, options, patience, quotas, shares, tickets};
@@ -400,10 +400,10 @@
         }
     }
 
-    /// Takes the requests that an endpoint tells to hold, running and waiting.
-    pub fn reported(&mut self, endpoint: &SmolStr, requests: u32) {
+    /// Takes the load that an endpoint tells.
+    pub fn reported(&mut self, now: Instant, endpoint: &SmolStr, load: dialects::LoadFacts) {
         if let Some(view) = self.endpoints.get_mut(endpoint) {
-            view.reported = requests;
+            view.observe_load(now, load, &self.options);
         }
     }
 
--- a/crates/waxwing-gate/src/gate/deciding.rs
+++ b/crates/waxwing-gate/src/gate/deciding.rs
@@ -112,7 +112,11 @@
         round: &ServiceRound,
     ) -> bool {
         let start = now + round.outlook.slot_interval * round.ahead;
-        now >= self.patience_end(ticket) || start >= self.latest_start(ticket)
+        let latest = match round.outlook.usable {
+            true => self.latest_start(ticket),
+            false => self.patience_end(ticket),
+        };
+        now >= self.patience_end(ticket) || start >= latest
     }
 
     fn refusal(
@@ -215,10 +219,15 @@
     /// Returns when a request must start at the latest to be worth its wait.
     fn latest_start(&self, ticket: &tickets::WaitingTicket) -> Instant {
         let end = self.patience_end(ticket);
-        if ticket.returned || ticket.resumed || ticket.size == tickets::WorkSize::Call {
+        if ticket.returned || ticket.resumed {
             return end;
         }
         let model = self.model(&ticket.service);
+        if ticket.size == tickets::WorkSize::Call {
+            // One that could only be late takes the place of one that could be in time.
+            let latest = ticket.due.checked_sub(model.run_time());
+            return latest.map_or(ticket.arrival, |latest| latest.min(end));
+        }
         let speed = models::EngineSpeed::default();
         let first = model.first_event(&speed, endpoints::to_float(ticket.size.prompt()));
         end.checked_sub(first).unwrap_or(ticket.arrival)
--- a/crates/waxwing-gate/src/options.rs
+++ b/crates/waxwing-gate/src/options.rs
@@ -80,6 +80,13 @@
     /// The shortest mean run of a service for which books tell what runs elsewhere. Shorter runs
     /// have ended before the other entries hear of them; their endpoints queue instead.
     pub shortest_counted_run: Duration,
+    /// The queue that an endpoint of short calls may tell before an entry sends fewer of them at
+    /// once, as a part of its slots; half a run's time of waiting.
+    pub queue_share: f64,
+    /// The factor by which an entry then lowers the calls that it sends there at once.
+    pub limit_cut: f64,
+    /// The calls by which that rises again while as many are answered as are under way.
+    pub limit_step: f64,
     /// The longest time for which free slots are left to other entries, should they not take them.
     pub yield_limit: Duration,
     /// Time for which an entry whose link was lost counts as one that may be running.
@@ -120,6 +127,9 @@
             demand_lifetime: Duration::from_millis(500),
             waiting_at_door: 1,
             shortest_counted_run: Duration::from_millis(150),
+            queue_share: 0.5,
+            limit_cut: 0.7,
+            limit_step: 0.5,
             yield_limit: Duration::from_millis(60),
             lost_peer_retention: Duration::from_secs(20),
             quota_slack: 0.0,
--- a/crates/waxwing-gate/tests/baselines.rs
+++ b/crates/waxwing-gate/tests/baselines.rs
@@ -6,6 +6,7 @@
 
 use smol_str::SmolStr;
 use test_case::test_case;
+use waxwing_fleet::dialects;
 use waxwing_gate::{gate, options};
 use waxwing_settings::view::RoutingPolicy;
 
@@ -59,13 +60,21 @@
     );
 }
 
+fn load(running: u32) -> dialects::LoadFacts {
+    dialects::LoadFacts {
+        running,
+        waiting: 0,
+        slots: 9,
+    }
+}
+
 #[test]
 fn least_reported_follows_what_endpoints_told() {
     let now = Instant::now();
     let mut core = core(now, RoutingPolicy::LeastReported);
-    core.reported(&SmolStr::new("one"), 4);
-    core.reported(&SmolStr::new("two"), 1);
-    core.reported(&SmolStr::new("three"), 9);
+    core.reported(now, &SmolStr::new("one"), load(4));
+    core.reported(now, &SmolStr::new("two"), load(1));
+    core.reported(now, &SmolStr::new("three"), load(9));
     let starts = starts(&mut core, now);
     assert_eq!(starts, BTreeMap::from([(SmolStr::new("two"), REQUESTS)]));
 }
