Log callers that leave before their answer has begun

Cause: the connection drops what works on a request when its caller leaves; a request that had started then left no further line.

A watch on each request logs caller-left with the time that it waited and counts the reason.

--- a/crates/waxwing-conduit/src/intake.rs
+++ b/crates/waxwing-conduit/src/intake.rs
@@ -103,6 +103,31 @@
     pub(crate) excluded: Vec<SmolStr>,
 }
 
+/// An `AnswerWatch` logs a request whose caller leaves before the head of its answer is there: the
+/// connection drops what still works on it.
+struct AnswerWatch<'a, C: Clock, D> {
+    state: &'a state::EntryState<C, D>,
+    id: Option<&'a str>,
+    arrival: Instant,
+    answered: bool,
+}
+
+impl<C: Clock, D> Drop for AnswerWatch<'_, C, D> {
+    fn drop(&mut self) {
+        if self.answered {
+            return;
+        }
+        let waited = self.state.clock.now();
+        let waited = waited.saturating_duration_since(self.arrival);
+        self.state.metrics.refused("caller-left");
+        tracing::info!(
+            event = "caller-left",
+            id = self.id,
+            waited_ms = waited.as_millis()
+        );
+    }
+}
+
 /// Answers a request of a caller.
 pub(crate) async fn serve<C: Clock, D: dialects::RequestDialect>(
     state: Arc<state::EntryState<C, D>>,
@@ -113,6 +138,12 @@
     let facts = state.dialect.request(&head);
     let id = facts.as_ref().ok().map(|facts| facts.id.clone());
     let active = state.count_active();
+    let mut watch = AnswerWatch {
+        state: &state,
+        id: id.as_deref(),
+        arrival,
+        answered: false,
+    };
     let answered = match facts {
         Ok(facts) => respond(&state, arrival, head, incoming, facts).await,
         Err(error) => {
@@ -149,6 +180,8 @@
             failure.retry_after,
         )
     });
+    watch.answered = true;
+    drop(watch);
     drop(active);
     let headers = answer.headers_mut();
     if state.is_stopping() {
