--- a/crates/waxwing-gate/tests/quotas.rs
+++ b/crates/waxwing-gate/tests/quotas.rs
@@ -2,7 +2,7 @@
 
 mod support;
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use smol_str::SmolStr;
 use test_case::test_case;
@@ -29,6 +29,22 @@
     SmolStr::new("large")
 }
 
+/// Asks an entry to admit a request of the account.
+fn admit(
+    core: &mut gate::GateCore,
+    now: Instant,
+    cost: f64,
+    rank: (u32, u32),
+) -> Result<(), Duration> {
+    let claim = quotas::QuotaClaim {
+        account: &account(),
+        quota: &quota(),
+        cost,
+        rank,
+    };
+    core.admit(now, claim)
+}
+
 fn entry(now: Instant) -> gate::GateCore {
     let mut core = gate::GateCore::new(options::GateOptions::default(), now);
     core.quotas
@@ -43,18 +59,11 @@
 }
 
 fn flood_for(entries: &mut [gate::GateCore], from: Instant, duration: u64, linked: bool) -> f64 {
-    let (account, quota) = (account(), quota());
     let mut admitted = 0.0;
     for step in 0..duration {
         let now = from + millis(step);
         for core in entries.iter_mut() {
-            let claim = quotas::QuotaClaim {
-                account: &account,
-                quota: &quota,
-                cost: 10.0,
-                rank: BULK,
-            };
-            if core.admit(now, claim).is_ok() {
+            if admit(core, now, 10.0, BULK).is_ok() {
                 admitted += 10.0;
             }
         }
@@ -163,24 +172,11 @@
     let cut = from + millis(4_000);
     entries[0].forget_peer(cut, address(1));
     // Counting entries is what lets go of those that are lost for long.
-    let (account, quota) = (account(), quota());
-    let small = quotas::QuotaClaim {
-        account: &account,
-        quota: &quota,
-        cost: 1.0,
-        rank: BULK,
-    };
-    let _ = entries[0].admit(cut + millis(cut_millis - 10), small);
+    let _ = admit(&mut entries[0], cut + millis(cut_millis - 10), 1.0, BULK);
     let later = cut + millis(cut_millis);
     let book = entries[1].take_book(later, true);
     entries[0].observe_book(later, address(1), book);
-    let claim = quotas::QuotaClaim {
-        account: &account,
-        quota: &quota,
-        cost: RATE * 0.9,
-        rank: BULK,
-    };
-    assert!(entries[0].admit(later, claim).is_ok());
+    assert!(admit(&mut entries[0], later, RATE * 0.9, BULK).is_ok());
 }
 
 /// Guards against a link that opens and takes the news from all other links.
@@ -189,14 +185,7 @@
     let start = Instant::now();
     let mut core = entry(start);
     let from = start + millis(5_000);
-    let (account, quota) = (account(), quota());
-    let claim = quotas::QuotaClaim {
-        account: &account,
-        quota: &quota,
-        cost: 10.0,
-        rank: BULK,
-    };
-    assert!(core.admit(from, claim).is_ok());
+    assert!(admit(&mut core, from, 10.0, BULK).is_ok());
     assert_eq!(core.take_book(from, true).accounts.len(), 1);
     assert_eq!(core.take_book(from, false).accounts.len(), 1);
     assert_eq!(core.take_book(from, false).accounts.len(), 0);
@@ -215,15 +204,8 @@
     entries.push(entry(restart));
     let linked = restart + millis(300);
     link(&mut entries, linked);
-    let (account, quota) = (account(), quota());
-    let claim = quotas::QuotaClaim {
-        account: &account,
-        quota: &quota,
-        cost: RATE * 0.9,
-        rank: BULK,
-    };
     let later = linked + millis(1_500);
-    assert!(entries[8].admit(later, claim).is_ok());
+    assert!(admit(&mut entries[8], later, RATE * 0.9, BULK).is_ok());
 }
 
 /// Guards against the sums of a new life that are taken for those of the former one: its new link
@@ -251,16 +233,9 @@
     let mut entries = [entry(start), entry(start)];
     link(&mut entries, start);
     let from = start + millis(5_000);
-    let (account, quota) = (account(), quota());
-    let claim = quotas::QuotaClaim {
-        account: &account,
-        quota: &quota,
-        cost: RATE,
-        rank: BULK,
-    };
-    assert!(entries[0].admit(from, claim).is_ok());
+    assert!(admit(&mut entries[0], from, RATE, BULK).is_ok());
     exchange(&mut entries, from);
-    assert!(entries[1].admit(from, claim).is_err());
+    assert!(admit(&mut entries[1], from, RATE, BULK).is_err());
 }
 
 #[test]
@@ -268,40 +243,26 @@
     let start = Instant::now();
     let mut core = entry(start);
     let from = start + millis(5_000);
-    let (account, quota) = (account(), quota());
-    let claim = quotas::QuotaClaim {
-        account: &account,
-        quota: &quota,
-        cost: RATE,
-        rank: BULK,
-    };
-    assert!(core.admit(from, claim).is_ok());
-    assert_eq!(core.admit(from, claim), Err(millis(1_000)));
-    core.quotas.refund(&account, RATE);
-    assert!(core.admit(from, claim).is_ok());
+    assert!(admit(&mut core, from, RATE, BULK).is_ok());
+    assert_eq!(admit(&mut core, from, RATE, BULK), Err(millis(1_000)));
+    core.quotas.refund(&account(), RATE);
+    assert!(admit(&mut core, from, RATE, BULK).is_ok());
 }
 
 /// Sends bulk of 10 units every millisecond, ten times the quota, and an urgent request of 200
 /// units at an interval; returns the units that were admitted of either.
 fn flood_tiers(entries: &mut [gate::GateCore], from: Instant, urgent_every: u64) -> (f64, f64) {
-    let (account, quota) = (account(), quota());
     let mut admitted = (0.0, 0.0);
     for step in 0..10_000 {
         let now = from + millis(step);
         let count = u64::try_from(entries.len()).unwrap();
         let place = usize::try_from(step % count).unwrap();
-        let claim = |cost, rank| quotas::QuotaClaim {
-            account: &account,
-            quota: &quota,
-            cost,
-            rank,
-        };
         if step % urgent_every == urgent_every - 1
-            && entries[place].admit(now, claim(200.0, URGENT)).is_ok()
+            && admit(&mut entries[place], now, 200.0, URGENT).is_ok()
         {
             admitted.0 += 200.0;
         }
-        if entries[place].admit(now, claim(10.0, BULK)).is_ok() {
+        if admit(&mut entries[place], now, 10.0, BULK).is_ok() {
             admitted.1 += 10.0;
         }
         if step % 20 == 0 {
@@ -339,16 +300,9 @@
     let start = Instant::now();
     let mut core = entry(start);
     let from = start + millis(5_000);
-    let (account, quota) = (account(), quota());
-    let claim = |cost, rank| quotas::QuotaClaim {
-        account: &account,
-        quota: &quota,
-        cost,
-        rank,
-    };
-    assert!(core.admit(from, claim(RATE, URGENT)).is_ok());
-    assert!(core.admit(from, claim(RATE, URGENT)).is_err());
+    assert!(admit(&mut core, from, RATE, URGENT).is_ok());
+    assert!(admit(&mut core, from, RATE, URGENT).is_err());
     let later = from + millis(1_000);
-    assert!(core.admit(later - millis(1), claim(RATE, URGENT)).is_err());
-    assert!(core.admit(later, claim(RATE, BULK)).is_ok());
+    assert!(admit(&mut core, later - millis(1), RATE, URGENT).is_err());
+    assert!(admit(&mut core, later, RATE, BULK).is_ok());
 }
