--- a/crates/waxwing-conduit/src/fleet.rs
+++ b/crates/waxwing-conduit/src/fleet.rs
@@ -111,7 +111,9 @@
     fn handle_message(&self, remote: network::RemoteProcess, body: messages::Body) {
         let now = self.state.clock.now();
         match body {
-            messages::Body::DeploymentState(deployment) => self.apply_deployment(&deployment),
+            messages::Body::DeploymentState(deployment) => {
+                self.apply_deployment(remote, &deployment);
+            }
             messages::Body::EndpointNotices(notices) => {
                 let mut gate = self.state.gate();
                 for notice in notices.notices {
@@ -136,19 +138,33 @@
 
     /// Applies a deployment that is newer than the current one. The entry becomes ready with the
     /// first deployment that a control host confirms as current.
-    fn apply_deployment(&self, message: &messages::DeploymentState) {
+    fn apply_deployment(
+        &self,
+        remote: network::RemoteProcess,
+        message: &messages::DeploymentState,
+    ) {
         let held = self.state.deployment.load();
         let held = held.as_ref().map_or(0, |deployment| deployment.version());
+        tracing::info!(
+            event = "deployment-received",
+            control = %remote.address,
+            version = message.version,
+            held,
+            bytes = message.body.len(),
+            confirmed = message.confirmed
+        );
         if message.version > held {
+            let received = self.state.clock.now();
             let parsed = self.control_dialect.deployment(&message.body);
             match parsed.and_then(deployments::FleetDeployment::new) {
                 Ok(deployment) => {
+                    let now = self.state.clock.now();
                     tracing::info!(
                         event = "deployment-in-force",
                         version = message.version,
-                        held
+                        held,
+                        parse_ms = now.saturating_duration_since(received).as_millis()
                     );
-                    let now = self.state.clock.now();
                     let accounts = deployment.accounts().iter();
                     let quotas = accounts
                         .filter_map(|account| Some((&account.name, account.quota.as_ref()?)));
--- a/crates/waxwing-fleet/src/network.rs
+++ b/crates/waxwing-fleet/src/network.rs
@@ -180,7 +180,7 @@
             .filter(|(remote, _)| remote.address == address);
         links
             .min_by_key(|(remote, _)| !remote.dialled)
-            .is_some_and(|(_, sender)| sender.try_send(0, body).is_ok())
+            .is_some_and(|(remote, sender)| try_send(remote, sender, body))
     }
 
     /// Sends a message to each linked process with a role, once even if it has two links.
@@ -190,9 +190,7 @@
             if remote.kind != kind || !sent.insert(remote.address) {
                 continue;
             }
-            if let Err(error) = sender.try_send(0, body.clone()) {
-                tracing::debug!(address = %remote.address, %error, "message dropped");
-            }
+            try_send(remote, sender, body.clone());
         }
     }
 
@@ -321,3 +319,12 @@
         let _ = self.events.send(NetworkEvent::Closed(remote)).await;
     }
 }
+
+/// Queues a message on a link; returns whether there was room for it.
+fn try_send(remote: &RemoteProcess, sender: &links::LinkSender, body: messages::Body) -> bool {
+    let sent = sender.try_send(0, body);
+    if let Err(error) = &sent {
+        tracing::warn!(event = "message-dropped", address = %remote.address, %error);
+    }
+    sent.is_ok()
+}
--- a/crates/waxwing-registrar/src/host.rs
+++ b/crates/waxwing-registrar/src/host.rs
@@ -221,6 +221,14 @@
             };
             if last_sent != (state.version, state.confirmed) {
                 last_sent = (state.version, state.confirmed);
+                let entries = self.network.linked_addresses(messages::ProcessKind::Entry);
+                tracing::info!(
+                    event = "deployment-published",
+                    version = state.version,
+                    confirmed = state.confirmed,
+                    bytes = state.body.len(),
+                    entries = entries.len()
+                );
                 let body = messages::Body::DeploymentState(state);
                 self.network.broadcast(messages::ProcessKind::Entry, &body);
             }
--- a/crates/waxwing-wire/src/links.rs
+++ b/crates/waxwing-wire/src/links.rs
@@ -13,7 +13,7 @@
     time::Duration,
 };
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use futures_util::{SinkExt as _, StreamExt as _};
 use rustls::pki_types;
 use tokio::{
@@ -24,7 +24,7 @@
 use tokio_util::{codec, sync::CancellationToken};
 use waxwing_core::{clock::Clock, counters};
 
-use crate::{errors, framing, messages, security};
+use crate::{activity, errors, framing, messages, security};
 
 /// The timeouts and limits of a link.
 #[derive(Debug, Clone)]
@@ -348,7 +348,8 @@
     }
 }
 
-type FramedStream<S> = codec::Framed<S, codec::LengthDelimitedCodec>;
+type FramedStream<S, C> =
+    codec::Framed<activity::ActivityStream<S, C>, codec::LengthDelimitedCodec>;
 
 /// Exchanges `Hello` messages and starts the reader and writer tasks.
 async fn start_link<S, C>(
@@ -362,6 +363,8 @@
     S: AsyncRead + AsyncWrite + Send + Unpin + 'static,
     C: Clock,
 {
+    let activity = Arc::new(activity::LinkActivity::new(clock.clone()));
+    let stream = activity::ActivityStream::new(stream, activity.clone());
     let mut frames = codec::Framed::new(stream, framing::codec());
     let timeout = options.connect_timeout;
     let peer = with_timeout(&clock, timeout, exchange_hello(&mut frames, hello)).await??;
@@ -382,6 +385,8 @@
     };
     let reader = LinkReader {
         source,
+        activity,
+        address,
         queue: in_sender,
         receive_timeout: options.idle_timeout,
         counters: options.counters.clone(),
@@ -404,8 +409,8 @@
     })
 }
 
-async fn exchange_hello<S: AsyncRead + AsyncWrite + Unpin>(
-    frames: &mut FramedStream<S>,
+async fn exchange_hello<S: AsyncRead + AsyncWrite + Unpin, C: Clock>(
+    frames: &mut FramedStream<S, C>,
     hello: messages::Hello,
 ) -> Result<messages::Hello, errors::LinkError> {
     frames
@@ -427,7 +432,7 @@
 
 /// The task that sends the queued messages, and heartbeats while the queue is empty.
 struct LinkWriter<S, C> {
-    sink: futures_util::stream::SplitSink<FramedStream<S>, Bytes>,
+    sink: futures_util::stream::SplitSink<FramedStream<S, C>, Bytes>,
     queue: mpsc::Receiver<Bytes>,
     /// Interval between heartbeats while the queue is empty.
     interval: Duration,
@@ -485,7 +490,9 @@
 
 /// The task that receives messages and ends the link if none arrives in time.
 struct LinkReader<S, C> {
-    source: futures_util::stream::SplitStream<FramedStream<S>>,
+    source: futures_util::stream::SplitStream<FramedStream<S, C>>,
+    activity: Arc<activity::LinkActivity<C>>,
+    address: SocketAddr,
     queue: mpsc::Sender<Result<messages::Envelope, errors::LinkError>>,
     receive_timeout: Duration,
     counters: counters::CounterSet,
@@ -510,8 +517,7 @@
     }
 
     async fn next(&mut self) -> Result<messages::Envelope, errors::LinkError> {
-        let frame = with_timeout(&self.clock, self.receive_timeout, self.source.next()).await?;
-        let frame = frame.ok_or(errors::LinkError::Closed)??;
+        let frame = self.next_frame().await?;
         let length = frame.len();
         let envelope = framing::decode(frame)?;
         if envelope
@@ -524,4 +530,20 @@
         }
         Ok(envelope)
     }
+
+    async fn next_frame(&mut self) -> Result<BytesMut, errors::LinkError> {
+        let received_before = self.activity.received_bytes();
+        let next = self.source.next();
+        let Ok(frame) = with_timeout(&self.clock, self.receive_timeout, next).await else {
+            tracing::warn!(
+                event = "link-timed-out",
+                address = %self.address,
+                partial_bytes = self.activity.received_bytes() - received_before,
+                idle_ms = self.activity.receive_idle_time().as_millis(),
+                "no complete message in time"
+            );
+            return Err(errors::LinkError::TimedOut);
+        };
+        Ok(frame.ok_or(errors::LinkError::Closed)??)
+    }
 }
