--- a/crates/waxwing-core/src/events.rs
+++ b/crates/waxwing-core/src/events.rs
@@ -100,7 +100,23 @@
         "service-load",
         "the load of a service as one entry sees it, twice a second",
     ),
+    log_event(
+        "deployment-published",
+        "the control host sent the deployment to its linked entries",
+    ),
+    log_event(
+        "deployment-received",
+        "a deployment reached the entry; `held` is the version in force",
+    ),
     log_event("deployment-in-force", "the entry took a newer deployment"),
+    log_event(
+        "link-timed-out",
+        "a link is given up; `partial_bytes` arrived of a message that is not complete",
+    ),
+    log_event(
+        "message-dropped",
+        "the send queue of a link was full or the link had ended",
+    ),
     log_event(
         "entry-ready",
         "the entry holds a confirmed deployment and reports itself ready",
--- a/crates/waxwing-core/tests/events.rs
+++ b/crates/waxwing-core/tests/events.rs
@@ -9,12 +9,13 @@
 use waxwing_core::events;
 
 /// Source folders of the processes that write the decision log.
-const LOGGING_FOLDERS: [&str; 6] = [
+const LOGGING_FOLDERS: [&str; 7] = [
     "crates/waxwing-conduit/src",
     "crates/waxwing-fleet/src",
     "crates/waxwing-gate/src",
     "crates/waxwing-process/src",
     "crates/waxwing-registrar/src",
+    "crates/waxwing-wire/src",
     "platform/src",
 ];
 
