Keep a link while the bytes of a large message arrive

A document of 1.7 MB takes longer on an entry's link, so each transfer was cut, the link opened anew, and the document sent again from its start: the change never arrived. Class: liveness judged by messages instead of bytes.

The timeouts now run from the last byte received, or accepted by the socket; a peer that sends or reads nothing is still found within the timeout.

Tests: link_outlives_a_message_that_arrives_slowly and link_outlives_a_message_that_is_read_slowly failed on the code before and pass; link_ends_when_its_peer_stops_reading passes on both.

--- a/crates/waxwing-wire/src/activity.rs
+++ b/crates/waxwing-wire/src/activity.rs
@@ -72,6 +72,11 @@
     pub(crate) fn receive_idle_time(&self) -> Duration {
         self.received.idle_time(self.elapsed())
     }
+
+    /// Returns the time since the socket last accepted bytes.
+    pub(crate) fn send_idle_time(&self) -> Duration {
+        self.sent.idle_time(self.elapsed())
+    }
 }
 
 /// A byte stream that records its activity.
--- a/crates/waxwing-wire/src/links.rs
+++ b/crates/waxwing-wire/src/links.rs
@@ -31,8 +31,8 @@
 pub struct LinkOptions {
     /// Interval between heartbeats on an idle link; default 500 ms.
     pub heartbeat_interval: Duration,
-    /// Time without a received message, or for one write, after which a link is considered lost;
-    /// default 2.5 s, five heartbeat intervals.
+    /// Time without a received byte, or in which a write sends none, after which a link is
+    /// considered lost; default 2.5 s, five heartbeat intervals. Messages may take longer.
     pub idle_timeout: Duration,
     /// Timeout of each step of opening a link: connecting, the TLS handshake and the exchange of
     /// `Hello` messages; default 2 s.
@@ -348,6 +348,29 @@
     }
 }
 
+/// Awaits `operation`, and fails with [`errors::LinkError::TimedOut`] once it has waited for
+/// `timeout` and no bytes were transferred in that time. `idle_time` returns the time since the
+/// last transfer.
+async fn while_active<C: Clock, F: Future>(
+    clock: &C,
+    timeout: Duration,
+    idle_time: impl Fn() -> Duration,
+    operation: F,
+) -> Result<F::Output, errors::LinkError> {
+    tokio::pin!(operation);
+    let mut wait = timeout;
+    loop {
+        tokio::select! {
+            output = &mut operation => return Ok(output),
+            () = clock.sleep(wait) => {}
+        }
+        wait = timeout.saturating_sub(idle_time());
+        if wait.is_zero() {
+            return Err(errors::LinkError::TimedOut);
+        }
+    }
+}
+
 type FramedStream<S, C> =
     codec::Framed<activity::ActivityStream<S, C>, codec::LengthDelimitedCodec>;
 
@@ -375,6 +398,7 @@
     let (sink, source) = frames.split();
     let writer = LinkWriter {
         sink,
+        activity: activity.clone(),
         queue: out_receiver,
         interval: options.heartbeat_interval,
         write_timeout: options.idle_timeout,
@@ -433,6 +457,7 @@
 /// The task that sends the queued messages, and heartbeats while the queue is empty.
 struct LinkWriter<S, C> {
     sink: futures_util::stream::SplitSink<FramedStream<S, C>, Bytes>,
+    activity: Arc<activity::LinkActivity<C>>,
     queue: mpsc::Receiver<Bytes>,
     /// Interval between heartbeats while the queue is empty.
     interval: Duration,
@@ -450,9 +475,12 @@
             let ended = self.ended.clone();
             let limit = self.write_timeout;
             let clock = self.clock.clone();
+            let activity = self.activity.clone();
+            let idle_time = || activity.send_idle_time();
+            let writing = while_active(&clock, limit, idle_time, self.write(frame));
             let sent = tokio::select! {
                 () = ended.cancelled() => false,
-                sent = with_timeout(&clock, limit, self.write(frame)) => matches!(sent, Ok(Ok(()))),
+                sent = writing => matches!(sent, Ok(Ok(()))),
             };
             if !sent {
                 break;
@@ -531,10 +559,14 @@
         Ok(envelope)
     }
 
+    /// Waits for a frame as long as bytes arrive: a large one may take longer than the timeout.
     async fn next_frame(&mut self) -> Result<BytesMut, errors::LinkError> {
         let received_before = self.activity.received_bytes();
         let next = self.source.next();
-        let Ok(frame) = with_timeout(&self.clock, self.receive_timeout, next).await else {
+        let activity = self.activity.clone();
+        let idle_time = || activity.receive_idle_time();
+        let Ok(frame) = while_active(&self.clock, self.receive_timeout, idle_time, next).await
+        else {
             tracing::warn!(
                 event = "link-timed-out",
                 address = %self.address,
--- a/crates/waxwing-wire/tests/links.rs
+++ b/crates/waxwing-wire/tests/links.rs
@@ -4,7 +4,10 @@
 
 use std::{net::SocketAddr, time::Duration};
 
-use tokio::{io::AsyncWriteExt as _, net};
+use tokio::{
+    io::{AsyncReadExt as _, AsyncWriteExt as _},
+    net,
+};
 use waxwing_core::clock;
 use waxwing_wire::{errors, links, messages, security};
 
@@ -227,3 +230,113 @@
     assert!(refused.is_err(), "the old authority is no longer accepted");
     assert!(!before.sender.is_closed());
 }
+
+/// Completes the handshake of an accepted link by hand, so that a test controls each byte after it.
+async fn shake_hands(listener: &net::TcpListener) -> net::TcpStream {
+    let (mut stream, _) = listener.accept().await.expect("accept");
+    let body = messages::Body::Hello(hello(messages::ProcessKind::Control, "control-1"));
+    stream.write_all(&frame(body)).await.expect("write");
+    let mut length = [0; 4];
+    stream.read_exact(&mut length).await.expect("read");
+    let length = usize::try_from(u32::from_be_bytes(length)).expect("short");
+    stream.read_exact(&mut vec![0; length]).await.expect("read");
+    stream
+}
+
+/// Returns a message as it is on the wire.
+fn frame(body: messages::Body) -> Vec<u8> {
+    let envelope = waxwing_wire::framing::encode(0, body).expect("encode");
+    let length = u32::try_from(envelope.len()).expect("short");
+    [&length.to_be_bytes()[..], &envelope[..]].concat()
+}
+
+/// Size of a large message; more than the buffers of two sockets hold.
+const LARGE_MESSAGE_BYTES: usize = 15 * 1024 * 1024;
+
+fn large_message() -> messages::Body {
+    messages::Body::DeploymentState(messages::DeploymentState {
+        version: 5,
+        body: vec![b'x'; LARGE_MESSAGE_BYTES].into(),
+        confirmed: true,
+    })
+}
+
+/// Pieces of a slow transfer, each a second apart, so that the whole takes four idle timeouts.
+const TRANSFER_PIECES: usize = 10;
+
+/// Guards against a link that is taken for dead while a large message arrives over a slow network:
+/// the grown document incident, in which no entry ever received the document.
+#[tokio::test(start_paused = true)]
+async fn link_outlives_a_message_that_arrives_slowly() {
+    let listener = net::TcpListener::bind(loopback()).await.expect("bind");
+    let address = listener.local_addr().expect("address");
+    let peer = tokio::spawn(async move {
+        let mut stream = shake_hands(&listener).await;
+        let bytes = frame(large_message());
+        for piece in bytes.chunks(bytes.len().div_ceil(TRANSFER_PIECES)) {
+            tokio::time::sleep(Duration::from_secs(1)).await;
+            stream.write_all(piece).await.expect("write");
+        }
+        std::future::pending::<()>().await;
+    });
+    let mut link = connect(address, "entry-1", security::LinkSecurity::Plain)
+        .await
+        .expect("link");
+    let envelope = link.receiver.recv().await.expect("the message arrives");
+    assert_eq!(envelope.body, Some(large_message()));
+    peer.abort();
+}
+
+/// Guards against a link that is closed while its peer reads a large message over a slow network.
+#[tokio::test(start_paused = true)]
+async fn link_outlives_a_message_that_is_read_slowly() {
+    let listener = net::TcpListener::bind(loopback()).await.expect("bind");
+    let address = listener.local_addr().expect("address");
+    let expected = frame(large_message());
+    let peer = tokio::spawn(async move {
+        let mut stream = shake_hands(&listener).await;
+        let heartbeat = frame(messages::Body::Heartbeat(messages::Heartbeat::default()));
+        let mut received = vec![0; expected.len()];
+        for piece in received.chunks_mut(expected.len().div_ceil(TRANSFER_PIECES)) {
+            tokio::time::sleep(Duration::from_secs(1)).await;
+            stream.write_all(&heartbeat).await.expect("write");
+            stream.read_exact(piece).await.expect("read");
+        }
+        (received, expected)
+    });
+    let link = connect(address, "entry-1", security::LinkSecurity::Plain)
+        .await
+        .expect("link");
+    link.sender.send(0, large_message()).await.expect("send");
+    let (received, expected) = peer.await.expect("the peer reads the message");
+    assert!(received == expected, "the message was changed on its way");
+}
+
+/// Guards against a link that lives on although its peer has stopped reading.
+#[tokio::test(start_paused = true)]
+async fn link_ends_when_its_peer_stops_reading() {
+    let listener = net::TcpListener::bind(loopback()).await.expect("bind");
+    let address = listener.local_addr().expect("address");
+    let peer = tokio::spawn(async move {
+        let mut stream = shake_hands(&listener).await;
+        let heartbeat = frame(messages::Body::Heartbeat(messages::Heartbeat::default()));
+        while stream.write_all(&heartbeat).await.is_ok() {
+            tokio::time::sleep(Duration::from_millis(500)).await;
+        }
+    });
+    let link = connect(address, "entry-1", security::LinkSecurity::Plain)
+        .await
+        .expect("link");
+    let start = tokio::time::Instant::now();
+    // The buffers of the sockets hold a part of what is sent.
+    for _ in 0..3 {
+        link.sender.send(0, large_message()).await.expect("send");
+    }
+    link.sender.closed().await;
+    assert!(
+        start.elapsed() <= Duration::from_secs(4),
+        "{:?}",
+        start.elapsed()
+    );
+    peer.abort();
+}
