--- a/crates/waxwing-core/src/events.rs
+++ b/crates/waxwing-core/src/events.rs
@@ -31,7 +31,7 @@
 }
 
 /// All events of the decision log, those of requests first.
-pub const LOG_EVENTS: [LogEvent; 43] = [
+pub const LOG_EVENTS: [LogEvent; 47] = [
     log_event(
         "request-started",
         "the gate gave the request a slot and the entry sent it",
