Let entries fetch patches of the deployment from one control host

Cause: each control host pushed the whole document to every entry at every change. Five copies shared an entry's link, send queues held copies by the message and not by the byte, a message that found its queue full or its link closed was dropped for good, and an entry was ready with whatever version a host that knew a leader held. Class: state pushed whole by every replica, with no receiver that knows that it is behind.

Control hosts now announce versions. An entry fetches the patch to the newest one (zstd with the held version as its prefix) in chunks from one host, asks again elsewhere after 600 ms without one, and is ready once the leader has confirmed the version by a linearizable read. Queues hold one chunk a link.

--- a/crates/waxwing-conduit/src/fleet.rs
+++ b/crates/waxwing-conduit/src/fleet.rs
@@ -4,14 +4,15 @@
 use std::{
     collections::HashSet,
     net::SocketAddr,
-    sync::{Arc, Mutex, atomic::Ordering},
+    sync::{Arc, Mutex, MutexGuard, atomic::Ordering},
     time::Duration,
 };
 
-use tokio::sync::{mpsc, watch};
+use tokio::sync::{Notify, mpsc, watch};
 use tokio_util::sync::CancellationToken;
 use waxwing_core::clock::Clock;
 use waxwing_fleet::{deployments, dialects, network};
+use waxwing_gate::fetches;
 use waxwing_wire::messages;
 
 use crate::state;
@@ -43,6 +44,9 @@
     pub(crate) network: network::ProcessNetwork<C>,
     pub(crate) seeds: watch::Receiver<Vec<SocketAddr>>,
     known: Arc<Mutex<KnownHosts>>,
+    fetcher: Arc<Mutex<fetches::DeploymentFetcher>>,
+    /// Wakes the task that asks again for a deployment.
+    fetch_changed: Arc<Notify>,
 }
 
 impl<C: Clone, D, T: Clone> Clone for FleetMessenger<C, D, T> {
@@ -53,6 +57,8 @@
             network: self.network.clone(),
             seeds: self.seeds.clone(),
             known: self.known.clone(),
+            fetcher: self.fetcher.clone(),
+            fetch_changed: self.fetch_changed.clone(),
         }
     }
 }
@@ -69,7 +75,10 @@
         network: network::ProcessNetwork<C>,
         seeds: watch::Receiver<Vec<SocketAddr>>,
     ) -> Self {
+        let fetcher = fetches::DeploymentFetcher::new(state.options.link_address);
         Self {
+            fetcher: Arc::new(Mutex::new(fetcher)),
+            fetch_changed: Arc::default(),
             state,
             control_dialect,
             network,
@@ -99,20 +108,69 @@
         }
     }
 
-    /// Drops the state of another entry once it has no link left.
+    /// Drops the state of another process once it has no link left.
     fn handle_closed(&self, remote: network::RemoteProcess) {
-        let linked = self.network.linked_addresses(messages::ProcessKind::Entry);
-        if remote.kind == messages::ProcessKind::Entry && !linked.contains(&remote.address) {
-            let now = self.state.clock.now();
-            self.state.gate().core.forget_peer(now, remote.address);
+        if self
+            .network
+            .linked_addresses(remote.kind)
+            .contains(&remote.address)
+        {
+            return;
+        }
+        match remote.kind {
+            messages::ProcessKind::Entry => {
+                let now = self.state.clock.now();
+                self.state.gate().core.forget_peer(now, remote.address);
+            }
+            messages::ProcessKind::Control => {
+                self.fetcher().forget(remote.address);
+                self.send_fetch();
+            }
+            _ => {}
+        }
+    }
+
+    fn fetcher(&self) -> MutexGuard<'_, fetches::DeploymentFetcher> {
+        self.fetcher
+            .lock()
+            .expect("no panic occurs while the fetcher is locked")
+    }
+
+    /// Sends the request for a part of a deployment that is due, if there is one.
+    fn send_fetch(&self) {
+        let order = self.fetcher().next_order(self.state.clock.now());
+        if let Some(order) = order {
+            let body = messages::Body::FetchDeployment(order.fetch);
+            self.network.send(order.control, body);
+        }
+        self.fetch_changed.notify_one();
+    }
+
+    /// Asks another control host for a deployment when one doesn't send it in time.
+    pub(crate) async fn run_fetches(self, shutdown: CancellationToken) {
+        loop {
+            let check = self.fetcher().next_check(self.state.clock.now());
+            let changed = self.fetch_changed.notified();
+            tokio::select! {
+                () = shutdown.cancelled() => return,
+                () = changed => continue,
+                () = self.state.clock.sleep(check.unwrap_or(MAINTENANCE_INTERVAL)) => {}
+            }
+            self.send_fetch();
         }
     }
 
     fn handle_message(&self, remote: network::RemoteProcess, body: messages::Body) {
         let now = self.state.clock.now();
         match body {
-            messages::Body::DeploymentState(deployment) => {
-                self.apply_deployment(remote, &deployment);
+            messages::Body::DeploymentVersion(offer) => {
+                self.fetcher().offer(now, remote.address, offer);
+                self.report_ready();
+                self.send_fetch();
+            }
+            messages::Body::DeploymentChunk(chunk) => {
+                self.handle_chunk(remote, chunk);
+                self.send_fetch();
             }
             messages::Body::EndpointNotices(notices) => {
                 let mut gate = self.state.gate();
@@ -136,55 +194,78 @@
         }
     }
 
-    /// Applies a deployment that is newer than the current one. The entry becomes ready with the
-    /// first deployment that a control host confirms as current.
-    fn apply_deployment(
-        &self,
-        remote: network::RemoteProcess,
-        message: &messages::DeploymentState,
-    ) {
-        let held = self.state.deployment.load();
-        let held = held.as_ref().map_or(0, |deployment| deployment.version());
+    /// Takes a part of a deployment, and applies the deployment once it is complete.
+    fn handle_chunk(&self, remote: network::RemoteProcess, chunk: messages::DeploymentChunk) {
+        let now = self.state.clock.now();
+        let version = chunk.version;
+        let effect = self.fetcher().receive(now, remote.address, chunk);
+        match effect {
+            fetches::ChunkEffect::Complete(document) => {
+                tracing::info!(
+                    event = "deployment-received",
+                    control = %remote.address,
+                    version,
+                    bytes = document.body.len(),
+                    patch_bytes = document.patch_bytes,
+                    delta = document.is_delta,
+                    took_ms = document.took.as_millis()
+                );
+                let kind = if document.is_delta { "delta" } else { "whole" };
+                self.state.metrics.count_fetch(kind);
+                self.apply_deployment(document);
+            }
+            fetches::ChunkEffect::Damaged => {
+                self.state.metrics.count_fetch("damaged");
+                tracing::warn!(
+                    event = "deployment-damaged",
+                    control = %remote.address,
+                    version,
+                    "fetching the whole document"
+                );
+            }
+            fetches::ChunkEffect::Added | fetches::ChunkEffect::Ignored => {}
+        }
+    }
+
+    /// Puts a deployment into force.
+    fn apply_deployment(&self, document: fetches::FetchedDocument) {
+        let received = self.state.clock.now();
+        let held = self.fetcher().held_version();
+        let version = document.version;
+        let parsed = self.control_dialect.deployment(&document.body);
+        let deployment = match parsed.and_then(deployments::FleetDeployment::new) {
+            Ok(deployment) => deployment,
+            Err(error) => {
+                self.state.metrics.count_fetch("unreadable");
+                tracing::error!(event = "deployment-unreadable", version, %error);
+                self.fetcher().refuse(version);
+                return;
+            }
+        };
+        let now = self.state.clock.now();
         tracing::info!(
-            event = "deployment-received",
-            control = %remote.address,
-            version = message.version,
+            event = "deployment-in-force",
+            version,
             held,
-            bytes = message.body.len(),
-            confirmed = message.confirmed
+            parse_ms = now.saturating_duration_since(received).as_millis()
         );
-        if message.version > held {
-            let received = self.state.clock.now();
-            let parsed = self.control_dialect.deployment(&message.body);
-            match parsed.and_then(deployments::FleetDeployment::new) {
-                Ok(deployment) => {
-                    let now = self.state.clock.now();
-                    tracing::info!(
-                        event = "deployment-in-force",
-                        version = message.version,
-                        held,
-                        parse_ms = now.saturating_duration_since(received).as_millis()
-                    );
-                    let accounts = deployment.accounts().iter();
-                    let quotas = accounts
-                        .filter_map(|account| Some((&account.name, account.quota.as_ref()?)));
-                    self.state.gate().core.quotas.configure(now, quotas);
-                    self.state.deployment.store(Some(Arc::new(deployment)));
-                }
-                Err(error) => {
-                    tracing::error!(version = message.version, %error, "unreadable deployment");
-                    return;
-                }
-            }
-        }
-        if message.confirmed
-            && message.version > 0
-            && !self
-                .state
-                .deployment_confirmed
-                .swap(true, Ordering::Relaxed)
-        {
-            tracing::info!(event = "entry-ready", version = message.version.max(held));
+        let accounts = deployment.accounts().iter();
+        let quotas = accounts.filter_map(|account| Some((&account.name, account.quota.as_ref()?)));
+        self.state.gate().core.quotas.configure(now, quotas);
+        self.state.deployment.store(Some(Arc::new(deployment)));
+        self.fetcher().hold(now, version, document.body);
+        self.report_ready();
+    }
+
+    /// Makes the entry ready once it holds a deployment that a quorum confirmed as the newest.
+    fn report_ready(&self) {
+        let (confirmed, version) = {
+            let fetcher = self.fetcher();
+            (fetcher.is_confirmed(), fetcher.held_version())
+        };
+        let ready = &self.state.deployment_confirmed;
+        if confirmed && !ready.swap(true, Ordering::Relaxed) {
+            tracing::info!(event = "entry-ready", version);
         }
     }
 
@@ -279,6 +360,8 @@
                     .pool
                     .prune(now, |endpoint| known.contains(endpoint));
                 self.log_loads(now);
+                let counters = self.network.counters();
+                self.state.metrics.record_link_bytes(counters);
             }
             let check_interval = match self.state.gate().core.waiting() {
                 0 => MAINTENANCE_INTERVAL,
--- a/crates/waxwing-conduit/src/metrics.rs
+++ b/crates/waxwing-conduit/src/metrics.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use prometheus::{HistogramOpts, HistogramVec, IntCounterVec, Registry};
+use waxwing_core::counters;
 use waxwing_process::metrics;
 
 /// Counters and histograms of an entry. Labels hold reasons, statuses, outcomes and phases only,
@@ -15,6 +16,8 @@
     refusals: IntCounterVec,
     sends: IntCounterVec,
     streams: IntCounterVec,
+    fetches: IntCounterVec,
+    link_bytes: IntCounterVec,
     latencies: HistogramVec,
 }
 
@@ -47,6 +50,16 @@
             "Streams of events, by how they ended or went on.",
             "outcome",
         )?;
+        let fetches = counter(
+            "waxwing_entry_deployment_fetches_total",
+            "Deployments fetched from control hosts, by what was received.",
+            "outcome",
+        )?;
+        let link_bytes = counter(
+            "waxwing_entry_link_bytes_total",
+            "Bytes of messages exchanged with control hosts and other entries, by direction.",
+            "direction",
+        )?;
         let options = HistogramOpts::new(
             "waxwing_entry_latency_seconds",
             "Time waited for an endpoint, to the first event, and of the whole request.",
@@ -60,6 +73,8 @@
             refusals,
             sends,
             streams,
+            fetches,
+            link_bytes,
             latencies,
         })
     }
@@ -80,6 +95,22 @@
         self.streams.with_label_values(&[outcome]).inc();
     }
 
+    pub(crate) fn count_fetch(&self, outcome: &str) {
+        self.fetches.with_label_values(&[outcome]).inc();
+    }
+
+    /// Updates the bytes of messages from the counters of the links.
+    pub(crate) fn record_link_bytes(&self, counters: &counters::CounterSet) {
+        let directions = [
+            ("sent", counters::CounterEvent::ControlBytesSent),
+            ("received", counters::CounterEvent::ControlBytesReceived),
+        ];
+        for (direction, event) in directions {
+            let metric = self.link_bytes.with_label_values(&[direction]);
+            metric.inc_by(counters.event(event).saturating_sub(metric.get()));
+        }
+    }
+
     pub(crate) fn observe_latency(&self, phase: &str, time: Duration) {
         let histogram = self.latencies.with_label_values(&[phase]);
         histogram.observe(time.as_secs_f64());
--- a/crates/waxwing-conduit/src/roles.rs
+++ b/crates/waxwing-conduit/src/roles.rs
@@ -117,6 +117,7 @@
         let state = Arc::new(state);
         let messenger = fleet::FleetMessenger::new(state.clone(), control_dialect, network, seeds);
         tokio::spawn(messenger.clone().serve_links(events));
+        tokio::spawn(messenger.clone().run_fetches(stopped.clone()));
         tokio::spawn(messenger.clone().send_updates(stopped.clone()));
         tokio::spawn(messenger.run_maintenance(stopped.clone()));
         tokio::spawn(serve_readiness(self.ready, state.clone(), stopped.clone()));
--- a/crates/waxwing-core/src/events.rs
+++ b/crates/waxwing-core/src/events.rs
@@ -31,7 +31,7 @@
 }
 
 /// All events of the decision log, those of requests first.
-pub const LOG_EVENTS: [LogEvent; 47] = [
+pub const LOG_EVENTS: [LogEvent; 50] = [
     log_event(
         "request-started",
         "the gate gave the request a slot and the entry sent it",
@@ -101,12 +101,24 @@
         "the load of a service as one entry sees it, twice a second",
     ),
     log_event(
-        "deployment-published",
-        "the control host sent the deployment to its linked entries",
+        "deployment-announced",
+        "the control host told its linked entries which deployment it holds",
     ),
     log_event(
         "deployment-received",
-        "a deployment reached the entry; `held` is the version in force",
+        "a deployment reached the entry whole; `patch_bytes` were transferred",
+    ),
+    log_event(
+        "deployment-damaged",
+        "the patch of a deployment did not fit; the whole one is fetched",
+    ),
+    log_event(
+        "deployment-unreadable",
+        "the entry can't read a deployment and keeps the one in force",
+    ),
+    log_event(
+        "fetch-refused",
+        "the control host doesn't hold the version that an entry asks for",
     ),
     log_event("deployment-in-force", "the entry took a newer deployment"),
     log_event(
--- a/crates/waxwing-fleet/src/errors.rs
+++ b/crates/waxwing-fleet/src/errors.rs
@@ -1,4 +1,4 @@
-//! Errors of deployment documents, endpoint notices and requests.
+//! Errors of deployment documents and their patches, endpoint notices and requests.
 
 use smol_str::SmolStr;
 
@@ -40,6 +40,25 @@
     },
 }
 
+/// Why a patch can't be created or applied.
+#[derive(Debug, thiserror::Error)]
+pub enum PatchError {
+    /// The compressed data is damaged, or memory ran out.
+    #[error("the patch can't be processed: {0}")]
+    Codec(#[from] std::io::Error),
+    /// The document is longer than the limit.
+    #[error("a document of {found} bytes exceeds the limit of {allowed} bytes")]
+    TooLong {
+        /// The announced length in bytes.
+        found: usize,
+        /// The limit in bytes.
+        allowed: usize,
+    },
+    /// The result differs from the document that the patch was made for, so the base differs too.
+    #[error("the patched document isn't the expected one")]
+    Mismatch,
+}
+
 /// Why a notice doesn't describe a usable endpoint.
 #[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
 #[error("the notice names no endpoint: {0}")]
--- a/crates/waxwing-fleet/src/lib.rs
+++ b/crates/waxwing-fleet/src/lib.rs
@@ -6,4 +6,5 @@
 pub mod dialects;
 pub mod errors;
 pub mod network;
+pub mod patches;
 pub mod registry;
--- a/crates/waxwing-fleet/src/network.rs
+++ b/crates/waxwing-fleet/src/network.rs
@@ -13,7 +13,7 @@
 
 use tokio::sync::mpsc;
 use tokio_util::sync::CancellationToken;
-use waxwing_core::clock::Clock;
+use waxwing_core::{clock::Clock, counters};
 use waxwing_wire::{links, messages, security};
 
 use crate::errors;
@@ -194,6 +194,12 @@
         }
     }
 
+    /// Returns the counters of the bytes on all links.
+    #[must_use]
+    pub fn counters(&self) -> &counters::CounterSet {
+        &self.options.links.counters
+    }
+
     /// Returns the addresses of the linked processes with a role.
     #[must_use]
     pub fn linked_addresses(&self, kind: messages::ProcessKind) -> HashSet<SocketAddr> {
--- a/crates/waxwing-gate/src/lib.rs
+++ b/crates/waxwing-gate/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod baselines;
 pub mod budgets;
 pub mod endpoints;
+pub mod fetches;
 pub mod gate;
 pub mod models;
 pub mod options;
--- a/crates/waxwing-registrar/src/host.rs
+++ b/crates/waxwing-registrar/src/host.rs
@@ -8,13 +8,13 @@
     time::{Duration, Instant},
 };
 
-use tokio::sync::{mpsc, watch};
+use tokio::sync::{Notify, mpsc, watch};
 use tokio_util::sync::CancellationToken;
 use waxwing_core::clock::Clock;
 use waxwing_fleet::{network, registry};
 use waxwing_wire::messages;
 
-use crate::{handles, metrics, options};
+use crate::{errors, handles, history, metrics, options};
 
 /// Time for which notices without a change are batched before they are sent to entries, which need
 /// them only to know that the endpoint is alive.
@@ -23,6 +23,9 @@
 /// Time between two checks for expired endpoints and changes of the linked processes.
 const HOSTS_CHECK_INTERVAL: Duration = Duration::from_millis(500);
 
+/// Shortest time between two confirmations of the newest deployment, which are sent to all entries.
+const CONFIRMATION_INTERVAL: Duration = Duration::from_millis(50);
+
 /// The state that the tasks of a control host share; clones refer to the same state.
 #[derive(Debug, Clone)]
 pub(crate) struct RegistrarHost<C> {
@@ -32,6 +35,9 @@
     pub(crate) network: network::ProcessNetwork<C>,
     pub(crate) metrics: metrics::RegistrarMetrics,
     registry: Arc<Mutex<registry::EndpointRegistry>>,
+    history: Arc<Mutex<history::DeploymentHistory>>,
+    /// Wakes the task that confirms the newest deployment, since an entry waits for it.
+    confirmation_wanted: Arc<Notify>,
     /// Notices without a change that entries have not received yet.
     pending_refreshes: Arc<Mutex<Vec<messages::EndpointNotice>>>,
     /// The seeds in the settings file; they may change while the process runs.
@@ -54,6 +60,8 @@
             network,
             metrics,
             registry: Arc::default(),
+            history: Arc::default(),
+            confirmation_wanted: Arc::default(),
             pending_refreshes: Arc::default(),
             seeds,
         }
@@ -65,6 +73,12 @@
             .expect("no thread panics while it holds the registry lock")
     }
 
+    fn history(&self) -> MutexGuard<'_, history::DeploymentHistory> {
+        self.history
+            .lock()
+            .expect("no thread panics while it holds the lock of the history")
+    }
+
     fn pending_refreshes(&self) -> MutexGuard<'_, Vec<messages::EndpointNotice>> {
         self.pending_refreshes
             .lock()
@@ -120,14 +134,6 @@
         }
     }
 
-    fn deployment_state(&self, view: &handles::GroupView) -> messages::DeploymentState {
-        messages::DeploymentState {
-            version: view.document.version,
-            body: view.document.body.clone(),
-            confirmed: view.leader.is_some(),
-        }
-    }
-
     fn all_notices(&self, now: Instant) -> messages::EndpointNotices {
         let registry = self.registry();
         let notices = registry.records().map(|record| {
@@ -169,9 +175,10 @@
         self.network
             .send(address, messages::Body::EndpointNotices(notices));
         if remote.kind == messages::ProcessKind::Entry {
-            let state = self.deployment_state(&self.group.view.borrow());
+            let announcement = self.history().announcement(false);
             self.network
-                .send(address, messages::Body::DeploymentState(state));
+                .send(address, messages::Body::DeploymentVersion(announcement));
+            self.confirmation_wanted.notify_one();
             let hosts = self.fleet_hosts();
             self.network
                 .send(address, messages::Body::FleetHosts(hosts));
@@ -197,6 +204,7 @@
             },
             messages::Body::JoinGroup(join) => handles::GroupRequest::Join(join),
             messages::Body::EndpointNotices(notices) => return self.handle_relayed(notices),
+            messages::Body::FetchDeployment(fetch) => return self.send_chunk(remote, &fetch),
             other => {
                 tracing::debug!(address = %remote.address, ?other, "unexpected message");
                 return;
@@ -209,29 +217,70 @@
         }
     }
 
-    /// Sends each new deployment document to the entries, and whether it is confirmed.
-    pub(crate) async fn publish_deployments(self, shutdown: CancellationToken) {
+    /// Sends the part of a deployment that an entry asks for.
+    fn send_chunk(&self, remote: network::RemoteProcess, fetch: &messages::FetchDeployment) {
+        let chunk = self.history().chunk(fetch);
+        match chunk {
+            Ok(Some(chunk)) => {
+                let kind = if chunk.base_version == 0 {
+                    "whole"
+                } else {
+                    "delta"
+                };
+                self.metrics.count_deployment_bytes(kind, chunk.data.len());
+                self.network
+                    .send(remote.address, messages::Body::DeploymentChunk(chunk));
+            }
+            // The entry asks another host.
+            Ok(None) => tracing::info!(
+                event = "fetch-refused",
+                entry = %remote.address,
+                version = fetch.version
+            ),
+            Err(error) => tracing::error!(
+                event = "fetch-refused",
+                entry = %remote.address,
+                version = fetch.version,
+                %error
+            ),
+        }
+    }
+
+    /// Announces a deployment to all entries.
+    fn announce(&self, confirmed: bool) {
+        let announcement = self.history().announcement(confirmed);
+        let entries = self.network.linked_addresses(messages::ProcessKind::Entry);
+        tracing::info!(
+            event = "deployment-announced",
+            version = announcement.version,
+            confirmed,
+            entries = entries.len()
+        );
+        let body = messages::Body::DeploymentVersion(announcement);
+        self.network.broadcast(messages::ProcessKind::Entry, &body);
+    }
+
+    /// Announces each new deployment to the entries.
+    pub(crate) async fn announce_deployments(self, shutdown: CancellationToken) {
         let mut view = self.group.view.clone();
-        let mut last_sent = (0, false);
+        let mut announced = 0;
+        let mut led = false;
         loop {
-            let state = {
+            let (document, leads) = {
                 let view = view.borrow_and_update();
                 self.metrics.record_view(&view);
-                self.deployment_state(&view)
+                (view.document.clone(), view.leads)
             };
-            if last_sent != (state.version, state.confirmed) {
-                last_sent = (state.version, state.confirmed);
-                let entries = self.network.linked_addresses(messages::ProcessKind::Entry);
-                tracing::info!(
-                    event = "deployment-published",
-                    version = state.version,
-                    confirmed = state.confirmed,
-                    bytes = state.body.len(),
-                    entries = entries.len()
-                );
-                let body = messages::Body::DeploymentState(state);
-                self.network.broadcast(messages::ProcessKind::Entry, &body);
+            if document.version > announced {
+                announced = document.version;
+                self.history().record(&document);
+                self.announce(false);
+                self.confirmation_wanted.notify_one();
+            }
+            if leads && !led {
+                self.confirmation_wanted.notify_one();
             }
+            led = leads;
             tokio::select! {
                 () = shutdown.cancelled() => return,
                 changed = view.changed() => if changed.is_err() { return },
@@ -239,6 +288,36 @@
         }
     }
 
+    /// While this host leads, confirms to the entries which deployment is the newest. Entries that
+    /// have just started wait for it, since another host may be behind.
+    pub(crate) async fn confirm_deployments(self, shutdown: CancellationToken) {
+        loop {
+            tokio::select! {
+                () = shutdown.cancelled() => return,
+                () = self.confirmation_wanted.notified() => {}
+            }
+            if !self.group.view.borrow().leads {
+                continue;
+            }
+            let read = tokio::select! {
+                read = self.group.read() => read,
+                () = self.clock.sleep(self.options.call_limit()) => {
+                    Err(errors::GroupError::Unavailable)
+                }
+            };
+            match read {
+                Ok(document) if document.version > 0 => {
+                    self.history().record(&document);
+                    self.announce(true);
+                }
+                Ok(_) => {}
+                // While the host leads, it tries again until a quorum answers.
+                Err(_) => self.confirmation_wanted.notify_one(),
+            }
+            self.clock.sleep(CONFIRMATION_INTERVAL).await;
+        }
+    }
+
     /// Periodically sends entries the endpoints that are alive and the addresses of the other
     /// processes, and updates the links to the other control hosts.
     pub(crate) async fn run_updates(self, shutdown: CancellationToken) {
--- a/crates/waxwing-registrar/src/lib.rs
+++ b/crates/waxwing-registrar/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod errors;
 mod group;
 mod handles;
+pub mod history;
 mod host;
 mod http;
 pub mod metrics;
--- a/crates/waxwing-registrar/src/metrics.rs
+++ b/crates/waxwing-registrar/src/metrics.rs
@@ -12,6 +12,7 @@
     pub registry: Registry,
     notices: IntCounterVec,
     deployments: IntCounterVec,
+    deployment_bytes: IntCounterVec,
     version: IntGauge,
     leads: IntGauge,
     votes: IntGauge,
@@ -39,6 +40,11 @@
                 "Deployments that operators sent, by outcome.",
                 "outcome",
             )?,
+            deployment_bytes: counter(
+                "waxwing_registrar_deployment_bytes_total",
+                "Bytes of deployments that were sent to entries, as whole documents or deltas.",
+                "kind",
+            )?,
             version: gauge(
                 "waxwing_registrar_deployment_version",
                 "The version of the deployment that this host holds.",
@@ -67,6 +73,11 @@
         self.deployments.with_label_values(&[outcome]).inc();
     }
 
+    pub(crate) fn count_deployment_bytes(&self, kind: &str, bytes: usize) {
+        let counter = self.deployment_bytes.with_label_values(&[kind]);
+        counter.inc_by(bytes as u64);
+    }
+
     pub(crate) fn record_view(&self, view: &handles::GroupView) {
         let version = view.document.version;
         self.version.set(i64::try_from(version).unwrap_or(i64::MAX));
--- a/crates/waxwing-registrar/src/roles.rs
+++ b/crates/waxwing-registrar/src/roles.rs
@@ -84,7 +84,8 @@
             metrics,
         );
         tokio::spawn(host.clone().serve_links(events));
-        tokio::spawn(host.clone().publish_deployments(stop_tasks.clone()));
+        tokio::spawn(host.clone().announce_deployments(stop_tasks.clone()));
+        tokio::spawn(host.clone().confirm_deployments(stop_tasks.clone()));
         tokio::spawn(host.clone().run_updates(stop_tasks.clone()));
         tokio::spawn(http::serve(
             self.listener,
--- a/crates/waxwing-wire/src/messages.rs
+++ b/crates/waxwing-wire/src/messages.rs
@@ -20,8 +20,8 @@
     ClaimCompleted, ClaimKey, ClaimName, ClaimOutcome, ClaimRecord, ClaimResult, CompleteClaim,
 };
 pub use self::fleet::{
-    AccountUse, DeploymentState, EndpointNotice, EndpointNotices, EndpointPhase, EndpointUse,
-    FleetHosts, JoinGroup, LoadUpdate, ServiceDemand,
+    AccountUse, DeploymentChunk, DeploymentVersion, EndpointNotice, EndpointNotices, EndpointPhase,
+    EndpointUse, FetchDeployment, FleetHosts, JoinGroup, LoadUpdate, ServiceDemand,
 };
 pub use self::groups::{AskGroup, GroupInfo, Quorum, Redirect, Submit, Submitted, Unavailable};
 pub use self::links::{Heartbeat, Hello, Leaving, ProcessKind};
@@ -54,7 +54,7 @@
     /// The message.
     #[prost(
         oneof = "Body",
-        tags = "3,4,5,10,11,12,13,14,15,16,17,18,19,20,21,22,23,24,30,31,32,33,34,35,36,37,38,39,40,41,42,43,44,45,46,47,50,51,52,53,54,60,61,62,63,64"
+        tags = "3,4,5,10,11,12,13,14,15,16,17,18,19,20,21,22,23,24,30,31,32,33,34,35,36,37,38,39,40,41,42,43,44,45,46,47,50,51,52,53,54,60,62,63,64,65,66,67"
     )]
     pub body: Option<Body>,
 }
@@ -188,9 +188,6 @@
     /// Control to control: asks the leader to add the sender as a member of the log.
     #[prost(message, tag = "60")]
     JoinGroup(JoinGroup),
-    /// Control to entry: the deployment in force.
-    #[prost(message, tag = "61")]
-    DeploymentState(DeploymentState),
     /// Control to entry and to control: the latest notices of endpoints.
     #[prost(message, tag = "62")]
     EndpointNotices(EndpointNotices),
@@ -200,6 +197,15 @@
     /// Entry to entry: the load of the sender.
     #[prost(message, tag = "64")]
     LoadUpdate(LoadUpdate),
+    /// Control to entry: the newest deployment that the sender holds.
+    #[prost(message, tag = "65")]
+    DeploymentVersion(DeploymentVersion),
+    /// Entry to control: asks for a part of a deployment.
+    #[prost(message, tag = "66")]
+    FetchDeployment(FetchDeployment),
+    /// Control to entry: a part of a deployment.
+    #[prost(message, tag = "67")]
+    DeploymentChunk(DeploymentChunk),
 }
 
 impl Body {
--- a/crates/waxwing-wire/src/messages/fleet.rs
+++ b/crates/waxwing-wire/src/messages/fleet.rs
@@ -14,21 +14,66 @@
     pub store: bytes::Bytes,
 }
 
-/// The newest deployment that the sender knows.
-#[derive(Clone, PartialEq, Eq, Message)]
-pub struct DeploymentState {
-    /// The version; zero if the sender knows none.
+/// The newest deployment that the sender holds. Its content is sent on request.
+#[derive(Clone, Copy, PartialEq, Eq, Message)]
+pub struct DeploymentVersion {
+    /// The version; zero if the sender holds none.
     #[prost(uint64, tag = "1")]
     pub version: u64,
-    /// The document as the operator sent it.
-    #[prost(bytes = "bytes", tag = "2")]
-    pub body: bytes::Bytes,
-    /// Whether the sender has heard from the leader of the log recently, so that the version is
-    /// current.
-    #[prost(bool, tag = "3")]
+    /// Whether a quorum of the log has confirmed that no newer deployment was accepted before.
+    #[prost(bool, tag = "2")]
     pub confirmed: bool,
 }
 
+/// Asks for a part of the patch to a deployment.
+#[derive(Clone, Copy, PartialEq, Eq, Message)]
+pub struct FetchDeployment {
+    /// The wanted version. A host that has replaced it sends a newer one.
+    #[prost(uint64, tag = "1")]
+    pub version: u64,
+    /// The version that the sender holds; zero if it holds none, or none that a patch can build on.
+    #[prost(uint64, tag = "2")]
+    pub base_version: u64,
+    /// The digest of that version.
+    #[prost(fixed64, tag = "3")]
+    pub base_digest: u64,
+    /// The digest of the patch of which the sender holds a part; zero if it holds none.
+    #[prost(fixed64, tag = "4")]
+    pub patch_digest: u64,
+    /// The number of bytes that it holds of that patch.
+    #[prost(uint64, tag = "5")]
+    pub offset: u64,
+}
+
+/// A part of the patch to a deployment.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct DeploymentChunk {
+    /// The version to which the patch leads.
+    #[prost(uint64, tag = "1")]
+    pub version: u64,
+    /// The digest of that document.
+    #[prost(fixed64, tag = "2")]
+    pub digest: u64,
+    /// The length of that document in bytes.
+    #[prost(uint64, tag = "3")]
+    pub length: u64,
+    /// The version that the patch builds on; zero if it holds the whole document.
+    #[prost(uint64, tag = "4")]
+    pub base_version: u64,
+    /// The digest of the patch.
+    #[prost(fixed64, tag = "5")]
+    pub patch_digest: u64,
+    /// The length of the patch in bytes.
+    #[prost(uint64, tag = "6")]
+    pub patch_length: u64,
+    /// The position of `data` in the patch.
+    #[prost(uint64, tag = "7")]
+    pub offset: u64,
+    /// The bytes from there on.
+    #[prost(bytes = "bytes", tag = "8")]
+    pub data: bytes::Bytes,
+}
+
 /// The latest state that an endpoint reported of itself.
 #[derive(Clone, PartialEq, Eq, Message)]
 pub struct EndpointNotice {
--- a/crates/waxwing-wire/tests/links.rs
+++ b/crates/waxwing-wire/tests/links.rs
@@ -254,10 +254,9 @@
 const LARGE_MESSAGE_BYTES: usize = 15 * 1024 * 1024;
 
 fn large_message() -> messages::Body {
-    messages::Body::DeploymentState(messages::DeploymentState {
-        version: 5,
-        body: vec![b'x'; LARGE_MESSAGE_BYTES].into(),
-        confirmed: true,
+    messages::Body::Quorum(messages::Quorum {
+        group: 0,
+        payload: vec![b'x'; LARGE_MESSAGE_BYTES].into(),
     })
 }
 
