Block prompt parts that crash endpoints

Cause: nothing looked at what the requests had in common that endpoints crashed under. Each new request with the part, and each resumed one, crashed the next endpoint. Class: a failure that follows the input and not the server, handled by retries and ejection, which spread it.

The crash ledger of the gate finds the part: an answer that had begun and had no event when its endpoint crashed is evidence against the shared parts of its prompt, any event clears them, and a part that met more crashes than chance explains is blocked. Entries share evidence with their load updates.

--- a/crates/waxwing-conduit/src/checks.rs
+++ b/crates/waxwing-conduit/src/checks.rs
@@ -11,7 +11,7 @@
 use smol_str::SmolStr;
 use waxwing_core::clock::Clock;
 use waxwing_fleet::{deployments, dialects};
-use waxwing_gate::{quotas, tickets};
+use waxwing_gate::{crashes, quotas, tickets};
 
 use crate::{forwarding, intake, state, stopping};
 
@@ -21,7 +21,7 @@
 /// Shortest retry delay for callers over their quota; a few round trips.
 const MIN_QUOTA_RETRY_AFTER: Duration = Duration::from_millis(200);
 
-/// Range of the retry delay before the first deployment, as a share of the caller's remaining time;
+/// Range of the retry delay before the first deployment and of blocked prompts, as a share of the caller's remaining time;
 /// callers honour delays up to a third of it.
 const RETRY_AFTER_SHARES: std::ops::Range<f64> = 0.2..0.33;
 
@@ -34,7 +34,7 @@
     facts: dialects::RequestFacts,
 ) -> Result<intake::AcceptedRequest, intake::RequestFailure> {
     let no_deployment = intake::RequestFailure {
-        retry_after: facts.deadline.map(startup_retry_after),
+        retry_after: facts.deadline.map(late_retry_after),
         ..intake::RequestFailure::new(StatusCode::SERVICE_UNAVAILABLE, "no-deployment")
     };
     let limits = state
@@ -89,6 +89,7 @@
     Ok(intake::AcceptedRequest {
         event_tokens: profile.map_or(1, |profile| profile.event_tokens),
         headers: forwarding::forwarded_headers(&state.dialect, &head.headers),
+        shared_parts: crashes::shared_parts(&facts.parts),
         facts,
         route: route.clone(),
         service,
@@ -111,9 +112,9 @@
     }
 }
 
-/// Returns the retry delay for a request that arrives before the first deployment, with the
-/// caller's remaining time `left`. The delay is long because the entry has only just started.
-fn startup_retry_after(left: Duration) -> Duration {
+/// Returns a retry delay that uses most of what callers honour, with the caller's remaining time
+/// `left`, for refusals whose cause won't have gone sooner.
+fn late_retry_after(left: Duration) -> Duration {
     left.mul_f64(rand::random_range(RETRY_AFTER_SHARES))
 }
 
@@ -145,6 +146,28 @@
     }
 }
 
+/// Refuses a request with a prompt part that crashes endpoints.
+pub(crate) fn check_parts<C: Clock, D: dialects::RequestDialect>(
+    state: &state::EntryState<C, D>,
+    request: &intake::AcceptedRequest,
+) -> Result<(), intake::RequestFailure> {
+    let now = state.clock.now();
+    let decision = state.gate().core.decide_parts(now, &request.shared_parts);
+    let crashes::PartDecision::Block(part) = decision else {
+        return Ok(());
+    };
+    tracing::info!(
+        event = "part-refused",
+        id = %request.facts.id,
+        part = %format_args!("{part:x}")
+    );
+    let left = request.deadline.saturating_duration_since(now);
+    Err(intake::RequestFailure {
+        retry_after: Some(late_retry_after(left)),
+        ..intake::RequestFailure::new(StatusCode::SERVICE_UNAVAILABLE, "crashing-part")
+    })
+}
+
 /// Counts the request and charges it to the quota of its client account, if there is one. Returns
 /// the account and the units charged.
 pub(crate) fn charge_quota<C: Clock, D: dialects::RequestDialect>(
--- a/crates/waxwing-conduit/src/fleet.rs
+++ b/crates/waxwing-conduit/src/fleet.rs
@@ -15,7 +15,7 @@
 use waxwing_gate::fetches;
 use waxwing_wire::messages;
 
-use crate::state;
+use crate::{state, suspects};
 
 /// Shortest time between two load updates; changes within it are sent in one message.
 const UPDATE_INTERVAL: Duration = Duration::from_millis(10);
@@ -184,10 +184,12 @@
             }
             messages::Body::FleetHosts(hosts) => self.update_hosts(&hosts),
             messages::Body::LoadUpdate(update) => {
-                self.state
+                let blocked = self
+                    .state
                     .gate()
                     .core
                     .apply_update(now, remote.address, update);
+                suspects::report_blocked(&self.state, blocked);
                 self.state.dispatch_decisions();
             }
             other => tracing::debug!(address = %remote.address, ?other, "unexpected message"),
--- a/crates/waxwing-conduit/src/intake.rs
+++ b/crates/waxwing-conduit/src/intake.rs
@@ -15,9 +15,9 @@
 use smol_str::SmolStr;
 use waxwing_core::clock::Clock;
 use waxwing_fleet::{deployments, dialects};
-use waxwing_gate::tickets;
+use waxwing_gate::{crashes, tickets};
 
-use crate::{answers, checks, errors, forwarding, relay, state, upstream};
+use crate::{answers, checks, errors, forwarding, relay, state, suspects, upstream};
 
 /// Size limit of an answer that is not streamed; it is buffered whole before its head is forwarded.
 const MAX_ANSWER_BYTES: usize = 16 * 1024 * 1024;
@@ -40,6 +40,8 @@
     pub(crate) service: SmolStr,
     pub(crate) account: Option<Arc<deployments::ClientAccount>>,
     pub(crate) size: tickets::WorkSize,
+    /// The ids of the prompt parts that other requests can share.
+    pub(crate) shared_parts: Vec<u64>,
     pub(crate) arrival: Instant,
     pub(crate) deadline: Instant,
     /// Whether its caller was probably refused before and is now retrying.
@@ -208,6 +210,7 @@
     let request = checks::accept(state, arrival, head, incoming, facts).await?;
     let request = Arc::new(request);
     checks::check_stopping(state, &request)?;
+    checks::check_parts(state, &request)?;
     let cost = checks::charge_quota(state, &request)?;
     let result = forward(state, &request).await;
     if let (Err(failure), Some((account, cost))) = (&result, cost)
@@ -245,9 +248,8 @@
         match collected {
             Ok(body) => {
                 let now = state.clock.now();
-                usable
-                    .run
-                    .record_answer(now.saturating_duration_since(usable.sent));
+                let took = now.saturating_duration_since(usable.sent);
+                usable.run.record_answer(took, &request.shared_parts);
                 log_answer(state, request, &history, &usable.run, head.status);
                 let connection = usable.connection;
                 let state = state.clone();
@@ -260,6 +262,7 @@
             }
             Err(error) => {
                 usable.run.record_failure();
+                suspects::report_broken(state, request, &usable.run);
                 tracing::info!(
                     event = "answer-broken",
                     id = %request.facts.id,
@@ -308,6 +311,7 @@
 ) -> Result<UsableAnswer<C, D>, RequestFailure> {
     loop {
         let run = acquire_slot(state, request, history, last_event).await?;
+        claim_parts(state, request, history)?;
         if history.delivered > 0 {
             let now = state.clock.now();
             if !state.gate().core.take_retry(now, &request.service) {
@@ -320,6 +324,26 @@
     }
 }
 
+/// Checks the parts of a prompt again when the request is about to be sent, since one of them may
+/// have been blocked while it was queued or sent before.
+fn claim_parts<C: Clock, D: dialects::RequestDialect>(
+    state: &state::EntryState<C, D>,
+    request: &AcceptedRequest,
+    history: &AttemptHistory,
+) -> Result<(), RequestFailure> {
+    let now = state.clock.now();
+    let mut gate = state.gate();
+    match gate.core.decide_parts(now, &request.shared_parts) {
+        crashes::PartDecision::Send => Ok(()),
+        crashes::PartDecision::Trial => {
+            tracing::info!(event = "part-tried", id = %request.facts.id);
+            gate.core.crashes.start_trial(now, &request.shared_parts);
+            Ok(())
+        }
+        crashes::PartDecision::Block(_) => Err(dispatch_failure(history, "crashing-part")),
+    }
+}
+
 /// Sends a request to one endpoint. `None` means that it may be sent to another one.
 async fn attempt<C: Clock, D: dialects::RequestDialect>(
     state: &Arc<state::EntryState<C, D>>,
--- a/crates/waxwing-conduit/src/lib.rs
+++ b/crates/waxwing-conduit/src/lib.rs
@@ -16,4 +16,5 @@
 mod sockets;
 mod state;
 pub mod stopping;
+mod suspects;
 mod upstream;
--- a/crates/waxwing-conduit/src/metrics.rs
+++ b/crates/waxwing-conduit/src/metrics.rs
@@ -18,6 +18,7 @@
     streams: IntCounterVec,
     fetches: IntCounterVec,
     link_bytes: IntCounterVec,
+    crashes: IntCounterVec,
     latencies: HistogramVec,
 }
 
@@ -60,6 +61,11 @@
             "Bytes of messages exchanged with control hosts and other entries, by direction.",
             "direction",
         )?;
+        let crashes = counter(
+            "waxwing_entry_crash_findings_total",
+            "Evidence of prompt parts that crash endpoints, and parts that were blocked.",
+            "finding",
+        )?;
         let options = HistogramOpts::new(
             "waxwing_entry_latency_seconds",
             "Time waited for an endpoint, to the first event, and of the whole request.",
@@ -75,6 +81,7 @@
             streams,
             fetches,
             link_bytes,
+            crashes,
             latencies,
         })
     }
@@ -99,6 +106,14 @@
         self.fetches.with_label_values(&[outcome]).inc();
     }
 
+    pub(crate) fn count_crash_evidence(&self) {
+        self.crashes.with_label_values(&["evidence"]).inc();
+    }
+
+    pub(crate) fn count_blocked_part(&self) {
+        self.crashes.with_label_values(&["blocked"]).inc();
+    }
+
     /// Updates the bytes of messages from the counters of the links.
     pub(crate) fn record_link_bytes(&self, counters: &counters::CounterSet) {
         let directions = [
--- a/crates/waxwing-conduit/src/relay.rs
+++ b/crates/waxwing-conduit/src/relay.rs
@@ -9,7 +9,7 @@
 use waxwing_core::clock::Clock;
 use waxwing_fleet::{deployments, dialects};
 
-use crate::{answers, errors, events, forwarding, intake, state, upstream};
+use crate::{answers, errors, events, forwarding, intake, state, suspects, upstream};
 
 /// Number of chunks that are buffered for a slow caller; the events of a stream are small.
 const CHUNK_QUEUE_LENGTH: usize = 32;
@@ -51,6 +51,7 @@
     Data(bytes::Bytes),
     End,
     Broken,
+    Stalled,
     Disconnected,
     TimedOut,
 }
@@ -106,7 +107,8 @@
                         let now = self.state.clock.now();
                         source.first = Some((now, self.splitter.last_id()));
                         let took = now.saturating_duration_since(source.sent);
-                        source.run.record_first_event(took);
+                        let parts = &self.request.shared_parts;
+                        source.run.record_first_event(took, parts);
                         self.state.metrics.observe_latency("first-event", took);
                     }
                     if self.chunks.send(Ok(complete)).await.is_err() {
@@ -124,8 +126,11 @@
                     self.state.pool.release(source.connection, now).await;
                     return;
                 }
-                NextChunk::End | NextChunk::Broken => {
+                ended @ (NextChunk::End | NextChunk::Broken | NextChunk::Stalled) => {
                     source.run.record_failure();
+                    if source.first.is_none() && !matches!(ended, NextChunk::Stalled) {
+                        suspects::report_broken(&self.state, &self.request, &source.run);
+                    }
                     match self.resume(source).await {
                         Some(next) => source = next,
                         None => return,
@@ -185,7 +190,7 @@
                         last = self.splitter.last_id(),
                         limit_ms = timeout.as_millis()
                     );
-                    NextChunk::Broken
+                    NextChunk::Stalled
                 }
             },
         }
--- a/crates/waxwing-conduit/src/state.rs
+++ b/crates/waxwing-conduit/src/state.rs
@@ -265,9 +265,9 @@
 }
 
 impl<C: Clock, D> StartedRun<C, D> {
-    /// Records the first event of the answer, `elapsed` after the request was sent. Later calls
-    /// have no effect.
-    pub(crate) fn record_first_event(&mut self, elapsed: Duration) {
+    /// Records the first event of the answer, `elapsed` after the request was sent; `shared_parts`
+    /// are those of its prompt. Later calls have no effect.
+    pub(crate) fn record_first_event(&mut self, elapsed: Duration, shared_parts: &[u64]) {
         if self.first_event_time.is_some() {
             return;
         }
@@ -277,6 +277,9 @@
         let core = &mut gate.core;
         core.record_first_event(&self.endpoint, self.size, self.backlog, elapsed);
         core.record_success(now, &self.endpoint);
+        if !shared_parts.is_empty() {
+            core.crashes.record_begin(now, shared_parts);
+        }
         drop(gate);
         self.state.dispatch_decisions();
     }
@@ -299,12 +302,16 @@
             .record_generation(&self.endpoint, tokens, generation_time, run_time);
     }
 
-    /// Records the complete answer of a plain call, `elapsed` after the request was sent.
-    pub(crate) fn record_answer(&mut self, elapsed: Duration) {
+    /// Records the complete answer of a plain call, `elapsed` after the request was sent;
+    /// `shared_parts` are those of its prompt.
+    pub(crate) fn record_answer(&mut self, elapsed: Duration, shared_parts: &[u64]) {
         let now = self.state.clock.now();
         let mut gate = self.state.gate();
         gate.core.record_call(&self.endpoint, elapsed);
         gate.core.record_success(now, &self.endpoint);
+        if !shared_parts.is_empty() {
+            gate.core.crashes.record_begin(now, shared_parts);
+        }
     }
 
     /// Records the load that the endpoint reported with an answer.
--- a/crates/waxwing-conduit/src/upstream.rs
+++ b/crates/waxwing-conduit/src/upstream.rs
@@ -21,6 +21,10 @@
 /// endpoint can answer long before that.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 
+/// Time after which a connection ended until the endpoint is checked: a process that crashes closes
+/// its connections and its listening socket at nearly the same time.
+const CRASH_CHECK_DELAY: Duration = Duration::from_millis(5);
+
 /// Idle time after which a connection is not reused; endpoints close idle connections a few seconds
 /// later.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(3);
@@ -185,6 +189,17 @@
     }
 }
 
+/// Tells whether no process accepts connections at an address that is reachable.
+pub(crate) async fn refuses_connections<C: Clock>(clock: &C, address: SocketAddr) -> bool {
+    clock.sleep(CRASH_CHECK_DELAY).await;
+    let connecting = net::TcpStream::connect(address);
+    tokio::select! {
+        connected = connecting => connected
+            .is_err_and(|error| error.kind() == std::io::ErrorKind::ConnectionRefused),
+        () = clock.sleep(CONNECT_TIMEOUT) => false,
+    }
+}
+
 /// A connection on which an answer is still being read. Dropping it before the end closes the
 /// connection, which tells the endpoint to stop.
 #[derive(Debug)]
--- a/crates/waxwing-core/src/events.rs
+++ b/crates/waxwing-core/src/events.rs
@@ -31,7 +31,7 @@
 }
 
 /// All events of the decision log, those of requests first.
-pub const LOG_EVENTS: [LogEvent; 50] = [
+pub const LOG_EVENTS: [LogEvent; 54] = [
     log_event(
         "request-started",
         "the gate gave the request a slot and the entry sent it",
@@ -100,6 +100,22 @@
         "service-load",
         "the load of a service as one entry sees it, twice a second",
     ),
+    log_event(
+        "crash-evidence",
+        "an endpoint crashed when it had begun the answer to the request; `parts` are suspects",
+    ),
+    log_event(
+        "part-blocked",
+        "the entry blocks a prompt part, since endpoints crash under it",
+    ),
+    log_event(
+        "part-refused",
+        "the request has a blocked prompt part and was not sent",
+    ),
+    log_event(
+        "part-tried",
+        "one request with a blocked prompt part is sent to see whether endpoints still crash",
+    ),
     log_event(
         "deployment-announced",
         "the control host told its linked entries which deployment it holds",
--- a/crates/waxwing-gate/src/gate.rs
+++ b/crates/waxwing-gate/src/gate.rs
@@ -19,7 +19,9 @@
 use waxwing_fleet::{dialects, registry};
 use waxwing_wire::messages;
 
-use crate::{baselines, budgets, endpoints, models, options, patience, quotas, shares, tickets};
+use crate::{
+    baselines, budgets, crashes, endpoints, models, options, patience, quotas, shares, tickets,
+};
 
 /// Sort key of a ticket in the queue of its service; the smallest key is served first.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -56,6 +58,8 @@
     budgets: HashMap<SmolStr, budgets::RetryBudget>,
     /// Longest recent patience of the callers of each route.
     pub patience: patience::PatienceTable,
+    /// Prompt parts that crash endpoints.
+    pub crashes: crashes::CrashLedger,
     /// Quotas of client accounts.
     pub quotas: quotas::QuotaTable,
     peers: HashMap<SocketAddr, PeerState>,
@@ -173,6 +177,7 @@
             initial_model: models::ServiceModel::default(),
             budgets: HashMap::new(),
             patience: patience::PatienceTable::default(),
+            crashes: crashes::CrashLedger::default(),
             quotas: quotas::QuotaTable::new(started),
             peers: HashMap::new(),
             lost_peers: HashMap::new(),
--- a/crates/waxwing-gate/src/gate/load_updates.rs
+++ b/crates/waxwing-gate/src/gate/load_updates.rs
@@ -11,7 +11,7 @@
 use waxwing_wire::messages;
 
 use super::{GateCore, LostPeer, PeerState};
-use crate::{endpoints, shares};
+use crate::{crashes, endpoints, shares};
 
 /// Tolerance when two snapshots are compared to tell whether their sender has restarted: the time
 /// that messages take makes its start seem later. A restarted process is back after half a second
@@ -27,8 +27,21 @@
 }
 
 impl GateCore {
-    /// Applies an update from another entry.
-    pub fn apply_update(&mut self, now: Instant, peer: SocketAddr, update: messages::LoadUpdate) {
+    /// Applies an update from another entry. Returns the prompt parts that are blocked from now on.
+    pub fn apply_update(
+        &mut self,
+        now: Instant,
+        peer: SocketAddr,
+        update: messages::LoadUpdate,
+    ) -> Vec<u64> {
+        let mut update = update;
+        let crashes = update.crashes.take().unwrap_or_default();
+        let blocked = self.crashes.apply_update(now, crashes);
+        self.apply_load(now, peer, update);
+        blocked
+    }
+
+    fn apply_load(&mut self, now: Instant, peer: SocketAddr, update: messages::LoadUpdate) {
         for used in update.endpoints {
             if let Some(view) = self.endpoints.get_mut(used.id.as_str()) {
                 let other = endpoints::EndpointUse {
@@ -155,6 +168,7 @@
             whole: snapshot,
             age_millis: u64::try_from(self.quotas.age(now).as_millis()).unwrap_or(u64::MAX),
             demands: self.own_demands(now),
+            crashes: Some(self.crashes.take_update(now, snapshot)),
         }
     }
 
@@ -185,7 +199,16 @@
     /// Tells whether there are changes to send to the other entries.
     #[must_use]
     pub fn has_changes(&self) -> bool {
-        self.demand_changed || !self.changed.is_empty()
+        self.demand_changed || !self.changed.is_empty() || self.crashes.has_changes()
+    }
+
+    /// Tells whether a request whose prompt has these shared parts may be sent. The connected entry
+    /// with the lowest address tries blocked parts again.
+    #[must_use]
+    pub fn decide_parts(&self, now: Instant, parts: &[u64]) -> crashes::PartDecision {
+        let own = self.options.address;
+        let tries_blocked = self.peers.keys().all(|peer| own < *peer);
+        self.crashes.decide(now, parts, tries_blocked)
     }
 
     pub(super) fn mark_changed(&mut self, id: &SmolStr) {
--- a/crates/waxwing-gate/src/lib.rs
+++ b/crates/waxwing-gate/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod baselines;
 pub mod budgets;
+pub mod crashes;
 pub mod endpoints;
 pub mod fetches;
 pub mod gate;
--- a/crates/waxwing-gate/tests/gate.rs
+++ b/crates/waxwing-gate/tests/gate.rs
@@ -67,6 +67,7 @@
         whole: true,
         demands: Vec::new(),
         age_millis: 0,
+        crashes: None,
     };
     core.apply_update(now, support::address(99), update);
     for _ in 0..5 {
--- a/crates/waxwing-wire/src/messages.rs
+++ b/crates/waxwing-wire/src/messages.rs
@@ -20,8 +20,9 @@
     ClaimCompleted, ClaimKey, ClaimName, ClaimOutcome, ClaimRecord, ClaimResult, CompleteClaim,
 };
 pub use self::fleet::{
-    AccountUse, DeploymentChunk, DeploymentVersion, EndpointNotice, EndpointNotices, EndpointPhase,
-    EndpointUse, FetchDeployment, FleetHosts, JoinGroup, LoadUpdate, ServiceDemand,
+    AccountUse, BlockedPart, CrashEvidence, CrashUpdate, DeploymentChunk, DeploymentVersion,
+    EndpointNotice, EndpointNotices, EndpointPhase, EndpointUse, FetchDeployment, FleetHosts,
+    JoinGroup, LoadUpdate, ServiceDemand,
 };
 pub use self::groups::{AskGroup, GroupInfo, Quorum, Redirect, Submit, Submitted, Unavailable};
 pub use self::links::{Heartbeat, Hello, Leaving, ProcessKind};
--- a/crates/waxwing-wire/src/messages/fleet.rs
+++ b/crates/waxwing-wire/src/messages/fleet.rs
@@ -208,4 +208,47 @@
     /// cover, and whether the sender has restarted.
     #[prost(uint64, tag = "5")]
     pub age_millis: u64,
+    /// What the sender found out about prompt parts that crash endpoints.
+    #[prost(message, optional, tag = "6")]
+    pub crashes: Option<CrashUpdate>,
+}
+
+/// A request that had no event yet when its endpoint crashed.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct CrashEvidence {
+    /// The id of the endpoint.
+    #[prost(string, tag = "1")]
+    pub endpoint: String,
+    /// Milliseconds since the crash.
+    #[prost(uint64, tag = "2")]
+    pub age_millis: u64,
+    /// The ids of its prompt parts in order, without the last one.
+    #[prost(fixed64, repeated, tag = "3")]
+    pub parts: Vec<u64>,
+}
+
+/// A prompt part that the sender doesn't send to endpoints.
+#[derive(Clone, Copy, PartialEq, Eq, Message)]
+pub struct BlockedPart {
+    /// The id of the part.
+    #[prost(fixed64, tag = "1")]
+    pub part: u64,
+    /// Milliseconds since the last crash under it.
+    #[prost(uint64, tag = "2")]
+    pub age_millis: u64,
+}
+
+/// Changes of what the sender knows about prompt parts that crash endpoints; in a snapshot, all
+/// that it knows.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct CrashUpdate {
+    /// Evidence since the last load update.
+    #[prost(message, repeated, tag = "1")]
+    pub evidence: Vec<CrashEvidence>,
+    /// Suspected parts with which answers have begun since, so that they are sound.
+    #[prost(fixed64, repeated, tag = "2")]
+    pub sound: Vec<u64>,
+    /// The blocked parts; only in a snapshot.
+    #[prost(message, repeated, tag = "3")]
+    pub blocked: Vec<BlockedPart>,
 }
