--- a/crates/waxwing-conduit/src/relay.rs
+++ b/crates/waxwing-conduit/src/relay.rs
@@ -115,7 +115,7 @@
                         return self.log_disconnect(&source);
                     }
                 }
-                NextChunk::End if !self.splitter.has_partial() => {
+                NextChunk::End if self.is_complete(&source) => {
                     let now = self.state.clock.now();
                     self.record_end(&mut source, now);
                     self.state.metrics.count_stream("whole");
@@ -144,6 +144,12 @@
         }
     }
 
+    /// Tells whether a stream that has ended is complete: it has events and ends after one.
+    fn is_complete(&self, source: &StreamSource<C, D>) -> bool {
+        let has_events = source.first.is_some() || self.splitter.last_id().is_some();
+        has_events && !self.splitter.has_partial()
+    }
+
     /// Reports the token count and times of a finished stream to the gate. The number of events is
     /// taken from their ids.
     fn record_end(&self, source: &mut StreamSource<C, D>, now: std::time::Instant) {
