Use a restarted endpoint at once under its former id

An endpoint that started again under its former id kept the ejection and the failures of its former life, up to 4 s, since its record was kept with all measurements. Its failures are now forgotten when a notice of a later start arrives; its measured speed is kept.

restarted_endpoint_is_not_ejected_for_its_former_life failed before.

--- a/crates/waxwing-gate/src/endpoints.rs
+++ b/crates/waxwing-gate/src/endpoints.rs
@@ -33,6 +33,8 @@
     pub address: SocketAddr,
     /// Data centre of the endpoint.
     pub data_centre: SmolStr,
+    /// When it started, in Unix milliseconds.
+    pub born: u64,
     /// Requests that it serves concurrently.
     pub slots: u32,
     /// Whether it accepts new requests.
@@ -69,6 +71,7 @@
             service: SmolStr::new(&notice.service),
             address,
             data_centre: SmolStr::new(&notice.data_centre),
+            born: notice.born,
             slots: notice.slots,
             ready: notice.phase() == messages::EndpointPhase::Ready,
             last_seen,
@@ -219,6 +222,14 @@
         self.eject(now, self.failures - 1, options);
     }
 
+    /// Forgets the failures of a former life after the endpoint has started again.
+    pub fn restart(&mut self, born: u64) {
+        self.born = born;
+        self.failures = 0;
+        self.failure_ratio = 0.0;
+        self.ejected_until = None;
+    }
+
     fn eject(&mut self, now: Instant, doublings: u32, options: &options::GateOptions) {
         let backoff = options.ejection_time * 2_u32.saturating_pow(doublings.min(8));
         self.ejected_until = Some(now + backoff.min(options.max_ejection_time));
--- a/crates/waxwing-gate/src/gate.rs
+++ b/crates/waxwing-gate/src/gate.rs
@@ -240,6 +240,9 @@
             view.ready = ready;
             view.slots = notice.slots;
             view.service = SmolStr::new(&notice.service);
+            if notice.born > view.born {
+                view.restart(notice.born);
+            }
         }
         self.endpoints.insert(id, view);
     }
--- a/crates/waxwing-gate/tests/gate.rs
+++ b/crates/waxwing-gate/tests/gate.rs
@@ -237,3 +237,23 @@
     core.enqueue(ticket(now, 0, 100));
     assert_eq!(granted(&core.decide(now)).len(), 1);
 }
+
+/// Guards against sound requests that are shut out after a crash: an endpoint that starts again
+/// under its former id is used at once, although its former life was ejected.
+#[test]
+fn restarted_endpoint_is_not_ejected_for_its_former_life() {
+    let now = Instant::now();
+    let mut core = gate(now, &[("one", 1, 3)]);
+    let id = SmolStr::new("one");
+    for _ in 0..6 {
+        core.record_connect_failure(now, &id);
+    }
+    core.enqueue(ticket(now, 1, 100));
+    assert!(granted(&core.decide(now)).is_empty());
+    let again = messages::EndpointNotice {
+        born: 2,
+        ..notice("one", 1, 3)
+    };
+    core.observe_notice(again, now);
+    assert_eq!(granted(&core.decide(now)).len(), 1);
+}
