Ask to join the group every 100 ms

Hosts crashed every 0.3 to 1.5 s, so leaders lived 0.1 to 0.5 s. The leader of 7.65 s removed the former identity at 7.90 s and was gone before the next request; no later one met a request. The group had two voters when the second disk was lost at 13.0 s. Class: a repair of several steps, each of which waits for a poll.

A host that is no member asks every 100 ms, so that one leader makes all three changes.

--- a/crates/waxwing-registrar/src/group.rs
+++ b/crates/waxwing-registrar/src/group.rs
@@ -36,8 +36,9 @@
 /// asks too, which changes nothing.
 const JOIN_AFTER_LEADERLESS: Duration = Duration::from_millis(1_200);
 
-/// Time between two join requests of a host.
-const JOIN_INTERVAL: Duration = Duration::from_millis(400);
+/// Time between two join requests of a host. A leader may live for half a second only while hosts
+/// crash, and a host with a new disk needs three changes of the membership to vote again.
+const JOIN_INTERVAL: Duration = Duration::from_millis(100);
 
 /// The longest wait at shutdown for a successor to take over leadership; enough for one election.
 const TRANSFER_TIMEOUT: Duration = Duration::from_millis(1_000);
