Ignore a repeated first chunk of a deployment

A first chunk that arrived twice, as after a request that was sent again, threw away what had been received. Found by reading; the test failed before.

--- a/crates/waxwing-gate/src/fetches.rs
+++ b/crates/waxwing-gate/src/fetches.rs
@@ -91,12 +91,13 @@
     }
 
     /// Adds a chunk if it is the next one of this patch, or starts over with the first chunk of
-    /// another patch from the host that was asked.
+    /// another patch from the host that was asked. `held` is the version in force.
     fn add(&mut self, control: SocketAddr, chunk: messages::DeploymentChunk, held: u64) -> bool {
         let known = self.header.as_ref().map(|header| header.patch_digest);
         let is_next =
             known == Some(chunk.patch_digest) && chunk.offset == self.received.len() as u64;
-        let restarts = control == self.control && chunk.offset == 0 && chunk.version > held;
+        let is_other_patch = known != Some(chunk.patch_digest) && chunk.version > held;
+        let restarts = is_other_patch && control == self.control && chunk.offset == 0;
         if !is_next && !restarts {
             return false;
         }
--- a/crates/waxwing-registrar/tests/distribution.rs
+++ b/crates/waxwing-registrar/tests/distribution.rs
@@ -323,3 +323,21 @@
     fetcher.offer(now, control(0), offer(4));
     assert!(fetcher.next_order(now).is_some());
 }
+
+/// Guards against a transfer that starts over because a chunk arrives twice.
+#[test]
+fn repeated_first_chunk_does_not_restart_the_transfer() {
+    let now = Instant::now();
+    let mut history = history::DeploymentHistory::default();
+    history.record(&document(1, 20_000, 0));
+    let mut fetcher = fetches::DeploymentFetcher::new(control(99));
+    fetcher.offer(now, control(0), history.announcement(false));
+    let first = fetcher.next_order(now).expect("a request");
+    let chunk = history.chunk(&first.fetch).unwrap().expect("a chunk");
+    let effect = fetcher.receive(now, control(0), chunk.clone());
+    assert_eq!(effect, fetches::ChunkEffect::Added);
+    let effect = fetcher.receive(now, control(0), chunk.clone());
+    assert_eq!(effect, fetches::ChunkEffect::Ignored);
+    let second = fetcher.next_order(now).expect("a request");
+    assert_eq!(second.fetch.offset, chunk.data.len() as u64);
+}
