Forget blocked prompt parts that no request names

A block ended only by a trial, which needs a request with the part, so that findings were kept and passed on without end. They now end half an hour after the last crash. Found by reading; the new test fails without the change by construction, which was not run.

--- a/crates/waxwing-gate/src/crashes.rs
+++ b/crates/waxwing-gate/src/crashes.rs
@@ -51,6 +51,9 @@
 /// The longest time until a blocked part is tried again.
 const MAX_TRIAL_DELAY: Duration = Duration::from_secs(600);
 
+/// Time after the last crash after which a blocked part is forgotten, since no request has tried it.
+const BLOCK_LIFETIME: Duration = Duration::from_secs(1_800);
+
 /// The most evidence that is kept; the oldest is dropped first.
 const MAX_EVIDENCE: usize = 512;
 
@@ -286,8 +289,12 @@
         !self.unsent_evidence.is_empty() || !self.unsent_sound.is_empty()
     }
 
-    /// Returns what the other entries lack, or all evidence and findings for a new link.
+    /// Returns what the other entries lack, or all evidence and findings for a new link. Forgets
+    /// parts that nobody has asked for in a long time.
     pub fn take_update(&mut self, now: Instant, snapshot: bool) -> messages::CrashUpdate {
+        self.blocked.retain(|_, blocked| {
+            now.saturating_duration_since(blocked.last_crash) < BLOCK_LIFETIME
+        });
         let evidence = match snapshot {
             true => self.evidence.iter().cloned().collect(),
             false => std::mem::take(&mut self.unsent_evidence),
--- a/crates/waxwing-gate/tests/crashes.rs
+++ b/crates/waxwing-gate/tests/crashes.rs
@@ -376,6 +376,17 @@
     );
 }
 
+/// Guards against findings that are kept, and passed on, without end.
+#[test]
+fn blocked_part_that_no_request_names_is_forgotten() {
+    let (mut ledger, crash) = blocking_ledger(Instant::now());
+    ledger.take_update(crash + Duration::from_secs(600), false);
+    assert_eq!(ledger.blocked_parts().count(), 1);
+    let update = ledger.take_update(crash + Duration::from_secs(3_600), true);
+    assert!(update.blocked.is_empty());
+    assert_eq!(ledger.blocked_parts().count(), 0);
+}
+
 /// Guards against a request that is blamed by the part that no other request shares.
 #[test]
 fn last_part_is_never_a_suspect() {
