Raise the protocol version

The messages that carry deployments have changed (65 to 67 instead of 61), so processes of both releases can't work together. They now refuse the link with the reason, and not with an undecodable frame.

--- a/crates/waxwing-wire/src/messages.rs
+++ b/crates/waxwing-wire/src/messages.rs
@@ -37,7 +37,7 @@
 pub use self::settings::{SettingsConfirmed, SettingsDelta, SettingsSnapshot, WatchSettings};
 
 /// The version of the protocol. Links between processes of different versions are refused.
-pub const PROTOCOL_VERSION: u32 = 1;
+pub const PROTOCOL_VERSION: u32 = 2;
 
 /// The maximum number of prefix hashes in an offer, which with the longest names still fits into
 /// 512 bytes.
