--- a/crates/waxwing-gate/src/crashes.rs
+++ b/crates/waxwing-gate/src/crashes.rs
@@ -51,7 +51,7 @@
 /// The longest time until a blocked part is tried again.
 const MAX_TRIAL_DELAY: Duration = Duration::from_secs(600);
 
-/// Time after the last crash after which a blocked part is forgotten, since no request has tried it.
+/// Time without a crash after which a blocked part is forgotten; no request has tried it since.
 const BLOCK_LIFETIME: Duration = Duration::from_secs(1_800);
 
 /// The most evidence that is kept; the oldest is dropped first.
@@ -167,7 +167,8 @@
     }
 
     /// Records that an endpoint crashed when it had begun the answer to a request of this entry with
-    /// these parts and had sent no event. Returns the part that is blocked from now on, if there is one.
+    /// these parts and had sent no event. Returns the part that is blocked from now on, if there is
+    /// one.
     pub fn record_crash(&mut self, now: Instant, endpoint: &SmolStr, parts: &[u64]) -> Option<u64> {
         let evidence = CrashEvidence {
             endpoint: endpoint.clone(),
--- a/crates/waxwing-gate/src/fetches.rs
+++ b/crates/waxwing-gate/src/fetches.rs
@@ -80,7 +80,7 @@
     received: BytesMut,
     started: Instant,
     last_progress: Instant,
-    /// Whether the next chunk has to be asked for.
+    /// Whether the next chunk has not been asked for yet.
     asks: bool,
 }
 
