--- a/crates/waxwing-gate/src/crashes.rs
+++ b/crates/waxwing-gate/src/crashes.rs
@@ -167,8 +167,8 @@
     }
 
     /// Records that an endpoint crashed when it had begun the answer to a request of this entry
-    /// with these parts and had sent no event. Returns the part that is blocked from now on, if there is
-    /// one.
+    /// with these parts and had sent no event. Returns the part that is blocked from now on, if
+    /// there is one.
     pub fn record_crash(&mut self, now: Instant, endpoint: &SmolStr, parts: &[u64]) -> Option<u64> {
         let evidence = CrashEvidence {
             endpoint: endpoint.clone(),
