--- a/crates/waxwing-conduit/src/checks.rs
+++ b/crates/waxwing-conduit/src/checks.rs
@@ -21,8 +21,8 @@
 /// Shortest retry delay for callers over their quota; a few round trips.
 const MIN_QUOTA_RETRY_AFTER: Duration = Duration::from_millis(200);
 
-/// Range of the retry delay before the first deployment and of blocked prompts, as a share of the caller's remaining time;
-/// callers honour delays up to a third of it.
+/// Range of the retry delay before the first deployment and of blocked prompts, as a share of the
+/// caller's remaining time; callers honour delays up to a third of it.
 const RETRY_AFTER_SHARES: std::ops::Range<f64> = 0.2..0.33;
 
 /// Validates a request against the current deployment and reads its body.
