Let entries that missed a clearance try a blocked part themselves

Callers at one entry could be refused for up to half an hour although the part of their prompts was harmless again. Only the entry with the lowest address tried blocked parts. If another entry was cut off when the trial succeeded, it kept the part blocked, and the first entry had nothing left to try. Class: an end that depends on one message.

Each entry now tries by itself, the others one delay after the first, and a failed trial, which all learn of as evidence, doubles the delay of all.

entry_that_missed_a_clearance_tries_by_itself failed before and passes; entries_together_try_a_crashing_part_ever_less_often bounds the trials of two entries under a part that still crashes, and passed before too. The tests of the ledger call the part what it is called elsewhere.

--- a/crates/waxwing-gate/src/crashes.rs
+++ b/crates/waxwing-gate/src/crashes.rs
@@ -73,10 +73,29 @@
     last_crash: Instant,
     /// When one request with it may be sent again.
     next_trial: Instant,
-    /// The time until the trial after that.
+    /// The time from a crash to the next trial.
     trial_delay: Duration,
 }
 
+impl BlockedPart {
+    /// Returns when one request with the part may be sent again by an entry.
+    fn trial_due(&self, tries_first: bool) -> Instant {
+        match tries_first {
+            true => self.next_trial,
+            false => self.next_trial + self.trial_delay,
+        }
+    }
+
+    /// Puts off the next trial. A crash after the delay was that of a failed trial.
+    fn record_crash(&mut self, at: Instant) {
+        if at.saturating_duration_since(self.last_crash) >= self.trial_delay {
+            self.trial_delay = (self.trial_delay * 2).min(MAX_TRIAL_DELAY);
+        }
+        self.last_crash = self.last_crash.max(at);
+        self.next_trial = self.next_trial.max(at + self.trial_delay);
+    }
+}
+
 /// Counts of answers whose weight halves with each [`COUNT_HALF_LIFE`].
 #[derive(Debug, Default)]
 struct AnswerCounts {
@@ -134,15 +153,16 @@
 }
 
 impl CrashLedger {
-    /// Tells whether a request may be sent. `tries_blocked` tells whether this entry is the one
-    /// that tries blocked parts again.
+    /// Tells whether a request may be sent. `tries_first` tells whether this entry is the one that
+    /// tries blocked parts again. The others wait for its result for one more delay: it may have
+    /// found a part harmless while they were cut off, and then has nothing left to try.
     #[must_use]
-    pub fn decide(&self, now: Instant, parts: &[u64], tries_blocked: bool) -> PartDecision {
+    pub fn decide(&self, now: Instant, parts: &[u64], tries_first: bool) -> PartDecision {
         let mut decision = PartDecision::Send;
         for part in parts {
             match self.blocked.get(part) {
                 None => {}
-                Some(blocked) if tries_blocked && now >= blocked.next_trial => {
+                Some(blocked) if now >= blocked.trial_due(tries_first) => {
                     decision = PartDecision::Trial;
                 }
                 Some(_) => return PartDecision::Block(*part),
@@ -155,7 +175,6 @@
     pub fn start_trial(&mut self, now: Instant, parts: &[u64]) {
         for part in parts {
             if let Some(blocked) = self.blocked.get_mut(part) {
-                blocked.trial_delay = (blocked.trial_delay * 2).min(MAX_TRIAL_DELAY);
                 blocked.next_trial = now + blocked.trial_delay;
             }
         }
@@ -215,8 +234,7 @@
         for part in &evidence.parts {
             if let Some(blocked) = self.blocked.get_mut(part) {
                 explained = true;
-                blocked.last_crash = blocked.last_crash.max(evidence.at);
-                blocked.next_trial = blocked.next_trial.max(evidence.at + blocked.trial_delay);
+                blocked.record_crash(evidence.at);
             }
         }
         let suspects = evidence.parts.clone();
--- a/crates/waxwing-gate/src/gate/load_updates.rs
+++ b/crates/waxwing-gate/src/gate/load_updates.rs
@@ -203,12 +203,12 @@
     }
 
     /// Tells whether a request whose prompt has these shared parts may be sent. The connected entry
-    /// with the lowest address tries blocked parts again.
+    /// with the lowest address tries blocked parts first.
     #[must_use]
     pub fn decide_parts(&self, now: Instant, parts: &[u64]) -> crashes::PartDecision {
         let own = self.options.address;
-        let tries_blocked = self.peers.keys().all(|peer| own < *peer);
-        self.crashes.decide(now, parts, tries_blocked)
+        let tries_first = self.peers.keys().all(|peer| own < *peer);
+        self.crashes.decide(now, parts, tries_first)
     }
 
     pub(super) fn mark_changed(&mut self, id: &SmolStr) {
--- a/crates/waxwing-gate/tests/crashes.rs
+++ b/crates/waxwing-gate/tests/crashes.rs
@@ -33,7 +33,7 @@
 const SYSTEM_PART: u64 = 1;
 
 /// The part that crashes endpoints.
-const DEADLY_PART: u64 = 0xdead;
+const CRASHING_PART: u64 = 0xdead;
 
 /// A request at an endpoint.
 #[derive(Debug, Clone)]
@@ -57,8 +57,8 @@
 #[derive(Debug, Default)]
 struct ReplayOutcome {
     crashes: Vec<Instant>,
-    /// When requests with the deadly part were sent.
-    deadly_sends: Vec<Instant>,
+    /// When requests with the crashing part were sent.
+    crashing_sends: Vec<Instant>,
     sound_sends: usize,
     sound_refusals: usize,
     blocked: BTreeSet<u64>,
@@ -71,9 +71,9 @@
     now: Instant,
     entries: Vec<crashes::CrashLedger>,
     endpoints: Vec<SimulatedEndpoint>,
-    /// Requests a second, and the share of them with the deadly part.
+    /// Requests a second, and the share of them with the crashing part.
     rate: f64,
-    deadly_share: f64,
+    crashing_share: f64,
     /// Whether endpoints begin answers long before the first event, so that an answer has begun for
     /// each request that a crash ends.
     begins_early: bool,
@@ -96,7 +96,7 @@
                 .map(|_| SimulatedEndpoint::default())
                 .collect(),
             rate: 80.0,
-            deadly_share: 0.0,
+            crashing_share: 0.0,
             begins_early: false,
             subjects: 200,
             outcome: ReplayOutcome::default(),
@@ -126,16 +126,16 @@
     }
 
     fn arrive(&mut self) {
-        let is_deadly = self.rng.random_bool(self.deadly_share);
+        let is_crashing = self.rng.random_bool(self.crashing_share);
         let subject = 100 + self.rng.random_range(0..self.subjects);
-        let parts = match is_deadly {
-            true => vec![SYSTEM_PART, subject, DEADLY_PART],
+        let parts = match is_crashing {
+            true => vec![SYSTEM_PART, subject, CRASHING_PART],
             false => vec![SYSTEM_PART, subject],
         };
         let entry = self.rng.random_range(0..ENTRIES);
         let decision = self.entries[entry].decide(self.now, &parts, entry == 0);
         if let crashes::PartDecision::Block(_) = decision {
-            self.outcome.sound_refusals += usize::from(!is_deadly);
+            self.outcome.sound_refusals += usize::from(!is_crashing);
             return;
         }
         if decision == crashes::PartDecision::Trial {
@@ -147,8 +147,8 @@
         if up.is_empty() {
             return;
         }
-        match is_deadly {
-            true => self.outcome.deadly_sends.push(self.now),
+        match is_crashing {
+            true => self.outcome.crashing_sends.push(self.now),
             false => self.outcome.sound_sends += 1,
         }
         let endpoint = up[self.rng.random_range(0..up.len())];
@@ -188,7 +188,7 @@
                 .iter_mut()
                 .filter(|run| !run.begun && now >= run.begins)
             {
-                if run.parts.contains(&DEADLY_PART) {
+                if run.parts.contains(&CRASHING_PART) {
                     crashes = true;
                 } else {
                     run.begun = true;
@@ -214,18 +214,17 @@
         }
     }
 
-    /// Returns the requests with the deadly part that were sent too late.
+    /// Returns the requests with the crashing part that were sent too late.
     fn late_sends(&self) -> usize {
         let Some(fifth) = self.outcome.crashes.get(4) else {
             return 0;
         };
-        let sends = self.outcome.deadly_sends.iter();
+        let sends = self.outcome.crashing_sends.iter();
         sends.filter(|at| **at > *fifth + CONTACT_TIME).count()
     }
 }
 
-/// Guards against the tainted day: one prompt part crashed one endpoint after the other until the
-/// end of the day.
+/// Guards against one prompt part that crashes one endpoint after the other, without end.
 #[test_case(0.05, 19, false; "as on the small site")]
 #[test_case(0.2, 47, false; "many requests with the part")]
 #[test_case(0.01, 19, false; "few requests with the part")]
@@ -236,7 +235,7 @@
         let mut replay = Replay::new(seed, endpoints);
         replay.begins_early = begins_early;
         replay.run(Duration::from_secs(4), |_, _| {});
-        replay.deadly_share = share;
+        replay.crashing_share = share;
         replay.run(Duration::from_secs(24), |_, _| {});
         assert!(
             replay.late_sends() <= LATE_LIMIT,
@@ -247,7 +246,7 @@
             .outcome
             .blocked
             .iter()
-            .filter(|part| **part != DEADLY_PART)
+            .filter(|part| **part != CRASHING_PART)
             .collect();
         assert!(sound.is_empty(), "seed {seed}: blocked {sound:?}");
         assert_eq!(replay.outcome.sound_refusals, 0, "seed {seed}");
@@ -288,7 +287,7 @@
 fn crashing_part_is_found_among_other_crashes() {
     for seed in 0..20 {
         let mut replay = Replay::new(seed, 19);
-        replay.deadly_share = 0.05;
+        replay.crashing_share = 0.05;
         let mut fault_rng = ChaCha8Rng::seed_from_u64(seed);
         replay.run(Duration::from_secs(24), |replay, elapsed| {
             if elapsed.as_millis() % 1_500 == 0 {
@@ -301,7 +300,7 @@
         assert!(replay.late_sends() <= LATE_LIMIT, "seed {seed}");
         assert_eq!(
             replay.outcome.blocked,
-            BTreeSet::from([DEADLY_PART]),
+            BTreeSet::from([CRASHING_PART]),
             "seed {seed}"
         );
     }
@@ -320,15 +319,15 @@
     ledger
 }
 
-/// Returns a ledger that blocks [`DEADLY_PART`], and the time of the last crash.
+/// Returns a ledger that blocks [`CRASHING_PART`], and the time of the last crash.
 fn blocking_ledger(start: Instant) -> (crashes::CrashLedger, Instant) {
     let mut ledger = busy_ledger(start);
     let mut now = start;
     for number in 0..5 {
         now += Duration::from_secs(1);
-        ledger.record_crash(now, &endpoint(number), &[DEADLY_PART]);
+        ledger.record_crash(now, &endpoint(number), &[CRASHING_PART]);
     }
-    assert_eq!(ledger.blocked_parts().collect::<Vec<_>>(), [DEADLY_PART]);
+    assert_eq!(ledger.blocked_parts().collect::<Vec<_>>(), [CRASHING_PART]);
     (ledger, now)
 }
 
@@ -339,10 +338,10 @@
     let mut late = crashes::CrashLedger::default();
     assert_eq!(
         late.apply_update(now, ledger.take_update(now, true)),
-        [DEADLY_PART]
+        [CRASHING_PART]
     );
-    let decision = late.decide(now, &[SYSTEM_PART, DEADLY_PART], false);
-    assert_eq!(decision, crashes::PartDecision::Block(DEADLY_PART));
+    let decision = late.decide(now, &[SYSTEM_PART, CRASHING_PART], false);
+    assert_eq!(decision, crashes::PartDecision::Block(CRASHING_PART));
 }
 
 /// Guards against findings that outlive their cause, and against trials that crash one endpoint
@@ -350,7 +349,7 @@
 #[test]
 fn blocked_part_is_tried_once_in_a_while_and_released_when_it_is_sound() {
     let (mut ledger, crash) = blocking_ledger(Instant::now());
-    let parts = [DEADLY_PART];
+    let parts = [CRASHING_PART];
     let mut trials = BTreeMap::new();
     let mut now = crash;
     while now < crash + Duration::from_secs(300) {
@@ -376,6 +375,56 @@
     );
 }
 
+/// Guards against an entry that blocks a part for long because it was cut off when another entry
+/// found the part harmless: the entry that tries first no longer has a reason to.
+#[test]
+fn entry_that_missed_a_clearance_tries_by_itself() {
+    let (mut ledger, crash) = blocking_ledger(Instant::now());
+    let parts = [CRASHING_PART];
+    let soon = crash + Duration::from_secs(31);
+    assert_eq!(
+        ledger.decide(soon, &parts, false),
+        crashes::PartDecision::Block(CRASHING_PART)
+    );
+    let later = crash + Duration::from_secs(120);
+    assert_eq!(
+        ledger.decide(later, &parts, false),
+        crashes::PartDecision::Trial
+    );
+    ledger.start_trial(later, &parts);
+    ledger.record_begin(later, &parts);
+    assert_eq!(
+        ledger.decide(later, &parts, false),
+        crashes::PartDecision::Send
+    );
+}
+
+/// Guards against entries that each try a part that still crashes endpoints.
+#[test]
+fn entries_together_try_a_crashing_part_ever_less_often() {
+    let (mut first, crash) = blocking_ledger(Instant::now());
+    let mut second = crashes::CrashLedger::default();
+    second.apply_update(crash, first.take_update(crash, true));
+    let mut ledgers = [first, second];
+    let parts = [CRASHING_PART];
+    let mut trials = 0;
+    let mut now = crash;
+    while now < crash + Duration::from_secs(300) {
+        now += Duration::from_millis(100);
+        for trier in 0..ledgers.len() {
+            let decision = ledgers[trier].decide(now, &parts, trier == 0);
+            if decision == crashes::PartDecision::Trial {
+                ledgers[trier].start_trial(now, &parts);
+                ledgers[trier].record_crash(now, &endpoint(40 + trials), &parts);
+                trials += 1;
+            }
+            let update = ledgers[trier].take_update(now, false);
+            ledgers[1 - trier].apply_update(now, update);
+        }
+    }
+    assert!((2..=4).contains(&trials), "{trials} trials");
+}
+
 /// Guards against findings that are kept, and passed on, without end.
 #[test]
 fn blocked_part_that_no_request_names_is_forgotten() {
@@ -417,9 +466,9 @@
     let mut ledger = busy_ledger(now);
     for number in 0..12 {
         now += Duration::from_secs(1);
-        let part = [DEADLY_PART, DEADLY_PART + 1][number % 2];
+        let part = [CRASHING_PART, CRASHING_PART + 1][number % 2];
         ledger.record_crash(now, &endpoint(number), &[part]);
     }
     let blocked: Vec<_> = ledger.blocked_parts().collect();
-    assert_eq!(blocked, [DEADLY_PART, DEADLY_PART + 1]);
+    assert_eq!(blocked, [CRASHING_PART, CRASHING_PART + 1]);
 }
