Log reads of the deployment and gaps between the clocks

Cause: a read left no line, and nothing told a suspended host from a frozen one, so the hypotheses on the older version read could not be told apart. Change: deployment-read (version, index, term), clock-gap (wall clock against steady clock over one tick), the term in deployment-committed, and voters, last and committed index in log-role.

--- a/crates/waxwing-core/src/events.rs
+++ b/crates/waxwing-core/src/events.rs
@@ -31,7 +31,7 @@
 }
 
 /// All events of the decision log, those of requests first.
-pub const LOG_EVENTS: [LogEvent; 54] = [
+pub const LOG_EVENTS: [LogEvent; 56] = [
     log_event(
         "request-started",
         "the gate gave the request a slot and the entry sent it",
@@ -176,6 +176,10 @@
         "deployment-committed",
         "a newer deployment is committed in the log",
     ),
+    log_event(
+        "deployment-read",
+        "a quorum confirmed that the leader's deployment is the newest, and it was read",
+    ),
     log_event("change-failed", "the log took no change at that moment"),
     log_event("call-refused", "the body of a call could not be read"),
     log_event(
@@ -191,6 +195,10 @@
         "log-role",
         "the host's role, term or leader in the log changed",
     ),
+    log_event(
+        "clock-gap",
+        "the wall clock and the steady clock moved apart: the host was suspended or its time was set",
+    ),
     log_event(
         "member-change",
         "the leader changes the membership of the log",
--- a/crates/waxwing-registrar/src/group.rs
+++ b/crates/waxwing-registrar/src/group.rs
@@ -4,7 +4,7 @@
 use std::{
     collections::{BTreeMap, HashMap, HashSet},
     net::SocketAddr,
-    time::{Duration, Instant},
+    time::{Duration, Instant, SystemTime},
 };
 
 use bytes::Bytes;
@@ -40,6 +40,10 @@
 /// crash, and a host with a new disk needs three changes of the membership to vote again.
 const JOIN_INTERVAL: Duration = Duration::from_millis(100);
 
+/// Difference between the steady and the wall clock over one tick above which it is logged: the host
+/// was suspended, which the steady clock doesn't count, or its wall clock was set.
+const CLOCK_GAP: Duration = Duration::from_millis(250);
+
 /// The longest wait at shutdown for a successor to take over leadership; enough for one election.
 const TRANSFER_TIMEOUT: Duration = Duration::from_millis(1_000);
 
@@ -96,6 +100,8 @@
     next_join: Instant,
     /// When a leader was last known.
     last_leader: Instant,
+    /// The steady and the wall clock at the last tick.
+    last_clocks: (Instant, SystemTime),
     /// When this host became leader; `None` while it isn't.
     leader_since: Option<Instant>,
     /// When this leader first saw each member in the membership; cleared when this host gains or
@@ -159,6 +165,7 @@
             next_repair: now,
             next_join: now,
             last_leader: now,
+            last_clocks: (now, clock.wall()),
             leader_since: None,
             first_seen: HashMap::new(),
             clock,
@@ -190,6 +197,7 @@
 
     fn tick(&mut self) {
         let now = self.clock.now();
+        self.log_clock_gap(now);
         self.next_tick = now + node_options().tick_interval;
         self.node.tick(self.elapsed());
         if self.node.status().leader.is_some() {
@@ -208,6 +216,27 @@
         }
     }
 
+    /// Logs that the two clocks have moved by different amounts since the last tick.
+    fn log_clock_gap(&mut self, now: Instant) {
+        let wall = self.clock.wall();
+        let (last_now, last_wall) = std::mem::replace(&mut self.last_clocks, (now, wall));
+        let steady_passed = now.saturating_duration_since(last_now);
+        let (ahead, gap) = match wall.duration_since(last_wall) {
+            Ok(passed) if passed >= steady_passed => (true, passed - steady_passed),
+            Ok(passed) => (false, steady_passed - passed),
+            Err(backward) => (false, steady_passed + backward.duration()),
+        };
+        if gap >= CLOCK_GAP {
+            tracing::warn!(
+                event = "clock-gap",
+                wall_clock_ahead = ahead,
+                gap_ms = gap.as_millis(),
+                steady_ms = steady_passed.as_millis(),
+                leads = self.leader_since.is_some()
+            );
+        }
+    }
+
     fn request_to_join(&self) {
         let identity = self.node.identity();
         let join = wire::JoinGroup {
@@ -453,7 +482,8 @@
                         tracing::info!(
                             event = "deployment-committed",
                             version,
-                            index = entry.index
+                            index = entry.index,
+                            term = entry.term
                         );
                     }
                     Ok(false) => {}
@@ -489,6 +519,9 @@
             let current = self.register.current().clone();
             match pending {
                 PendingRead::Read(reply) => {
+                    let term = self.node.status().term;
+                    let version = current.version;
+                    tracing::info!(event = "deployment-read", version, index = read.index, term);
                     let _ = reply.send(Ok(current));
                 }
                 PendingRead::Put(document, reply) if document.version <= current.version => {
@@ -519,7 +552,18 @@
         let leader = change
             .leader
             .map(|leader| repair::link_address(leader.member));
-        tracing::info!(event = "log-role", role = ?change.role, term = change.term, ?leader);
+        let status = self.node.status();
+        let (last, committed) = (status.last_index, status.commit_index);
+        let voters = self.node.members().voters().count();
+        tracing::info!(
+            event = "log-role",
+            role = ?change.role,
+            term = change.term,
+            ?leader,
+            voters,
+            last,
+            committed
+        );
         self.publish_view();
     }
 }
