Split the deployment replica from the task that drives it

Cause: what a control host answers and which members it changes was inside an async task, so no test could explore it under orders of crashes, wiped disks and cuts without real time. No change of behaviour intended.

--- a/crates/waxwing-registrar/src/handles.rs
+++ b/crates/waxwing-registrar/src/handles.rs
@@ -6,7 +6,7 @@
 use tokio::sync::{mpsc, oneshot, watch};
 use waxwing_wire::messages as wire;
 
-use crate::{documents, errors};
+use crate::{documents, errors, replica};
 
 /// Capacity of the request queue of the group task, in requests.
 const REQUEST_QUEUE_LEN: usize = 1_024;
@@ -17,11 +17,11 @@
     /// Store a document, unless the current one has the same or a higher version.
     Put {
         document: documents::StoredDocument,
-        reply: oneshot::Sender<Result<u64, errors::GroupError>>,
+        reply: oneshot::Sender<replica::CallOutcome>,
     },
     /// Read the current document, after a quorum confirmed that it is the newest.
     Read {
-        reply: oneshot::Sender<Result<documents::StoredDocument, errors::GroupError>>,
+        reply: oneshot::Sender<replica::CallOutcome>,
     },
     /// Handle a consensus message from another member.
     Peer { from: SocketAddr, payload: Bytes },
@@ -61,13 +61,14 @@
     ) -> Result<u64, errors::GroupError> {
         let (reply, receiver) = oneshot::channel();
         self.submit(GroupRequest::Put { document, reply }).await?;
-        receiver
+        let current = receiver
             .await
-            .map_err(|_| errors::GroupError::Unavailable)?
+            .map_err(|_| errors::GroupError::Unavailable)??;
+        Ok(current.version)
     }
 
     /// Reads the current document, confirmed by a quorum.
-    pub(crate) async fn read(&self) -> Result<documents::StoredDocument, errors::GroupError> {
+    pub(crate) async fn read(&self) -> replica::CallOutcome {
         let (reply, receiver) = oneshot::channel();
         self.submit(GroupRequest::Read { reply }).await?;
         receiver
--- a/crates/waxwing-registrar/src/lib.rs
+++ b/crates/waxwing-registrar/src/lib.rs
@@ -12,4 +12,5 @@
 pub mod metrics;
 pub mod options;
 pub mod repair;
+pub mod replica;
 pub mod roles;
