Don't acknowledge a round with the rejection of an older term's request

What callers saw: a control host answered a read with an older version than one that had been acknowledged seconds before (CONFIG). Cause: a follower rejected an append request of an older term in its current term, and repeated the request's round number. The rejected leader may lead again in that newer term. It then took, say, round 70 of its former term for an acknowledgement of its rounds up to 70, which renewed its lease and confirmed its reads without a quorum. The request gets that old when a cut holds it up, or while the follower is stopped. A term has one leader, so rounds are then only repeated to the leader that counted them. Ruled out on the way: loss of the version (all hosts still held it).

--- a/crates/waxwing-quorum/src/replication.rs
+++ b/crates/waxwing-quorum/src/replication.rs
@@ -87,8 +87,7 @@
     ) -> Result<(), errors::ReceiveError> {
         check_entries(term, &request)?;
         if term < self.term {
-            // The response carries the newer term, which makes the old leader step down.
-            self.send_append_response(sender, rejection(&request, 0, 0));
+            self.reject_older_term(sender);
             return Ok(());
         }
         self.accept_leader(sender, term)?;
@@ -123,6 +122,17 @@
         Ok(())
     }
 
+    /// Answers a request of an older term. The response carries the newer term, which makes the old
+    /// leader step down. It must not repeat the request's round: the sender may lead again in the
+    /// newer term, where it would take that for an acknowledgement of one of its current rounds.
+    pub(crate) fn reject_older_term(&mut self, sender: members::MemberIdentity) {
+        let response = messages::AppendResponse {
+            rejected: true,
+            ..messages::AppendResponse::default()
+        };
+        self.send_append_response(sender, response);
+    }
+
     /// Appends the entries after `previous`, truncating conflicting ones, and returns the last
     /// index that matches the leader.
     fn append_entries(
--- a/crates/waxwing-quorum/src/snapshot_transfer.rs
+++ b/crates/waxwing-quorum/src/snapshot_transfer.rs
@@ -100,7 +100,7 @@
             return Err(errors::ReceiveError::SnapshotTooLong { found, allowed });
         }
         if term < self.term {
-            self.send_append_response(sender, messages::AppendResponse::default());
+            self.reject_older_term(sender);
             return Ok(());
         }
         self.accept_leader(sender, term)?;
--- a/crates/waxwing-quorum/tests/rules.rs
+++ b/crates/waxwing-quorum/tests/rules.rs
@@ -539,3 +539,36 @@
     node.persisted(second.writes.expect("the entries are written").sequence);
     assert_eq!(acknowledged_indexes(&node.take_ready()), [7]);
 }
+
+/// Guards against a read that is confirmed without a quorum: a request of an earlier term is held up
+/// in a cut, and the leader of that term leads again when its rejection arrives.
+#[test]
+fn rejected_request_of_an_older_term_acknowledges_no_round() {
+    let mut node = node(3);
+    let heartbeat = |round| {
+        messages::PeerBody::AppendRequest(messages::AppendRequest {
+            previous_index: 1,
+            previous_term: 1,
+            commit: 1,
+            round,
+            entries: Vec::new(),
+        })
+    };
+    let leader = identity(2);
+    let current = message(leader, 4, heartbeat(3));
+    node.receive(START, leader.member, current).unwrap();
+    complete_writes(&mut node);
+    let delayed = message(leader, 3, heartbeat(70));
+    node.receive(START, leader.member, delayed).unwrap();
+    let sent = complete_writes(&mut node).messages;
+    let rounds: Vec<_> = sent
+        .iter()
+        .filter_map(|sent| match &sent.message.body {
+            Some(messages::PeerBody::AppendResponse(response)) => {
+                Some((sent.message.term, response.rejected, response.round))
+            }
+            _ => None,
+        })
+        .collect();
+    assert_eq!(rounds, [(4, true, 0)]);
+}
--- /dev/null
+++ b/crates/waxwing-registrar/tests/durability/main.rs
@@ -0,0 +1,159 @@
+//! Explores what control hosts answer under orders of changes, syncs, crashes, lost disks, cuts,
+//! stopped hosts and membership changes, within the tolerated loss of one disk at a time. The model
+//! runs the replica, the repair and the store of production.
+
+mod model;
+
+use std::time::Duration;
+
+use model::{ControlModel, CutMode, RunCounts};
+use rand::RngExt as _;
+
+/// Schedules in which a request of an earlier term is rejected at a leader that leads again.
+const REJECTED_ROUND_SEEDS: [u64; 1] = [205];
+
+const fn millis(count: u64) -> Duration {
+    Duration::from_millis(count)
+}
+
+/// Sends reads to every host and changes to one of them.
+fn load(model: &mut ControlModel) {
+    for host in 0..model.size() {
+        if model.random.random_bool(0.2) {
+            model.read(host);
+        }
+    }
+    let host = model.random.random_range(0..model.size());
+    match model.random.random_range(0..20) {
+        0..=2 => model.put(host),
+        3 => model.resend(host),
+        _ => {}
+    }
+}
+
+/// A host to hit: mostly the leader.
+fn draw_host(model: &mut ControlModel) -> usize {
+    let present = model.present();
+    let leader = model.leader().filter(|_| model.random.random_bool(0.5));
+    leader.unwrap_or_else(|| present[model.random.random_range(0..present.len())])
+}
+
+fn inject(model: &mut ControlModel) {
+    let host = draw_host(model);
+    let time = millis(model.random.random_range(10..6_000));
+    let down = millis(model.random.random_range(0..1_500));
+    let mode = if model.random.random_bool(0.5) {
+        CutMode::Hold
+    } else {
+        CutMode::Lose
+    };
+    match model.random.random_range(0..13) {
+        0 => model.kill(host, false, down),
+        1 => model.kill(host, true, down),
+        2 => {
+            for host in model.present() {
+                model.kill(host, true, down);
+            }
+        }
+        3 => model.wipe(host, down),
+        4 => model.replace(host),
+        5 => model.freeze(host, time),
+        6 | 7 => model.cut(&[host], false, mode),
+        8 => model.cut(&[host], true, mode),
+        9 => model.slow_disk(host, millis(down.as_millis() as u64 / 4)),
+        10 => model.fail_disk(host, 2),
+        // A host misses changes, another one that holds them loses its disk, and the last one power.
+        11 => {
+            model.cut(&[host], false, mode);
+            model.run(millis(300), load);
+            let others: Vec<_> = model.present();
+            let others: Vec<_> = others.into_iter().filter(|other| *other != host).collect();
+            let first = model.random.random_range(0..others.len());
+            model.wipe(others[first], down);
+            for other in others {
+                model.kill(other, true, time);
+            }
+            model.heal();
+        }
+        _ => model.heal(),
+    }
+}
+
+/// Plays a schedule of faults that is drawn from `seed`.
+fn run_schedule(seed: u64) -> Result<RunCounts, String> {
+    let mut model = ControlModel::new(seed);
+    model.run(millis(1_500), load);
+    for _ in 0..24 {
+        inject(&mut model);
+        let pause = match model.random.random_range(0..6) {
+            0 => 0,
+            5 => 6_000,
+            _ => model.random.random_range(5..1_500),
+        };
+        model.run(millis(pause), load);
+        if pause > 3_000 {
+            model.heal();
+        }
+    }
+    if model.random.random_bool(0.5) && model.tolerates_lost_disk() {
+        // The final fault: a disk is lost right after an acknowledgement, the others lose power.
+        if let Some(leader) = model.leader() {
+            model.put(leader);
+            model.run(millis(10), |_| {});
+            let lost = draw_host(&mut model);
+            model.wipe(lost, millis(500));
+            for host in model.present() {
+                if host != lost {
+                    model.kill(host, true, millis(500));
+                }
+            }
+        }
+    }
+    model.recover_and_check()
+}
+
+/// Returns the number of schedules; `WAXWING_SCHEDULES` overrides it for long manual runs.
+fn schedules(default: u64) -> u64 {
+    let requested = std::env::var("WAXWING_SCHEDULES");
+    requested.map_or(default, |requested| requested.parse().unwrap_or(default))
+}
+
+fn explore(seeds: impl Iterator<Item = u64>) {
+    let mut failures = Vec::new();
+    let mut total = RunCounts::default();
+    let mut count = 0;
+    for seed in seeds {
+        count += 1;
+        match run_schedule(seed) {
+            Ok(counts) => {
+                total.acknowledged += counts.acknowledged;
+                total.reads += counts.reads;
+                total.leaders += counts.leaders;
+                total.wipes += counts.wipes;
+            }
+            Err(violation) => failures.push(format!("seed {seed}: {violation}")),
+        }
+    }
+    println!("{count} schedules: {total:?}");
+    assert!(
+        failures.is_empty(),
+        "{}\n{}",
+        failures.len(),
+        failures.join("\n")
+    );
+    assert!(total.reads > 0 && total.acknowledged > 0 && total.wipes > 0);
+}
+
+/// Guards against an older version that is read, and a confirmed one that is lost, after any order
+/// of faults.
+#[test]
+fn confirmed_versions_never_revert() {
+    explore(1..=schedules(60));
+}
+
+/// Guards against a read that a re-elected leader confirms with the rejection of a request that it
+/// had sent in an earlier term.
+#[test]
+fn requests_of_an_earlier_term_confirm_no_read() {
+    explore(REJECTED_ROUND_SEEDS.into_iter());
+}
--- /dev/null
+++ b/crates/waxwing-registrar/tests/durability/model.rs
@@ -0,0 +1,631 @@
+//! Control hosts with the real replica and store on in-memory disks, under a simulated network and
+//! simulated clocks, and operators that check every answer.
+
+use std::{
+    collections::{BTreeMap, BTreeSet, VecDeque},
+    net,
+    time::Duration,
+};
+
+use bytes::Bytes;
+use rand::{RngExt as _, SeedableRng as _, rngs};
+use waxwing_core::{ids, units as core_units};
+use waxwing_quorum::{messages, ready};
+use waxwing_registrar::{documents, repair, replica};
+use waxwing_store::{errors, memory, store};
+
+pub(crate) const TICK: Duration = Duration::from_millis(5);
+
+/// Time for which all hosts must have run undisturbed after a disk was lost before another one may
+/// be lost, as operators plan it.
+const CATCH_UP: Duration = Duration::from_secs(4);
+
+/// Pause after a storage failure before a host opens its log again.
+const REOPEN_PAUSE: Duration = Duration::from_millis(500);
+
+const LINK_PORT: u16 = 7000;
+
+/// What happens to messages on blocked links.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum CutMode {
+    Lose,
+    /// They arrive once the link is healed.
+    Hold,
+}
+
+struct HostProcess {
+    replica: replica::DeploymentReplica<u64>,
+    store: store::LogStore<memory::MemoryDisk>,
+    /// When the process started.
+    started: Duration,
+    writes: VecDeque<(Duration, ready::WriteBatch)>,
+}
+
+struct ControlHost {
+    address: net::SocketAddr,
+    founder: bool,
+    disk: memory::MemoryDisk,
+    process: Option<HostProcess>,
+    restart_at: Option<Duration>,
+    /// Until when the processes are frozen.
+    stopped: Option<Duration>,
+    /// Whether the host was taken away for good.
+    removed: bool,
+    write_delay: Duration,
+}
+
+/// A call of an operator that is not answered yet.
+struct OpenCall {
+    /// The version to store; `None` for a read.
+    stores: Option<u64>,
+    /// The newest version that had been acknowledged or read when the call was sent.
+    floor: u64,
+}
+
+/// Counts of what a run has exercised.
+#[derive(Debug, Clone, Copy, Default)]
+pub(crate) struct RunCounts {
+    pub(crate) acknowledged: u64,
+    pub(crate) reads: u64,
+    pub(crate) leaders: u64,
+    pub(crate) wipes: u64,
+}
+
+pub(crate) struct ControlModel {
+    pub(crate) now: Duration,
+    pub(crate) random: rngs::StdRng,
+    hosts: Vec<ControlHost>,
+    network: BTreeMap<(Duration, u64), (usize, usize, Bytes)>,
+    last_message: u64,
+    blocked: BTreeSet<(usize, usize)>,
+    cut_mode: CutMode,
+    held: Vec<(usize, usize, Bytes)>,
+    calls: BTreeMap<u64, OpenCall>,
+    last_ticket: u64,
+    last_version: u64,
+    /// The newest version that was acknowledged or read.
+    newest: u64,
+    /// Since when all hosts run undisturbed, and whether a lost disk awaits its replacement.
+    calm_since: Duration,
+    disk_lost: bool,
+    leaders: BTreeMap<u64, usize>,
+    pub(crate) counts: RunCounts,
+    pub(crate) violation: Option<String>,
+}
+
+fn host_address(host: usize) -> net::SocketAddr {
+    let last = u8::try_from(host + 1).expect("a model has few hosts");
+    net::SocketAddr::new(net::Ipv4Addr::new(10, 0, 0, last).into(), LINK_PORT)
+}
+
+fn member(host: usize) -> ids::MemberId {
+    repair::member_id(host_address(host)).expect("an IPv4 address")
+}
+
+fn body(version: u64) -> Bytes {
+    Bytes::from(format!("document {version}").into_bytes())
+}
+
+fn replica_options() -> replica::ReplicaOptions {
+    replica::ReplicaOptions {
+        // Small enough that compaction and snapshots happen many times in a run.
+        snapshot_bytes: core_units::ByteCount(600),
+        node: waxwing_quorum::options::NodeOptions {
+            retained_entries: 6,
+            snapshot_chunk_bytes: core_units::ByteCount(16),
+            ..replica::ReplicaOptions::default().node
+        },
+    }
+}
+
+impl ControlModel {
+    /// Starts a fleet that three hosts found.
+    pub(crate) fn new(seed: u64) -> Self {
+        let mut model = Self {
+            now: Duration::ZERO,
+            random: rngs::StdRng::seed_from_u64(seed),
+            hosts: Vec::new(),
+            network: BTreeMap::new(),
+            last_message: 0,
+            blocked: BTreeSet::new(),
+            cut_mode: CutMode::Lose,
+            held: Vec::new(),
+            calls: BTreeMap::new(),
+            last_ticket: 0,
+            last_version: 0,
+            newest: 0,
+            calm_since: Duration::ZERO,
+            disk_lost: false,
+            leaders: BTreeMap::new(),
+            counts: RunCounts::default(),
+            violation: None,
+        };
+        for _ in 0..3 {
+            model.add_host(true);
+        }
+        model
+    }
+
+    fn add_host(&mut self, founder: bool) -> usize {
+        let host = self.hosts.len();
+        self.hosts.push(ControlHost {
+            address: host_address(host),
+            founder,
+            disk: memory::MemoryDisk::new(),
+            process: None,
+            restart_at: None,
+            stopped: None,
+            removed: false,
+            write_delay: Duration::ZERO,
+        });
+        self.start(host);
+        host
+    }
+
+    /// Opens the data folder and starts the process, as a control host does.
+    fn start(&mut self, host: usize) {
+        let founder = self.hosts[host].founder;
+        let new_store = if founder {
+            repair::founding_identity(member(host)).store
+        } else {
+            ids::StoreId(self.random.random())
+        };
+        let options = store::StoreOptions {
+            segment_bytes: core_units::ByteCount(700),
+        };
+        let disk = self.hosts[host].disk.clone();
+        let opened = store::LogStore::open(disk, member(host), new_store, options);
+        let (mut store, mut recovered) = match opened {
+            Ok(opened) => opened,
+            // A control host tries again after a pause.
+            Err(errors::StoreError::Io { .. }) => {
+                return self.kill(host, false, REOPEN_PAUSE);
+            }
+            Err(error) => {
+                return self.report(format!("host {host} can't open its folder: {error}"));
+            }
+        };
+        if founder && store.is_fresh() {
+            let founders: Vec<_> = (0..3)
+                .map(|host| repair::founding_identity(member(host)))
+                .collect();
+            let snapshot = replica::founding_snapshot(&founders);
+            recovered = store.bootstrap(snapshot).expect("a new disk is writable");
+        }
+        let seed = self.random.random();
+        let identity = store.identity();
+        let replica = replica::DeploymentReplica::new(identity, replica_options(), recovered, seed)
+            .expect("a recovered state is valid");
+        let started = self.now;
+        self.hosts[host].process = Some(HostProcess {
+            replica,
+            store,
+            started,
+            writes: VecDeque::new(),
+        });
+    }
+
+    pub(crate) fn report(&mut self, text: String) {
+        let at = self.now;
+        self.violation.get_or_insert(format!("{at:?}: {text}"));
+    }
+
+    pub(crate) fn size(&self) -> usize {
+        self.hosts.len()
+    }
+
+    /// Returns the hosts that were not taken away.
+    pub(crate) fn present(&self) -> Vec<usize> {
+        (0..self.size())
+            .filter(|host| !self.hosts[*host].removed)
+            .collect()
+    }
+
+    fn elapsed(&self, host: usize) -> Duration {
+        let started = self.hosts[host].process.as_ref();
+        let started = started.map_or(Duration::ZERO, |process| process.started);
+        self.now.saturating_sub(started)
+    }
+
+    fn runs(&self, host: usize) -> bool {
+        self.hosts[host].process.is_some() && self.hosts[host].stopped.is_none()
+    }
+
+    /// Returns the running host that leads in the highest term.
+    pub(crate) fn leader(&self) -> Option<usize> {
+        let term = |host: &usize| {
+            let process = self.hosts[*host].process.as_ref()?;
+            process
+                .replica
+                .leads()
+                .then(|| process.replica.node().status().term)
+        };
+        (0..self.size())
+            .filter(|host| term(host).is_some())
+            .max_by_key(term)
+    }
+
+    // Faults.
+
+    /// Ends the process of a host, which comes back after `down`. With `power`, its disk loses what
+    /// was not synced.
+    pub(crate) fn kill(&mut self, host: usize, power: bool, down: Duration) {
+        if self.hosts[host].removed {
+            return;
+        }
+        let seed = self.random.random();
+        let now = self.now;
+        let lost = &mut self.hosts[host];
+        lost.process = None;
+        lost.stopped = None;
+        // Settings of a restart no longer tell a host to found the fleet.
+        lost.founder = false;
+        lost.restart_at = Some(now + down);
+        if power {
+            lost.disk.crash(seed);
+        } else {
+            lost.disk.kill();
+        }
+    }
+
+    /// Returns whether a disk may be lost now: each disk lost before must have been replaced, and
+    /// the hosts undisturbed for [`CATCH_UP`] since.
+    pub(crate) fn tolerates_lost_disk(&self) -> bool {
+        !self.disk_lost
+    }
+
+    pub(crate) fn wipe(&mut self, host: usize, down: Duration) {
+        if self.hosts[host].removed || !self.tolerates_lost_disk() {
+            return;
+        }
+        self.counts.wipes += 1;
+        self.disk_lost = true;
+        self.calm_since = self.now;
+        self.kill(host, true, down);
+        self.hosts[host].disk.wipe();
+    }
+
+    /// Takes a host away for good; an empty one starts at another address.
+    pub(crate) fn replace(&mut self, host: usize) {
+        if self.hosts[host].removed || !self.tolerates_lost_disk() || self.size() > 6 {
+            return;
+        }
+        self.disk_lost = true;
+        self.calm_since = self.now;
+        self.kill(host, true, Duration::ZERO);
+        self.hosts[host].removed = true;
+        self.hosts[host].restart_at = None;
+        self.add_host(false);
+    }
+
+    pub(crate) fn freeze(&mut self, host: usize, time: Duration) {
+        if self.runs(host) {
+            self.hosts[host].stopped = Some(self.now + time);
+        }
+    }
+
+    pub(crate) fn slow_disk(&mut self, host: usize, delay: Duration) {
+        self.hosts[host].write_delay = delay;
+    }
+
+    pub(crate) fn fail_disk(&mut self, host: usize, syncs: u64) {
+        self.hosts[host].disk.set_faults(memory::DiskFaults {
+            failed_sync: Some(syncs),
+            ..memory::DiskFaults::default()
+        });
+    }
+
+    /// Cuts `side` off from the other hosts, in one direction or both.
+    pub(crate) fn cut(&mut self, side: &[usize], one_way: bool, mode: CutMode) {
+        self.cut_mode = mode;
+        for from in side {
+            for to in 0..self.size() {
+                if !side.contains(&to) {
+                    self.blocked.insert((*from, to));
+                    if !one_way {
+                        self.blocked.insert((to, *from));
+                    }
+                }
+            }
+        }
+    }
+
+    pub(crate) fn heal(&mut self) {
+        self.blocked.clear();
+        for (from, to, payload) in std::mem::take(&mut self.held) {
+            self.queue(from, to, payload);
+        }
+    }
+
+    // Calls of operators.
+
+    fn open_call(&mut self, stores: Option<u64>) -> u64 {
+        self.last_ticket += 1;
+        let floor = self.newest;
+        self.calls
+            .insert(self.last_ticket, OpenCall { stores, floor });
+        self.last_ticket
+    }
+
+    /// Sends a new version to a host.
+    pub(crate) fn put(&mut self, host: usize) {
+        if !self.runs(host) {
+            return;
+        }
+        self.last_version += 1;
+        self.send_put(host, self.last_version);
+    }
+
+    /// Sends a version that was sent before once more.
+    pub(crate) fn resend(&mut self, host: usize) {
+        if self.runs(host) && self.last_version > 0 {
+            let back = self.random.random_range(0..3).min(self.last_version - 1);
+            self.send_put(host, self.last_version - back);
+        }
+    }
+
+    fn send_put(&mut self, host: usize, version: u64) {
+        let ticket = self.open_call(Some(version));
+        let now = self.elapsed(host);
+        let document = documents::StoredDocument {
+            version,
+            body: body(version),
+        };
+        if let Some(process) = &mut self.hosts[host].process {
+            process.replica.put(now, document, ticket);
+        }
+        self.drive(host);
+    }
+
+    pub(crate) fn read(&mut self, host: usize) {
+        if !self.runs(host) {
+            return;
+        }
+        let ticket = self.open_call(None);
+        let now = self.elapsed(host);
+        if let Some(process) = &mut self.hosts[host].process {
+            process.replica.read(now, ticket);
+        }
+        self.drive(host);
+    }
+
+    fn check_outcome(&mut self, host: usize, ticket: u64, outcome: &replica::CallOutcome) {
+        let (Some(call), Ok(document)) = (self.calls.remove(&ticket), outcome) else {
+            return;
+        };
+        let version = document.version;
+        if version > 0 && document.body != body(version) {
+            self.report(format!(
+                "host {host} answers version {version} with another document"
+            ));
+        }
+        match call.stores {
+            Some(stored) => {
+                self.counts.acknowledged += 1;
+                if version < stored {
+                    self.report(format!(
+                        "host {host} acknowledges version {stored} and holds {version}"
+                    ));
+                }
+                self.newest = self.newest.max(stored);
+            }
+            None => {
+                self.counts.reads += 1;
+                let floor = call.floor;
+                if version < floor {
+                    self.report(format!(
+                        "version {version} is read at host {host}, {floor} had been confirmed"
+                    ));
+                }
+                self.newest = self.newest.max(version);
+            }
+        }
+    }
+
+    // Time, network and disks.
+
+    /// Runs for `time`, or until a violation; `load` sends calls at each tick.
+    pub(crate) fn run(&mut self, time: Duration, load: fn(&mut Self)) {
+        let end = self.now + time;
+        while self.now < end && self.violation.is_none() {
+            self.now += TICK;
+            for host in 0..self.size() {
+                self.resume(host);
+            }
+            // Calls come before messages, as they may at a host that has just woken up.
+            load(self);
+            self.deliver();
+            for host in 0..self.size() {
+                self.tick(host);
+            }
+            self.watch_calm();
+        }
+    }
+
+    fn resume(&mut self, host: usize) {
+        let now = self.now;
+        let resumed = &mut self.hosts[host];
+        if resumed.restart_at.is_some_and(|at| at <= now) {
+            resumed.restart_at = None;
+            self.start(host);
+            return;
+        }
+        if resumed.stopped.is_some_and(|until| until <= now) {
+            resumed.stopped = None;
+        }
+    }
+
+    fn watch_calm(&mut self) {
+        let undisturbed = |host: &ControlHost| {
+            host.removed
+                || (host.process.is_some()
+                    && host.stopped.is_none()
+                    && host.write_delay < Duration::from_millis(50))
+        };
+        if !self.blocked.is_empty() || !self.hosts.iter().all(undisturbed) {
+            self.calm_since = self.now;
+        } else if self.now - self.calm_since >= CATCH_UP {
+            self.disk_lost = false;
+        }
+    }
+
+    fn tick(&mut self, host: usize) {
+        if !self.runs(host) {
+            return;
+        }
+        let now = self.elapsed(host);
+        let Some(process) = &mut self.hosts[host].process else {
+            return;
+        };
+        let joins = process.replica.tick(now).then(|| process.store.identity());
+        self.drive(host);
+        if let Some(identity) = joins {
+            for other in 0..self.size() {
+                let linked = !self.blocked.contains(&(host, other)) && self.runs(other);
+                if linked && let Some(process) = &mut self.hosts[other].process {
+                    process.replica.join(identity);
+                    self.drive(other);
+                }
+            }
+        }
+    }
+
+    fn queue(&mut self, from: usize, to: usize, payload: Bytes) {
+        let delay = Duration::from_micros(self.random.random_range(500..6_000));
+        self.last_message += 1;
+        let key = (self.now + delay, self.last_message);
+        self.network.insert(key, (from, to, payload));
+    }
+
+    fn deliver(&mut self) {
+        let later = self.network.split_off(&(self.now, u64::MAX));
+        for ((_, number), (from, to, payload)) in std::mem::replace(&mut self.network, later) {
+            if self.hosts[to].stopped.is_some() {
+                // The messages wait in the socket of a stopped host.
+                let key = (self.now + TICK, number);
+                self.network.insert(key, (from, to, payload));
+                continue;
+            }
+            let now = self.elapsed(to);
+            if let Some(process) = &mut self.hosts[to].process {
+                // An ignored message is like a lost one.
+                let _ = process.replica.receive(now, member(from), payload);
+                self.drive(to);
+            }
+        }
+    }
+
+    fn send(&mut self, from: usize, message: &ready::OutgoingMessage) {
+        let address = repair::link_address(message.to);
+        let Some(to) = self.hosts.iter().position(|host| host.address == address) else {
+            return;
+        };
+        let payload = messages::encode(&message.message);
+        if !self.blocked.contains(&(from, to)) {
+            self.queue(from, to, payload);
+        } else if self.cut_mode == CutMode::Hold {
+            self.held.push((from, to, payload));
+        }
+    }
+
+    /// Performs what the replica of a host requests, until nothing is left.
+    fn drive(&mut self, host: usize) {
+        for _ in 0..16 {
+            self.write_due_batches(host);
+            let Some(process) = &mut self.hosts[host].process else {
+                return;
+            };
+            let ready = process.replica.node_mut().take_ready();
+            let outcomes = process.replica.take_outcomes();
+            if ready.is_empty() && outcomes.is_empty() {
+                return;
+            }
+            for (ticket, outcome) in outcomes {
+                self.check_outcome(host, ticket, &outcome);
+            }
+            self.execute(host, ready);
+        }
+    }
+
+    fn execute(&mut self, host: usize, ready: ready::Ready) {
+        for message in &ready.messages {
+            self.send(host, message);
+        }
+        let elapsed = self.elapsed(host);
+        let delay = self.hosts[host].write_delay;
+        let due = self.now + delay.mul_f64(self.random.random_range(0.0..=1.0));
+        let Some(process) = &mut self.hosts[host].process else {
+            return;
+        };
+        if let Some(batch) = ready.writes {
+            process.writes.push_back((due, batch));
+        }
+        if let Some(snapshot) = &ready.install {
+            process.replica.install(snapshot);
+        }
+        if !ready.committed.is_empty() {
+            process.replica.apply(&ready.committed);
+        }
+        process
+            .replica
+            .answer_reads(ready.reads, ready.failed_reads);
+        if let Some(role) = &ready.role {
+            process.replica.change_role(elapsed, role);
+            if role.role == ready::NodeRole::Leader {
+                self.counts.leaders += 1;
+                let first = *self.leaders.entry(role.term).or_insert(host);
+                if first != host {
+                    let term = role.term;
+                    self.report(format!("hosts {first} and {host} lead in term {term}"));
+                }
+            }
+        }
+    }
+
+    fn write_due_batches(&mut self, host: usize) {
+        let now = self.now;
+        let mut failed = false;
+        let Some(process) = &mut self.hosts[host].process else {
+            return;
+        };
+        while let Some((_, batch)) = process.writes.pop_front_if(|(due, _)| *due <= now) {
+            if process.store.write(&batch).is_ok() {
+                process.replica.node_mut().persisted(batch.sequence);
+            } else {
+                failed = true;
+                break;
+            }
+        }
+        if failed {
+            // A control host closes its log and opens it again.
+            self.kill(host, false, REOPEN_PAUSE);
+        }
+    }
+
+    /// Ends all faults, and checks that a new version can be stored and that nothing confirmed is
+    /// lost.
+    pub(crate) fn recover_and_check(&mut self) -> Result<RunCounts, String> {
+        self.heal();
+        for host in 0..self.size() {
+            self.hosts[host].write_delay = Duration::ZERO;
+            self.hosts[host].stopped = None;
+            self.hosts[host]
+                .disk
+                .set_faults(memory::DiskFaults::default());
+        }
+        let before = self.counts;
+        for _ in 0..100 {
+            self.run(Duration::from_millis(200), |_| {});
+            if let Some(leader) = self.leader() {
+                self.read(leader);
+                self.put(leader);
+            }
+        }
+        let progressed =
+            self.counts.acknowledged > before.acknowledged && self.counts.reads > before.reads;
+        if !progressed {
+            self.report("the recovered group stores or reads nothing".to_owned());
+        }
+        self.violation.clone().map_or(Ok(self.counts), Err)
+    }
+}
