Keep to the limit that an endpoint names

What callers saw: an endpoint in need named a limit of 2.3 requests a second and got 21 in 4 s, where 19 are allowed (LIMIT); its answers took over 3 s, while others had free slots. Cause: nothing read the limit. Change: answers' limits go to the gate. limits.rs splits a limit: token buckets at a few entries, chosen by rendezvous hashing, so that the burst stays small also with many entries and a tiny limit. Load updates pass the newest statement on; it ends with an answer that names none to a request sent after it. Endpoints whose part is used up take no request and none waits for them. A limit that leaves next to nothing still lets one request in ten seconds through, whose answer tells when it ends.

--- a/crates/waxwing-conduit/src/fleet.rs
+++ b/crates/waxwing-conduit/src/fleet.rs
@@ -15,7 +15,7 @@
 use waxwing_gate::fetches;
 use waxwing_wire::messages;
 
-use crate::{state, suspects};
+use crate::{state, statements, suspects};
 
 /// Shortest time between two load updates; changes within it are sent in one message.
 const UPDATE_INTERVAL: Duration = Duration::from_millis(10);
@@ -184,12 +184,12 @@
             }
             messages::Body::FleetHosts(hosts) => self.update_hosts(&hosts),
             messages::Body::LoadUpdate(update) => {
-                let blocked = self
-                    .state
-                    .gate()
-                    .core
-                    .apply_update(now, remote.address, update);
+                let mut gate = self.state.gate();
+                let blocked = gate.core.apply_update(now, remote.address, update);
+                let changes = gate.core.take_limit_changes();
+                drop(gate);
                 suspects::report_blocked(&self.state, blocked);
+                statements::report_limits(&self.state, changes);
                 self.state.dispatch_decisions();
             }
             other => tracing::debug!(address = %remote.address, ?other, "unexpected message"),
@@ -320,7 +320,8 @@
                 slots = load.slots,
                 running = load.running,
                 own = load.own,
-                waiting = load.waiting
+                waiting = load.waiting,
+                limited = load.limited
             );
         }
     }
--- a/crates/waxwing-conduit/src/intake.rs
+++ b/crates/waxwing-conduit/src/intake.rs
@@ -440,6 +440,9 @@
     if let Some(load) = facts.load {
         run.record_load(load);
     }
+    if facts.id_matches {
+        run.record_statements(&facts, sent);
+    }
     if facts.not_run {
         state.metrics.count_attempt("refused");
         tracing::info!(
--- a/crates/waxwing-conduit/src/lib.rs
+++ b/crates/waxwing-conduit/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod roles;
 mod sockets;
 mod state;
+mod statements;
 pub mod stopping;
 mod suspects;
 mod upstream;
--- a/crates/waxwing-conduit/src/metrics.rs
+++ b/crates/waxwing-conduit/src/metrics.rs
@@ -19,6 +19,7 @@
     fetches: IntCounterVec,
     link_bytes: IntCounterVec,
     crashes: IntCounterVec,
+    statements: IntCounterVec,
     latencies: HistogramVec,
 }
 
@@ -66,6 +67,11 @@
             "Evidence of prompt parts that crash endpoints, and parts that were blocked.",
             "finding",
         )?;
+        let statements = counter(
+            "waxwing_entry_endpoint_statements_total",
+            "Changes of what endpoints state about the requests that they take.",
+            "statement",
+        )?;
         let options = HistogramOpts::new(
             "waxwing_entry_latency_seconds",
             "Time waited for an endpoint, to the first event, and of the whole request.",
@@ -82,6 +88,7 @@
             fetches,
             link_bytes,
             crashes,
+            statements,
             latencies,
         })
     }
@@ -114,6 +121,10 @@
         self.crashes.with_label_values(&["blocked"]).inc();
     }
 
+    pub(crate) fn count_statement(&self, statement: &str) {
+        self.statements.with_label_values(&[statement]).inc();
+    }
+
     /// Updates the bytes of messages from the counters of the links.
     pub(crate) fn record_link_bytes(&self, counters: &counters::CounterSet) {
         let directions = [
--- a/crates/waxwing-conduit/src/state.rs
+++ b/crates/waxwing-conduit/src/state.rs
@@ -16,7 +16,7 @@
 use waxwing_fleet::{deployments, dialects};
 use waxwing_gate::{gate, tickets};
 
-use crate::{metrics, options, stopping, upstream};
+use crate::{metrics, options, statements, stopping, upstream};
 
 /// State of one entry process.
 pub(crate) struct EntryState<C, D> {
@@ -323,6 +323,18 @@
             .record_load(now, &self.endpoint, load);
     }
 
+    /// Records what the endpoint stated about itself in an answer to a request that was sent at
+    /// `sent`.
+    pub(crate) fn record_statements(&self, facts: &dialects::AnswerFacts, sent: Instant) {
+        let now = self.state.clock.now();
+        let mut gate = self.state.gate();
+        gate.core
+            .record_limit(now, &self.endpoint, facts.limit, sent);
+        let changes = gate.core.take_limit_changes();
+        drop(gate);
+        statements::report_limits(&self.state, changes);
+    }
+
     /// Records that the endpoint could not be reached.
     pub(crate) fn record_connect_failure(&mut self) {
         let now = self.state.clock.now();
--- /dev/null
+++ b/crates/waxwing-conduit/src/statements.rs
@@ -0,0 +1,27 @@
+//! Reports what endpoints state about the requests that they take.
+
+use waxwing_gate::gate;
+
+use crate::state;
+
+/// Logs and counts limits of endpoints that changed.
+pub(crate) fn report_limits<C, D>(
+    state: &state::EntryState<C, D>,
+    changes: Vec<gate::LimitChange>,
+) {
+    if changes.is_empty() {
+        return;
+    }
+    for change in changes {
+        state.metrics.count_statement(match change.limit {
+            Some(_) => "limit-named",
+            None => "limit-ended",
+        });
+        tracing::info!(
+            event = "endpoint-limited",
+            endpoint = %change.endpoint,
+            requests_per_second = change.limit.map(|limit| limit.0)
+        );
+    }
+    state.updates.notify_one();
+}
--- a/crates/waxwing-core/src/events.rs
+++ b/crates/waxwing-core/src/events.rs
@@ -31,7 +31,7 @@
 }
 
 /// All events of the decision log, those of requests first.
-pub const LOG_EVENTS: [LogEvent; 56] = [
+pub const LOG_EVENTS: [LogEvent; 57] = [
     log_event(
         "request-started",
         "the gate gave the request a slot and the entry sent it",
@@ -165,6 +165,10 @@
         "endpoint-changed",
         "an endpoint is new, drains, is gone, or has started again",
     ),
+    log_event(
+        "endpoint-limited",
+        "an endpoint names a limit on the requests of all entries, changes it, or names none any more",
+    ),
     log_event("notice-stale", "a notice of an endpoint came late or twice"),
     log_event("notice-refused", "a notice named no endpoint"),
     log_event(
--- a/crates/waxwing-core/src/units.rs
+++ b/crates/waxwing-core/src/units.rs
@@ -73,29 +73,46 @@
     "bytes"
 );
 
-/// A rate in tokens per second, finite and not negative.
-#[derive(Debug, Clone, Copy, Default, PartialEq, PartialOrd, Serialize, Deserialize)]
-#[serde(transparent)]
-pub struct TokenRate(pub f64);
-
-impl fmt::Display for TokenRate {
-    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(formatter, "{:.1} tokens/s", self.0)
-    }
-}
+macro_rules! rate_type {
+    ($(#[$doc:meta])* $type:ident, $type_name:literal, $unit:literal) => {
+        $(#[$doc])*
+        #[derive(Debug, Clone, Copy, Default, PartialEq, PartialOrd, Serialize, Deserialize)]
+        #[serde(transparent)]
+        pub struct $type(pub f64);
 
-impl str::FromStr for TokenRate {
-    type Err = errors::ParseError;
-
-    fn from_str(text: &str) -> Result<Self, Self::Err> {
-        let digits = text.strip_suffix("tokens/s").unwrap_or(text).trim();
-        match digits.parse::<f64>() {
-            Ok(rate) if rate.is_finite() && rate >= 0.0 => Ok(Self(rate)),
-            _ => Err(errors::ParseError::new(
-                "token rate",
-                text,
-                "a number not below zero",
-            )),
+        impl fmt::Display for $type {
+            fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+                write!(formatter, concat!("{:.1} ", $unit), self.0)
+            }
         }
-    }
+
+        impl str::FromStr for $type {
+            type Err = errors::ParseError;
+
+            fn from_str(text: &str) -> Result<Self, Self::Err> {
+                let digits = text.strip_suffix($unit).unwrap_or(text).trim();
+                match digits.parse::<f64>() {
+                    Ok(rate) if rate.is_finite() && rate >= 0.0 => Ok(Self(rate)),
+                    _ => Err(errors::ParseError::new(
+                        $type_name,
+                        text,
+                        "a number not below zero",
+                    )),
+                }
+            }
+        }
+    };
 }
+
+rate_type!(
+    /// A rate in tokens per second, finite and not negative.
+    TokenRate,
+    "token rate",
+    "tokens/s"
+);
+rate_type!(
+    /// A rate in requests per second, finite and not negative.
+    RequestRate,
+    "request rate",
+    "requests/s"
+);
--- a/crates/waxwing-fleet/src/dialects.rs
+++ b/crates/waxwing-fleet/src/dialects.rs
@@ -6,6 +6,7 @@
 use bytes::Bytes;
 use hyper::http;
 use smol_str::SmolStr;
+use waxwing_core::units;
 use waxwing_wire::messages;
 
 use crate::{deployments, errors};
@@ -128,7 +129,7 @@
 }
 
 /// The values in the head of an endpoint's answer.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct AnswerFacts {
     /// Whether the endpoint states that it did not run the request.
     pub not_run: bool,
@@ -138,6 +139,8 @@
     pub id_matches: bool,
     /// The load, if the endpoint reports it.
     pub load: Option<LoadFacts>,
+    /// The requests that the endpoint takes from all entries together, if it names a limit.
+    pub limit: Option<units::RequestRate>,
 }
 
 /// Translates requests and answers between callers, entries and endpoints.
--- a/crates/waxwing-gate/src/endpoints.rs
+++ b/crates/waxwing-gate/src/endpoints.rs
@@ -11,7 +11,7 @@
 use waxwing_fleet::dialects;
 use waxwing_wire::messages;
 
-use crate::{models, options, tickets};
+use crate::{limits, models, options, tickets};
 
 /// Requests in flight at an endpoint.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
@@ -47,6 +47,8 @@
     pub others: HashMap<SocketAddr, EndpointUse>,
     /// Requests, running and queued, that it reported with its last answer.
     pub reported_load: u32,
+    /// The limit that it names on the requests of all entries together.
+    pub limit: limits::EndpointLimit,
     /// Learned speed of its engine.
     pub speed: models::EngineSpeed,
     /// Moving average of the time of a plain call in milliseconds; `None` before the first one.
@@ -78,6 +80,7 @@
             own: EndpointUse::default(),
             others: HashMap::new(),
             reported_load: 0,
+            limit: limits::EndpointLimit::default(),
             speed: models::EngineSpeed::default(),
             call_millis: None,
             call_limit: None,
@@ -110,18 +113,26 @@
     /// Returns the number of requests that it may get now: its free slots, and `queue_depth` more
     /// that queue there so that no slot stays empty between two runs. Requests of other entries
     /// count only with `use_peer_usage`; otherwise the call limit, which follows its reported
-    /// queue, applies.
+    /// queue, applies. A limit that the endpoint names holds beside these.
     #[must_use]
     pub fn available_slots(&self, use_peer_usage: bool, queue_depth: u32) -> u32 {
         let capacity = self.slots.saturating_add(queue_depth);
-        if use_peer_usage {
-            return capacity.saturating_sub(self.total().running);
-        }
         let running = f64::from(self.own.running);
-        match self.call_limit {
+        let free = match self.call_limit {
+            _ if use_peer_usage => capacity.saturating_sub(self.total().running),
             Some(limit) if running + 1.0 > limit => 0,
             _ => capacity.saturating_sub(self.own.running),
-        }
+        };
+        free.min(self.limit.available())
+    }
+
+    /// Returns how many requests run there on average while work waits: all its slots, or what its
+    /// limit allows if that is less.
+    #[must_use]
+    pub fn sustained_slots(&self, run_time: Duration) -> f64 {
+        let slots = f64::from(self.slots);
+        let limit = self.limit.limit();
+        limit.map_or(slots, |limit| slots.min(limit.0 * run_time.as_secs_f64()))
     }
 
     /// Returns the expected time to the first event, or to the answer of a plain call, if the
@@ -228,6 +239,7 @@
         self.failures = 0;
         self.failure_ratio = 0.0;
         self.ejected_until = None;
+        self.limit = limits::EndpointLimit::default();
     }
 
     fn eject(&mut self, now: Instant, doublings: u32, options: &options::GateOptions) {
--- a/crates/waxwing-gate/src/gate.rs
+++ b/crates/waxwing-gate/src/gate.rs
@@ -8,6 +8,9 @@
 
 mod dispatch;
 mod load_updates;
+mod statements;
+
+pub use self::statements::LimitChange;
 
 use std::{
     collections::{BTreeSet, HashMap},
@@ -81,6 +84,8 @@
     changed: Vec<SmolStr>,
     /// Whether the queue has changed since the last update.
     demand_changed: bool,
+    /// Limits of endpoints that changed and were not logged yet.
+    limit_changes: Vec<LimitChange>,
 }
 
 /// Capacity of the endpoints of a service.
@@ -132,6 +137,8 @@
     pub own: u32,
     /// Requests queued at this entry.
     pub waiting: usize,
+    /// Number of endpoints that name a limit.
+    pub limited: usize,
 }
 
 /// State reported by another entry.
@@ -187,6 +194,7 @@
             yielding: HashMap::new(),
             changed: Vec::new(),
             demand_changed: false,
+            limit_changes: Vec::new(),
         }
     }
 
@@ -271,9 +279,11 @@
                 running: 0,
                 own: 0,
                 waiting: self.queues.get(&view.service).map_or(0, BTreeSet::len),
+                limited: 0,
             });
             load.endpoints += 1;
             load.own += view.own.running;
+            load.limited += usize::from(view.limit.limit().is_some());
             if view.is_usable(now, &self.options) {
                 load.usable += 1;
                 load.slots += view.slots;
--- a/crates/waxwing-gate/src/gate/dispatch.rs
+++ b/crates/waxwing-gate/src/gate/dispatch.rs
@@ -10,6 +10,10 @@
 use super::{DispatchRound, GateCore, QueueKey, QueuedTicket, ServiceCapacity};
 use crate::{endpoints, models, shares, tickets};
 
+/// Lower bound of the slots that are divided among entries, which keeps the expected wait finite
+/// where limits leave next to nothing.
+const MIN_SUSTAINED_SLOTS: f64 = 1e-3;
+
 /// An endpoint with a free slot for a request; the smallest candidate is the best.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 struct EndpointCandidate<'a> {
@@ -48,6 +52,7 @@
             return;
         };
         let keys: Vec<_> = queue.iter().copied().collect();
+        self.refill_limits(now, service);
         let capacity = self.capacity(now, service);
         let yield_expired = self
             .yielding
@@ -218,11 +223,15 @@
             .filter(|view| view.service == *service && view.is_usable(now, &self.options));
         let run_time = self.model(service).mean_run_time();
         let peer_usage_known = run_time >= self.options.min_run_for_peer_usage;
-        let (mut slots, mut free, mut any_usable) = (0, 0, false);
+        let (mut slots, mut free, mut any_usable) = (0_u32, 0_u32, false);
+        let mut sustained = 0.0;
         for view in usable {
             any_usable = true;
-            slots += view.slots;
-            free += view.available_slots(peer_usage_known, self.options.endpoint_queue_depth);
+            slots = slots.saturating_add(view.slots);
+            let available =
+                view.available_slots(peer_usage_known, self.options.endpoint_queue_depth);
+            free = free.saturating_add(available);
+            sustained += view.sustained_slots(run_time);
         }
         // The slots that become free are divided among all connected entries.
         let entries = u32::try_from(self.peers.len() + 1).unwrap_or(u32::MAX);
@@ -231,7 +240,10 @@
             peer_usage_known,
             slots,
             free,
-            slot_interval: run_time * entries / slots.max(1),
+            slot_interval: match slots {
+                0 => run_time * entries,
+                _ => (run_time * entries).div_f64(sustained.max(MIN_SUSTAINED_SLOTS)),
+            },
         }
     }
 
@@ -262,7 +274,9 @@
         end.checked_sub(time_to_first).unwrap_or(ticket.arrival)
     }
 
-    /// Returns the endpoints that may serve a request, with or without a free slot.
+    /// Returns the endpoints that may serve a request, with or without a free slot. Those whose
+    /// limit is used up are left out, so that no request waits for one of them that another
+    /// endpoint could run.
     fn candidates<'a>(
         &'a self,
         now: Instant,
@@ -271,6 +285,7 @@
         self.endpoints.values().filter(move |view| {
             view.service == ticket.service
                 && view.is_usable(now, &self.options)
+                && view.limit.available() > 0
                 && !ticket.excluded.contains(&view.id)
         })
     }
@@ -350,6 +365,7 @@
         let ticket = self.remove(key)?;
         let view = self.endpoints.get_mut(endpoint)?;
         view.own.running += 1;
+        view.limit.take();
         view.own.pending_prefill += ticket.size.prompt();
         let address = view.address;
         self.mark_changed(endpoint);
--- a/crates/waxwing-gate/src/gate/load_updates.rs
+++ b/crates/waxwing-gate/src/gate/load_updates.rs
@@ -43,6 +43,9 @@
 
     fn apply_load(&mut self, now: Instant, peer: SocketAddr, update: messages::LoadUpdate) {
         for used in update.endpoints {
+            if let Some(limit) = used.limit {
+                self.apply_limit(now, &SmolStr::new(&used.id), limit);
+            }
             if let Some(view) = self.endpoints.get_mut(used.id.as_str()) {
                 let other = endpoints::EndpointUse {
                     running: used.running,
@@ -151,6 +154,7 @@
                 id: id.to_string(),
                 running: own.running,
                 pending_prefill: own.pending_prefill,
+                limit: self.limit_message(now, &id),
             }
         });
         let endpoints = endpoints.collect();
--- /dev/null
+++ b/crates/waxwing-gate/src/gate/statements.rs
@@ -0,0 +1,126 @@
+//! What endpoints state about themselves in their answers, and what follows for the requests that
+//! they get.
+
+use std::{
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
+
+use smol_str::SmolStr;
+use waxwing_core::units;
+use waxwing_wire::messages;
+
+use super::GateCore;
+use crate::{endpoints::to_float, limits};
+
+/// Scale of limits in messages.
+const THOUSANDTHS: f64 = 1_000.0;
+
+/// A change of what an endpoint states, for the decision log.
+#[derive(Debug, Clone, PartialEq)]
+pub struct LimitChange {
+    /// Id of the endpoint.
+    pub endpoint: SmolStr,
+    /// The limit that is in force from now on; `None` if there is none.
+    pub limit: Option<units::RequestRate>,
+}
+
+impl GateCore {
+    /// Records what an answer stated of the endpoint's limit; `sent` is when its request was sent.
+    pub fn record_limit(
+        &mut self,
+        now: Instant,
+        endpoint: &SmolStr,
+        limit: Option<units::RequestRate>,
+        sent: Instant,
+    ) {
+        let at = if limit.is_some() { now } else { sent };
+        self.observe_limit(endpoint, limits::LimitStatement { limit, at });
+    }
+
+    /// Takes what another entry knows of an endpoint's limit.
+    pub(super) fn apply_limit(
+        &mut self,
+        now: Instant,
+        endpoint: &SmolStr,
+        stated: messages::LimitStatement,
+    ) {
+        let rate = |thousandths| units::RequestRate(to_float(thousandths) / THOUSANDTHS);
+        let age = Duration::from_millis(stated.age_millis);
+        let statement = limits::LimitStatement {
+            limit: stated.thousandths.map(rate),
+            at: now.checked_sub(age).unwrap_or(now),
+        };
+        self.observe_limit(endpoint, statement);
+    }
+
+    fn observe_limit(&mut self, endpoint: &SmolStr, statement: limits::LimitStatement) {
+        let Some(view) = self.endpoints.get_mut(endpoint) else {
+            return;
+        };
+        let before = view.limit.limit();
+        let tells_others = view.limit.observe(statement);
+        let limit = view.limit.limit();
+        if limit != before {
+            self.limit_changes.push(LimitChange {
+                endpoint: endpoint.clone(),
+                limit,
+            });
+        }
+        if tells_others {
+            self.mark_changed(endpoint);
+        }
+    }
+
+    /// Returns the limits that have changed since the last call.
+    pub fn take_limit_changes(&mut self) -> Vec<LimitChange> {
+        std::mem::take(&mut self.limit_changes)
+    }
+
+    /// Returns an endpoint's limit for a load update; `None` if it has never named one.
+    pub(super) fn limit_message(
+        &self,
+        now: Instant,
+        endpoint: &SmolStr,
+    ) -> Option<messages::LimitStatement> {
+        let statement = self.endpoints.get(endpoint)?.limit.statement()?;
+        #[expect(
+            clippy::cast_possible_truncation,
+            clippy::cast_sign_loss,
+            reason = "the conversion saturates, and limits are not negative"
+        )]
+        let thousandths = |limit: units::RequestRate| (limit.0 * THOUSANDTHS) as u64;
+        let age = now.saturating_duration_since(statement.at);
+        Some(messages::LimitStatement {
+            thousandths: statement.limit.map(thousandths),
+            age_millis: u64::try_from(age.as_millis()).unwrap_or(u64::MAX),
+        })
+    }
+
+    /// Brings this entry's parts of the limits of a service's endpoints up to date.
+    pub(super) fn refill_limits(&mut self, now: Instant, service: &SmolStr) {
+        let is_limited = |view: &crate::endpoints::EndpointView| view.limit.limit().is_some();
+        if !self.endpoints.values().any(is_limited) {
+            return;
+        }
+        let own = self.options.address;
+        let others = self.other_entries(now);
+        let views = self.endpoints.values_mut();
+        for view in views.filter(|view| view.service == *service && is_limited(view)) {
+            let id = view.id.clone();
+            view.limit
+                .refill(now, |limit| limits::entry_share(limit, own, &others, &id));
+        }
+    }
+
+    /// Returns the other entries that are connected or may still be running.
+    fn other_entries(&self, now: Instant) -> Vec<SocketAddr> {
+        let retention = self.options.lost_peer_retention;
+        let lost = self
+            .lost_peers
+            .iter()
+            .filter(|(_, lost)| now.saturating_duration_since(lost.since) < retention);
+        let lost = lost.map(|(address, _)| *address);
+        self.peers.keys().copied().chain(lost).collect()
+    }
+}
--- a/crates/waxwing-gate/src/lib.rs
+++ b/crates/waxwing-gate/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod endpoints;
 pub mod fetches;
 pub mod gate;
+pub mod limits;
 pub mod models;
 pub mod options;
 pub mod patience;
--- a/crates/waxwing-gate/tests/gate.rs
+++ b/crates/waxwing-gate/tests/gate.rs
@@ -57,6 +57,7 @@
     let now = Instant::now();
     let mut core = gate(now, &[("one", 1, 3)]);
     let used = messages::EndpointUse {
+        limit: None,
         id: "one".to_owned(),
         running: 2,
         pending_prefill: 0,
--- a/crates/waxwing-wire/src/messages.rs
+++ b/crates/waxwing-wire/src/messages.rs
@@ -22,7 +22,7 @@
 pub use self::fleet::{
     AccountUse, BlockedPart, CrashEvidence, CrashUpdate, DeploymentChunk, DeploymentVersion,
     EndpointNotice, EndpointNotices, EndpointPhase, EndpointUse, FetchDeployment, FleetHosts,
-    JoinGroup, LoadUpdate, ServiceDemand,
+    JoinGroup, LimitStatement, LoadUpdate, ServiceDemand,
 };
 pub use self::groups::{AskGroup, GroupInfo, Quorum, Redirect, Submit, Submitted, Unavailable};
 pub use self::links::{Heartbeat, Hello, Leaving, ProcessKind};
--- a/crates/waxwing-wire/src/messages/fleet.rs
+++ b/crates/waxwing-wire/src/messages/fleet.rs
@@ -152,6 +152,20 @@
     /// Prompt tokens of the requests among them that have produced no output yet.
     #[prost(uint64, tag = "3")]
     pub pending_prefill: u64,
+    /// What the endpoint last stated of its limit; absent if it has never named one.
+    #[prost(message, optional, tag = "4")]
+    pub limit: Option<LimitStatement>,
+}
+
+/// What an endpoint stated of the requests that it takes from all entries together.
+#[derive(Clone, Copy, PartialEq, Eq, Message)]
+pub struct LimitStatement {
+    /// Thousandths of a request per second; absent if it names no limit any more.
+    #[prost(uint64, optional, tag = "1")]
+    pub thousandths: Option<u64>,
+    /// Milliseconds since the time for which the statement is known to hold.
+    #[prost(uint64, tag = "2")]
+    pub age_millis: u64,
 }
 
 /// The total work that one entry has admitted for one client account.
