Send nothing more to an endpoint that states it leaves

Requests that reach an endpoint just before it goes end without an answer. Cause: entries learnt of it only from notices, which control hosts relay and which may be late. Change: an answer with the statement takes the endpoint out at that entry, whatever later notices of the same life say; a new start takes it back. Such an endpoint's broken answers no longer count as evidence of a crash, as with one whose notices say that it drains.

--- a/crates/waxwing-conduit/src/state.rs
+++ b/crates/waxwing-conduit/src/state.rs
@@ -331,8 +331,12 @@
         gate.core
             .record_limit(now, &self.endpoint, facts.limit, sent);
         let changes = gate.core.take_limit_changes();
+        let leaves = facts.leaving && gate.core.record_leaving(&self.endpoint);
         drop(gate);
         statements::report_limits(&self.state, changes);
+        if leaves {
+            statements::report_leaving(&self.state, &self.endpoint);
+        }
     }
 
     /// Records that the endpoint could not be reached.
--- a/crates/waxwing-conduit/src/statements.rs
+++ b/crates/waxwing-conduit/src/statements.rs
@@ -1,5 +1,6 @@
 //! Reports what endpoints state about the requests that they take.
 
+use smol_str::SmolStr;
 use waxwing_gate::gate;
 
 use crate::state;
@@ -25,3 +26,9 @@
     }
     state.updates.notify_one();
 }
+
+/// Logs and counts an endpoint that stated that it leaves.
+pub(crate) fn report_leaving<C, D>(state: &state::EntryState<C, D>, endpoint: &SmolStr) {
+    state.metrics.count_statement("leaving");
+    tracing::info!(event = "endpoint-leaving", %endpoint);
+}
--- a/crates/waxwing-conduit/src/suspects.rs
+++ b/crates/waxwing-conduit/src/suspects.rs
@@ -23,7 +23,7 @@
         .gate()
         .core
         .endpoint(&run.endpoint)
-        .is_some_and(|view| view.ready);
+        .is_some_and(waxwing_gate::endpoints::EndpointView::is_serving);
     if !is_serving {
         return;
     }
--- a/crates/waxwing-core/src/events.rs
+++ b/crates/waxwing-core/src/events.rs
@@ -31,7 +31,7 @@
 }
 
 /// All events of the decision log, those of requests first.
-pub const LOG_EVENTS: [LogEvent; 57] = [
+pub const LOG_EVENTS: [LogEvent; 58] = [
     log_event(
         "request-started",
         "the gate gave the request a slot and the entry sent it",
@@ -169,6 +169,10 @@
         "endpoint-limited",
         "an endpoint names a limit on the requests of all entries, changes it, or names none any more",
     ),
+    log_event(
+        "endpoint-leaving",
+        "an endpoint stated in an answer that it leaves; it gets no further requests",
+    ),
     log_event("notice-stale", "a notice of an endpoint came late or twice"),
     log_event("notice-refused", "a notice named no endpoint"),
     log_event(
--- a/crates/waxwing-fleet/src/dialects.rs
+++ b/crates/waxwing-fleet/src/dialects.rs
@@ -141,6 +141,8 @@
     pub load: Option<LoadFacts>,
     /// The requests that the endpoint takes from all entries together, if it names a limit.
     pub limit: Option<units::RequestRate>,
+    /// Whether the endpoint states that it leaves.
+    pub leaving: bool,
 }
 
 /// Translates requests and answers between callers, entries and endpoints.
--- a/crates/waxwing-gate/src/endpoints.rs
+++ b/crates/waxwing-gate/src/endpoints.rs
@@ -37,8 +37,11 @@
     pub born: u64,
     /// Requests that it serves concurrently.
     pub slots: u32,
-    /// Whether it accepts new requests.
+    /// Whether its notices say that it accepts new requests.
     pub ready: bool,
+    /// Whether it has stated in an answer that it leaves. Notices may be late, so only a new start
+    /// takes this back.
+    pub leaving: bool,
     /// When it last sent a notice or answered a request.
     pub last_seen: Instant,
     /// Requests of this entry in flight there.
@@ -76,6 +79,7 @@
             born: notice.born,
             slots: notice.slots,
             ready: notice.phase() == messages::EndpointPhase::Ready,
+            leaving: false,
             last_seen,
             own: EndpointUse::default(),
             others: HashMap::new(),
@@ -102,10 +106,16 @@
             })
     }
 
+    /// Tells whether it accepts new requests, as far as it has said.
+    #[must_use]
+    pub const fn is_serving(&self) -> bool {
+        self.ready && !self.leaving
+    }
+
     /// Tells whether it may get new requests, with or without a free slot.
     #[must_use]
     pub fn is_usable(&self, now: Instant, options: &options::GateOptions) -> bool {
-        self.ready
+        self.is_serving()
             && now.saturating_duration_since(self.last_seen) < options.liveness_timeout
             && self.ejected_until.is_none_or(|until| now >= until)
     }
@@ -233,13 +243,14 @@
         self.eject(now, self.failures - 1, options);
     }
 
-    /// Forgets the failures of a former life after the endpoint has started again.
+    /// Forgets the failures and statements of a former life after the endpoint has started again.
     pub fn restart(&mut self, born: u64) {
         self.born = born;
         self.failures = 0;
         self.failure_ratio = 0.0;
         self.ejected_until = None;
         self.limit = limits::EndpointLimit::default();
+        self.leaving = false;
     }
 
     fn eject(&mut self, now: Instant, doublings: u32, options: &options::GateOptions) {
--- a/crates/waxwing-gate/src/gate/statements.rs
+++ b/crates/waxwing-gate/src/gate/statements.rs
@@ -38,6 +38,13 @@
         self.observe_limit(endpoint, limits::LimitStatement { limit, at });
     }
 
+    /// Records that an endpoint stated that it leaves; it gets no further requests. Returns whether
+    /// that is new.
+    pub fn record_leaving(&mut self, endpoint: &SmolStr) -> bool {
+        let view = self.endpoints.get_mut(endpoint);
+        view.is_some_and(|view| !std::mem::replace(&mut view.leaving, true))
+    }
+
     /// Takes what another entry knows of an endpoint's limit.
     pub(super) fn apply_limit(
         &mut self,
--- a/crates/waxwing-gate/tests/gate.rs
+++ b/crates/waxwing-gate/tests/gate.rs
@@ -258,3 +258,23 @@
     core.observe_notice(again, now);
     assert_eq!(granted(&core.decide(now)).len(), 1);
 }
+
+/// Guards against requests to an endpoint that has stated that it leaves while late notices still
+/// call it ready, and against one that gets none after it has started again.
+#[test]
+fn leaving_endpoint_gets_requests_only_after_a_new_start() {
+    let now = Instant::now();
+    let id = SmolStr::new("one");
+    let mut core = support::gate(now, &[("one", 1, 4)]);
+    assert!(core.record_leaving(&id));
+    assert!(!core.record_leaving(&id));
+    let mut late = support::notice("one", 1, 4);
+    late.sequence = 2;
+    core.observe_notice(late.clone(), now);
+    core.enqueue(ticket(now, 0, 100));
+    assert!(granted(&core.decide(now)).is_empty());
+    late.born += 1;
+    late.sequence = 1;
+    core.observe_notice(late, now);
+    assert_eq!(granted(&core.decide(now)).len(), 1);
+}
