Leave an endpoint alone for the time that it gives with a refusal

Requests were sent to endpoints that had just refused some, and lost time and retry budget there. Cause: the Retry-After of an endpoint's 503 was not read. Change: the entry that got the refusal doesn't use the endpoint until that time is over, or it has started again.

--- a/crates/waxwing-conduit/src/state.rs
+++ b/crates/waxwing-conduit/src/state.rs
@@ -331,12 +331,18 @@
         gate.core
             .record_limit(now, &self.endpoint, facts.limit, sent);
         let changes = gate.core.take_limit_changes();
+        if let Some(time) = facts.retry_after {
+            gate.core.record_pause(now, &self.endpoint, time);
+        }
         let leaves = facts.leaving && gate.core.record_leaving(&self.endpoint);
         drop(gate);
         statements::report_limits(&self.state, changes);
         if leaves {
             statements::report_leaving(&self.state, &self.endpoint);
         }
+        if let Some(time) = facts.retry_after {
+            statements::report_pause(&self.state, &self.endpoint, time);
+        }
     }
 
     /// Records that the endpoint could not be reached.
--- a/crates/waxwing-conduit/src/statements.rs
+++ b/crates/waxwing-conduit/src/statements.rs
@@ -1,5 +1,7 @@
 //! Reports what endpoints state about the requests that they take.
 
+use std::time::Duration;
+
 use smol_str::SmolStr;
 use waxwing_gate::gate;
 
@@ -32,3 +34,13 @@
     state.metrics.count_statement("leaving");
     tracing::info!(event = "endpoint-leaving", %endpoint);
 }
+
+/// Logs and counts an endpoint that wants no requests from this entry for `time`.
+pub(crate) fn report_pause<C, D>(
+    state: &state::EntryState<C, D>,
+    endpoint: &SmolStr,
+    time: Duration,
+) {
+    state.metrics.count_statement("paused");
+    tracing::info!(event = "endpoint-paused", %endpoint, time_ms = time.as_millis());
+}
--- a/crates/waxwing-core/src/events.rs
+++ b/crates/waxwing-core/src/events.rs
@@ -31,7 +31,7 @@
 }
 
 /// All events of the decision log, those of requests first.
-pub const LOG_EVENTS: [LogEvent; 58] = [
+pub const LOG_EVENTS: [LogEvent; 59] = [
     log_event(
         "request-started",
         "the gate gave the request a slot and the entry sent it",
@@ -173,6 +173,10 @@
         "endpoint-leaving",
         "an endpoint stated in an answer that it leaves; it gets no further requests",
     ),
+    log_event(
+        "endpoint-paused",
+        "an endpoint refused a request and wants none from this entry for a time",
+    ),
     log_event("notice-stale", "a notice of an endpoint came late or twice"),
     log_event("notice-refused", "a notice named no endpoint"),
     log_event(
--- a/crates/waxwing-fleet/src/dialects.rs
+++ b/crates/waxwing-fleet/src/dialects.rs
@@ -143,6 +143,8 @@
     pub limit: Option<units::RequestRate>,
     /// Whether the endpoint states that it leaves.
     pub leaving: bool,
+    /// How long the endpoint wants no requests from this entry, if it says so with a refusal.
+    pub retry_after: Option<Duration>,
 }
 
 /// Translates requests and answers between callers, entries and endpoints.
--- a/crates/waxwing-gate/src/endpoints.rs
+++ b/crates/waxwing-gate/src/endpoints.rs
@@ -13,6 +13,9 @@
 
 use crate::{limits, models, options, tickets};
 
+/// The longest time for which an endpoint's refusal is heeded, which keeps times in range.
+const MAX_PAUSE: Duration = Duration::from_secs(24 * 60 * 60);
+
 /// Requests in flight at an endpoint.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct EndpointUse {
@@ -60,6 +63,8 @@
     call_limit: Option<f64>,
     /// When the call limit was last lowered.
     last_decrease: Option<Instant>,
+    /// Until when it wants no requests from this entry.
+    paused_until: Option<Instant>,
     /// Until when it is ejected, that is, gets no requests.
     ejected_until: Option<Instant>,
     /// Consecutive failures.
@@ -89,6 +94,7 @@
             call_millis: None,
             call_limit: None,
             last_decrease: None,
+            paused_until: None,
             ejected_until: None,
             failures: 0,
             failure_ratio: 0.0,
@@ -118,6 +124,7 @@
         self.is_serving()
             && now.saturating_duration_since(self.last_seen) < options.liveness_timeout
             && self.ejected_until.is_none_or(|until| now >= until)
+            && self.paused_until.is_none_or(|until| now >= until)
     }
 
     /// Returns the number of requests that it may get now: its free slots, and `queue_depth` more
@@ -213,6 +220,13 @@
         }
     }
 
+    /// Records a refusal that gives the time after which the endpoint takes requests of this entry
+    /// again.
+    pub fn pause(&mut self, now: Instant, time: Duration) {
+        let until = now + time.min(MAX_PAUSE);
+        self.paused_until = Some(self.paused_until.map_or(until, |before| before.max(until)));
+    }
+
     /// Records the duration of a plain call.
     pub fn measure_call(&mut self, elapsed: Duration, options: &options::GateOptions) {
         let millis = models::to_millis(elapsed);
@@ -251,6 +265,7 @@
         self.ejected_until = None;
         self.limit = limits::EndpointLimit::default();
         self.leaving = false;
+        self.paused_until = None;
     }
 
     fn eject(&mut self, now: Instant, doublings: u32, options: &options::GateOptions) {
--- a/crates/waxwing-gate/src/gate/statements.rs
+++ b/crates/waxwing-gate/src/gate/statements.rs
@@ -45,6 +45,13 @@
         view.is_some_and(|view| !std::mem::replace(&mut view.leaving, true))
     }
 
+    /// Records that an endpoint refused a request and wants none from this entry for `time`.
+    pub fn record_pause(&mut self, now: Instant, endpoint: &SmolStr, time: Duration) {
+        if let Some(view) = self.endpoints.get_mut(endpoint) {
+            view.pause(now, time);
+        }
+    }
+
     /// Takes what another entry knows of an endpoint's limit.
     pub(super) fn apply_limit(
         &mut self,
--- a/crates/waxwing-gate/tests/gate.rs
+++ b/crates/waxwing-gate/tests/gate.rs
@@ -2,7 +2,7 @@
 
 mod support;
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use smol_str::SmolStr;
 use waxwing_gate::tickets;
@@ -278,3 +278,25 @@
     core.observe_notice(late, now);
     assert_eq!(granted(&core.decide(now)).len(), 1);
 }
+
+/// Guards against requests to an endpoint before the time that it gave with a refusal, and against
+/// times that are out of range.
+#[test]
+fn paused_endpoint_gets_requests_again_in_time() {
+    let start = Instant::now();
+    let id = SmolStr::new("one");
+    let mut core = gate(start, &[("one", 1, 4)]);
+    core.record_pause(start, &id, millis(2_000));
+    core.record_pause(start, &id, millis(500));
+    // The request that arrives during the pause starts together with the one after it.
+    for (elapsed, starts) in [(1_900, 0), (2_100, 2)] {
+        let now = start + millis(elapsed);
+        core.observe_notice(notice("one", 1, 4), now);
+        core.record_success(now, &id);
+        core.enqueue(ticket(now, 0, 100));
+        assert_eq!(granted(&core.decide(now)).len(), starts, "{elapsed}");
+    }
+    core.record_pause(start, &id, Duration::MAX);
+    core.enqueue(ticket(start, 0, 100));
+    assert!(granted(&core.decide(start)).is_empty());
+}
