Ignore the limit of an endpoint's former life

Cause: an entry that hadn't learnt of an endpoint's new start passed on the limit that its former life had named. An endpoint without a limit then got no more than that until its next answer. Change: the statement in load updates names the start of the endpoint; others don't count. Evidence: limit_of_a_former_life_is_not_taken_over failed before.

--- a/crates/waxwing-gate/src/gate/statements.rs
+++ b/crates/waxwing-gate/src/gate/statements.rs
@@ -59,6 +59,11 @@
         endpoint: &SmolStr,
         stated: messages::LimitStatement,
     ) {
+        let born = self.endpoints.get(endpoint).map(|view| view.born);
+        if born != Some(stated.born) {
+            // One of the two entries hasn't learnt yet that the endpoint has started again.
+            return;
+        }
         let rate = |thousandths| units::RequestRate(to_float(thousandths) / THOUSANDTHS);
         let age = Duration::from_millis(stated.age_millis);
         let statement = limits::LimitStatement {
@@ -97,7 +102,8 @@
         now: Instant,
         endpoint: &SmolStr,
     ) -> Option<messages::LimitStatement> {
-        let statement = self.endpoints.get(endpoint)?.limit.statement()?;
+        let view = self.endpoints.get(endpoint)?;
+        let statement = view.limit.statement()?;
         #[expect(
             clippy::cast_possible_truncation,
             clippy::cast_sign_loss,
@@ -108,6 +114,7 @@
         Some(messages::LimitStatement {
             thousandths: statement.limit.map(thousandths),
             age_millis: u64::try_from(age.as_millis()).unwrap_or(u64::MAX),
+            born: view.born,
         })
     }
 
--- a/crates/waxwing-gate/tests/limits.rs
+++ b/crates/waxwing-gate/tests/limits.rs
@@ -83,6 +83,24 @@
     assert_eq!(limit.limit(), None);
 }
 
+/// Guards against a limit that holds for an endpoint which has started again since it named it,
+/// because an entry that hasn't learnt of the new start passes it on.
+#[test]
+fn limit_of_a_former_life_is_not_taken_over() {
+    let now = Instant::now();
+    let id = SmolStr::new(LIMITED);
+    let mut behind = support::entry(now, 1, &[(LIMITED, 100, 4)], 0);
+    let mut core = support::entry(now, 2, &[(LIMITED, 100, 4)], 0);
+    behind.record_limit(now, &id, Some(RequestRate(2.0)), now);
+    core.apply_update(now, address(1), behind.take_update(now, true));
+    assert_eq!(core.take_limit_changes().len(), 1);
+    let mut started = support::notice(LIMITED, 100, 4);
+    started.born += 1;
+    core.observe_notice(started, now);
+    core.apply_update(now, address(1), behind.take_update(now, true));
+    assert_eq!(core.take_limit_changes(), []);
+}
+
 /// A request at an endpoint, and when its answer begins and ends.
 struct Run {
     entry: usize,
--- a/crates/waxwing-wire/src/messages/fleet.rs
+++ b/crates/waxwing-wire/src/messages/fleet.rs
@@ -166,6 +166,9 @@
     /// Milliseconds since the time for which the statement is known to hold.
     #[prost(uint64, tag = "2")]
     pub age_millis: u64,
+    /// When the endpoint that stated it was started, in Unix milliseconds.
+    #[prost(uint64, tag = "3")]
+    pub born: u64,
 }
 
 /// The total work that one entry has admitted for one client account.
