Believe a refusal only of the request that it names

Cause: an answer that states not-run was believed before its request id was compared. A faulty endpoint that writes an earlier refusal once more on a kept connection thus had the entry send a booking elsewhere, or refuse it as not run. Change: a refusal counts only with the id of this request; else it is one of the answers that are rejected, after which the request may have run. Load and statements of such answers don't count either. Evidence: repeated_refusal_does_not_count_for_a_later_request failed before: a booking ran at two endpoints. Now it runs once and gets 502.

--- a/crates/waxwing-conduit/src/intake.rs
+++ b/crates/waxwing-conduit/src/intake.rs
@@ -437,13 +437,11 @@
     let (response, connection) = answer.split();
     let (head, incoming) = response.into_parts();
     let facts = state.dialect.answer(&request.facts.id, &head);
-    if let Some(load) = facts.load {
-        run.record_load(load);
-    }
     if facts.id_matches {
         run.record_statements(&facts, sent);
     }
-    if facts.not_run {
+    // An endpoint may write the refusal of an earlier request where this one's answer is due.
+    if facts.not_run && facts.id_matches {
         state.metrics.count_attempt("refused");
         tracing::info!(
             event = "endpoint-refused",
--- a/crates/waxwing-conduit/src/state.rs
+++ b/crates/waxwing-conduit/src/state.rs
@@ -314,20 +314,14 @@
         }
     }
 
-    /// Records the load that the endpoint reported with an answer.
-    pub(crate) fn record_load(&self, load: dialects::LoadFacts) {
-        let now = self.state.clock.now();
-        self.state
-            .gate()
-            .core
-            .record_load(now, &self.endpoint, load);
-    }
-
-    /// Records what the endpoint stated about itself in an answer to a request that was sent at
-    /// `sent`.
+    /// Records the load and what else the endpoint stated about itself in an answer to a request
+    /// that was sent at `sent`.
     pub(crate) fn record_statements(&self, facts: &dialects::AnswerFacts, sent: Instant) {
         let now = self.state.clock.now();
         let mut gate = self.state.gate();
+        if let Some(load) = facts.load {
+            gate.core.record_load(now, &self.endpoint, load);
+        }
         gate.core
             .record_limit(now, &self.endpoint, facts.limit, sent);
         let changes = gate.core.take_limit_changes();
