--- a/crates/waxwing-fleet/src/registry.rs
+++ b/crates/waxwing-fleet/src/registry.rs
@@ -27,6 +27,10 @@
     Changed,
 }
 
+/// The most requests that an endpoint may say it serves concurrently; far above any engine. A notice
+/// with more doesn't come from an endpoint.
+pub const MAX_SLOTS: u32 = 1 << 16;
+
 /// The latest notice of an endpoint.
 #[derive(Debug, Clone)]
 pub struct RegistryRecord {
--- a/crates/waxwing-gate/src/gate.rs
+++ b/crates/waxwing-gate/src/gate.rs
@@ -286,7 +286,7 @@
             load.limited += usize::from(view.limit.limit().is_some());
             if view.is_usable(now, &self.options) {
                 load.usable += 1;
-                load.slots += view.slots;
+                load.slots = load.slots.saturating_add(view.slots);
                 load.running += view.total().running;
             }
         }
