Give a host that loses its folder while it runs a new identity

Cause: a host that founded the group derives its store id from its address. The process kept the setting to found, so when its data folder had vanished and a failed write made it open the log again, it founded the group once more under the identity whose log and vote were lost. Change: once the log was opened, the process no longer founds; an empty folder joins as new.

--- a/crates/waxwing-registrar/src/roles.rs
+++ b/crates/waxwing-registrar/src/roles.rs
@@ -54,7 +54,7 @@
         shutdown: CancellationToken,
     ) -> Result<(), errors::RegistrarError> {
         let stop_tasks = CancellationToken::new();
-        let options = self.options;
+        let mut options = self.options;
         let network_options = network::NetworkOptions::new(
             options.link_address,
             messages::ProcessKind::Control,
@@ -101,7 +101,12 @@
                 self.clock.clone(),
             );
             let result = match opened {
-                Ok(task) => task.run(&shutdown).await,
+                Ok(task) => {
+                    // The group exists from now on. A folder that is empty at the next opening has
+                    // been lost, and with it what this host acknowledged as a founder.
+                    options.found = false;
+                    task.run(&shutdown).await
+                }
                 Err(error) => Err(error),
             };
             // Notices of endpoints need no disk, so the host keeps serving them without the log.
