Remove silent voters beyond the tolerated losses

What callers saw: nothing yet. Cause: a group with an odd number of voters was never shrunk. The two new hosts became voters before the two lost ones counted as silent, which made seven with a quorum of four; the two lost ones stayed. The next two lost disks left three of four. The other way round, a group of four was shrunk to three while one host was cut off, whatever losses the fleet is to tolerate, and a lone learner was then not promoted. Change: the group is told the tolerated losses (a setting, 1 unless given; the platform's settings name them). It removes silent voters while it has more than twice as many and one, if the number is even or two are silent, never shrinks below that for silence, and promotes learners up to it.

--- a/crates/waxwing-registrar/src/group.rs
+++ b/crates/waxwing-registrar/src/group.rs
@@ -76,7 +76,10 @@
             recovered = store.bootstrap(founding_snapshot(options))?;
             tracing::info!(event = "group-founded", %identity);
         }
-        let replica_options = replica::ReplicaOptions::default();
+        let replica_options = replica::ReplicaOptions {
+            tolerated_losses: options.tolerated_losses,
+            ..replica::ReplicaOptions::default()
+        };
         let tick_interval = replica_options.node.tick_interval;
         let replica =
             replica::DeploymentReplica::new(identity, replica_options, recovered, rand::random())?;
--- a/crates/waxwing-registrar/src/options.rs
+++ b/crates/waxwing-registrar/src/options.rs
@@ -21,6 +21,10 @@
     pub seeds: Vec<SocketAddr>,
     /// Whether this is the first start of the whole fleet; the seeds then bootstrap the group.
     pub found: bool,
+    /// The control hosts, or their disks, that may be lost at the same time. The group keeps twice
+    /// as many voters and one where there are enough hosts.
+    #[serde(default = "default_tolerated_losses")]
+    pub tolerated_losses: u32,
     /// The folder for the replicated log.
     pub data_folder: PathBuf,
     /// The address at which metrics are served; `None` disables this.
@@ -32,6 +36,10 @@
     pub call_millis: u64,
 }
 
+const fn default_tolerated_losses() -> u32 {
+    1
+}
+
 const fn default_call_millis() -> u64 {
     900
 }
--- a/crates/waxwing-registrar/src/repair.rs
+++ b/crates/waxwing-registrar/src/repair.rs
@@ -4,11 +4,13 @@
 //! rules:
 //!
 //! - A learner that has caught up is promoted to voter where the group then tolerates more
-//!   failures: if the number of voters is even, if a second learner can follow, or in place of a
-//!   silent voter. The quorum node refuses to promote a learner that has not caught up.
-//! - A voter that has been silent for [`SILENCE_BEFORE_REMOVAL`] is removed only while the number
-//!   of voters is even and above [`MIN_VOTERS`]. This makes the quorum smaller and tolerates as
-//!   many failures as before. A group with an odd number of voters never shrinks automatically.
+//!   failures: if it has fewer voters than [`VoterBounds`] ask for, if the number of voters is even,
+//!   if a second learner can follow, or in place of a silent voter. The quorum node refuses to
+//!   promote a learner that has not caught up.
+//! - A voter that has been silent for [`SILENCE_BEFORE_REMOVAL`] is removed only while there are
+//!   more voters than the tolerated losses ask for, and either their number is even, so that the
+//!   quorum becomes smaller, or two are silent, so that it does with the next removal. Silent voters
+//!   that stay would use up the losses that the group tolerates.
 //! - A learner that has been silent for the same time is removed.
 //! - A host whose data folder was wiped returns with its member id and a new store id. The data of
 //!   its old identity is lost, so the old identity is removed at once, and the host joins as a new
@@ -23,12 +25,34 @@
 /// of a process. A removed voter that comes back joins again.
 pub const SILENCE_BEFORE_REMOVAL: Duration = Duration::from_millis(1_500);
 
-/// The smallest number of voters that repair leaves; with two, the group tolerates no failure.
-pub const MIN_VOTERS: usize = 3;
+/// The largest number of voters, unless more losses are to be tolerated. Each further voter adds a
+/// disk sync to every change.
+const MAX_VOTERS: usize = 7;
 
-/// The largest number of voters. Each further voter adds a disk sync to every change, for more
-/// failures than operators plan to tolerate.
-pub const MAX_VOTERS: usize = 7;
+/// Bounds of the number of voters that repair keeps to.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct VoterBounds {
+    /// The smallest number that a removal for silence leaves, and up to which single learners are
+    /// promoted.
+    pub min: usize,
+    /// The number from which no learner is promoted.
+    pub max: usize,
+}
+
+impl VoterBounds {
+    /// Returns the bounds of a group that loses nothing and goes on while `losses` hosts or their
+    /// disks are lost at the same time. As many new hosts may become voters before the lost ones
+    /// are removed.
+    #[must_use]
+    pub fn tolerating(losses: u32) -> Self {
+        let losses = usize::try_from(losses.max(1)).unwrap_or(usize::MAX / 4);
+        let min = 2 * losses + 1;
+        Self {
+            min,
+            max: MAX_VOTERS.max(min + losses),
+        }
+    }
+}
 
 /// The state of another member as the leader sees it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -45,23 +69,25 @@
 /// members except the leader, which counts as a responsive voter. Hosts that ask to join are left
 /// to [`admit`].
 #[must_use]
-pub fn next_change(others: &[MemberView]) -> Option<members::MemberChange> {
+pub fn next_change(others: &[MemberView], bounds: VoterBounds) -> Option<members::MemberChange> {
     let is_voter = |view: &&MemberView| view.kind == members::MemberKind::Voter;
     let voters = others.iter().filter(is_voter).count() + 1;
-    let silent = others
+    let silent_voters = others
         .iter()
         .filter(is_voter)
-        .filter(|view| view.silence >= SILENCE_BEFORE_REMOVAL)
-        .max_by_key(|view| view.silence);
-    if let Some(view) = silent.filter(|_| voters > MIN_VOTERS && voters.is_multiple_of(2)) {
+        .filter(|view| view.silence >= SILENCE_BEFORE_REMOVAL);
+    let silent = silent_voters.clone().max_by_key(|view| view.silence);
+    let shrinks_quorum = voters.is_multiple_of(2) || silent_voters.count() > 1;
+    if let Some(view) = silent.filter(|_| voters > bounds.min && shrinks_quorum) {
         return Some(members::MemberChange::Remove(view.identity));
     }
     let mut responsive = others.iter().filter(|view| {
         view.kind == members::MemberKind::Learner && view.silence < SILENCE_BEFORE_REMOVAL
     });
     let (learner, second) = (responsive.next(), responsive.next());
-    let improves_tolerance = voters.is_multiple_of(2) || second.is_some() || silent.is_some();
-    if let Some(view) = learner.filter(|_| improves_tolerance && voters < MAX_VOTERS) {
+    let improves_tolerance =
+        voters < bounds.min || voters.is_multiple_of(2) || second.is_some() || silent.is_some();
+    if let Some(view) = learner.filter(|_| improves_tolerance && voters < bounds.max) {
         return Some(members::MemberChange::Promote(view.identity));
     }
     let unresponsive = others.iter().find(|view| {
--- a/crates/waxwing-registrar/src/replica.rs
+++ b/crates/waxwing-registrar/src/replica.rs
@@ -40,6 +40,9 @@
     /// Bytes of log entries since the last snapshot at which a new one is taken; default 2 MiB.
     /// This bounds the replay at a restart and the memory that the log uses.
     pub snapshot_bytes: core_units::ByteCount,
+    /// The hosts or disks that may be lost at the same time; default 1. It sets how many voters the
+    /// repair of the membership keeps.
+    pub tolerated_losses: u32,
 }
 
 impl Default for ReplicaOptions {
@@ -55,6 +58,7 @@
                 ..quorum_options::NodeOptions::default()
             },
             snapshot_bytes: core_units::ByteCount(2 * 1024 * 1024),
+            tolerated_losses: 1,
         }
     }
 }
@@ -86,6 +90,7 @@
     node: node::QuorumNode,
     register: documents::DocumentRegister,
     snapshot_bytes: core_units::ByteCount,
+    voter_bounds: repair::VoterBounds,
     proposals: BTreeMap<units::LogIndex, PendingProposal<T>>,
     calls: HashMap<u64, PendingCall<T>>,
     next_read_token: u64,
@@ -122,6 +127,7 @@
             node,
             register,
             snapshot_bytes: options.snapshot_bytes,
+            voter_bounds: repair::VoterBounds::tolerating(options.tolerated_losses),
             proposals: BTreeMap::new(),
             calls: HashMap::new(),
             next_read_token: 0,
@@ -204,7 +210,7 @@
                 silence,
             });
         }
-        if let Some(change) = repair::next_change(&views) {
+        if let Some(change) = repair::next_change(&views, self.voter_bounds) {
             self.propose_member_change(change);
         }
     }
--- a/crates/waxwing-registrar/tests/durability/main.rs
+++ b/crates/waxwing-registrar/tests/durability/main.rs
@@ -37,6 +37,23 @@
     Everything,
 }
 
+/// The control hosts of a fleet, and the disks that it may lose at a time.
+#[derive(Debug, Clone, Copy)]
+struct FleetSize {
+    hosts: usize,
+    tolerated_disks: usize,
+}
+
+const THREE_HOSTS: FleetSize = FleetSize {
+    hosts: 3,
+    tolerated_disks: 1,
+};
+
+const FIVE_HOSTS: FleetSize = FleetSize {
+    hosts: 5,
+    tolerated_disks: 2,
+};
+
 /// A host to hit: mostly the leader.
 fn draw_host(model: &mut ControlModel) -> usize {
     let present = model.present();
@@ -44,7 +61,7 @@
     leader.unwrap_or_else(|| present[model.random.random_range(0..present.len())])
 }
 
-fn inject(model: &mut ControlModel, mix: FaultMix) {
+fn inject(model: &mut ControlModel, fleet: FleetSize, mix: FaultMix) {
     let host = draw_host(model);
     let time = millis(model.random.random_range(10..6_000));
     let down = millis(model.random.random_range(0..1_500));
@@ -76,7 +93,9 @@
             let others: Vec<_> = model.present();
             let others: Vec<_> = others.into_iter().filter(|other| *other != host).collect();
             let first = model.random.random_range(0..others.len());
-            model.wipe(others[first], down);
+            for lost in 0..fleet.tolerated_disks {
+                model.wipe(others[(first + lost) % others.len()], down);
+            }
             for other in others {
                 model.kill(other, true, time);
             }
@@ -87,11 +106,11 @@
 }
 
 /// Plays a schedule of faults that is drawn from `seed`.
-fn run_schedule(seed: u64, mix: FaultMix) -> Result<RunCounts, String> {
-    let mut model = ControlModel::new(seed);
+fn run_schedule(seed: u64, fleet: FleetSize, mix: FaultMix) -> Result<RunCounts, String> {
+    let mut model = ControlModel::new(seed, fleet.hosts, fleet.tolerated_disks);
     model.run(millis(1_500), load);
     for _ in 0..24 {
-        inject(&mut model, mix);
+        inject(&mut model, fleet, mix);
         let pause = match model.random.random_range(0..6) {
             0 => 0,
             5 => 6_000,
@@ -107,10 +126,15 @@
         if let Some(leader) = model.leader() {
             model.put(leader);
             model.run(millis(10), |_| {});
-            let lost = draw_host(&mut model);
-            model.wipe(lost, millis(500));
-            for host in model.present() {
-                if host != lost {
+            let present = model.present();
+            let mut lost = Vec::new();
+            while model.tolerates_lost_disk() && lost.len() < present.len() {
+                let host = draw_host(&mut model);
+                model.wipe(host, millis(500));
+                lost.push(host);
+            }
+            for host in present {
+                if !lost.contains(&host) {
                     model.kill(host, true, millis(500));
                 }
             }
@@ -125,11 +149,11 @@
     requested.map_or(default, |requested| requested.parse().unwrap_or(default))
 }
 
-fn explore(count: u64, mix: FaultMix) {
+fn explore(count: u64, fleet: FleetSize, mix: FaultMix) {
     let mut failures = Vec::new();
     let mut total = RunCounts::default();
     for seed in 1..=count {
-        match run_schedule(seed, mix) {
+        match run_schedule(seed, fleet, mix) {
             Ok(counts) => {
                 total.acknowledged += counts.acknowledged;
                 total.reads += counts.reads;
@@ -152,10 +176,11 @@
 
 /// Guards against an older version that is read, and a confirmed one that is lost, after any order
 /// of faults.
-#[test_case(FaultMix::WithoutSuspension; "without suspended hosts")]
-#[test_case(FaultMix::Everything; "with suspended hosts")]
-fn confirmed_versions_never_revert(mix: FaultMix) {
-    explore(schedules(60), mix);
+#[test_case(THREE_HOSTS, FaultMix::WithoutSuspension; "three hosts without suspension")]
+#[test_case(THREE_HOSTS, FaultMix::Everything; "three hosts")]
+#[test_case(FIVE_HOSTS, FaultMix::Everything; "five hosts")]
+fn confirmed_versions_never_revert(fleet: FleetSize, mix: FaultMix) {
+    explore(schedules(60), fleet, mix);
 }
 
 /// Guards against a read that a re-elected leader confirms with the rejection of a request that it
@@ -165,7 +190,7 @@
 fn requests_of_an_earlier_term_confirm_no_read() {
     let mut reelected = 0;
     for seed in 0..20 {
-        let mut model = ControlModel::new(seed);
+        let mut model = ControlModel::new(seed, 3, 1);
         model.run(millis(1_500), load);
         let leader = model.leader().expect("a leader is elected");
         let (behind, other) = ((leader + 1) % 3, (leader + 2) % 3);
@@ -197,7 +222,7 @@
 #[test]
 fn leader_that_was_suspended_reads_no_older_version() {
     for seed in 0..20 {
-        let mut model = ControlModel::new(seed);
+        let mut model = ControlModel::new(seed, 3, 1);
         model.run(millis(1_500), load);
         let leader = model.leader().expect("a leader is elected");
         model.stop(leader, Stop::Suspend, millis(4_000));
@@ -208,3 +233,23 @@
         assert_eq!(model.recover_and_check().err(), None, "seed {seed}");
     }
 }
+
+/// Guards against lost hosts that stay voters of a group which has replaced them: two are replaced,
+/// and once the new ones have caught up, two disks are lost. The group then had no quorum of hosts
+/// that still had their data.
+#[test]
+fn replaced_hosts_leave_room_for_lost_disks() {
+    for seed in 0..10 {
+        let mut model = ControlModel::new(seed, FIVE_HOSTS.hosts, FIVE_HOSTS.tolerated_disks);
+        model.run(millis(4_000), load);
+        for host in [0, 4] {
+            model.replace(host);
+        }
+        model.run(millis(8_000), load);
+        assert!(model.tolerates_lost_disk(), "the new hosts have caught up");
+        for host in [1, 6] {
+            model.wipe(host, millis(500));
+        }
+        assert_eq!(model.recover_and_check().err(), None, "seed {seed}");
+    }
+}
--- a/crates/waxwing-registrar/tests/durability/model.rs
+++ b/crates/waxwing-registrar/tests/durability/model.rs
@@ -25,6 +25,9 @@
 
 const LINK_PORT: u16 = 7000;
 
+/// The hosts that found the fleet.
+const FOUNDERS: usize = 3;
+
 /// How long a host stops.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum Stop {
@@ -96,9 +99,11 @@
     last_version: u64,
     /// The newest version that was acknowledged or read.
     newest: u64,
-    /// Since when all hosts run undisturbed, and whether a lost disk awaits its replacement.
+    /// The disks that may be lost at a time.
+    tolerated_disks: usize,
+    /// The disks that are lost, until all hosts have run undisturbed for [`CATCH_UP`].
+    lost_disks: usize,
     calm_since: Duration,
-    disk_lost: bool,
     leaders: BTreeMap<u64, usize>,
     pub(crate) counts: RunCounts,
     pub(crate) violation: Option<String>,
@@ -117,8 +122,9 @@
     Bytes::from(format!("document {version}").into_bytes())
 }
 
-fn replica_options() -> replica::ReplicaOptions {
+fn replica_options(tolerated_losses: usize) -> replica::ReplicaOptions {
     replica::ReplicaOptions {
+        tolerated_losses: u32::try_from(tolerated_losses).expect("a small number"),
         // Small enough that compaction and snapshots happen many times in a run.
         snapshot_bytes: core_units::ByteCount(600),
         node: waxwing_quorum::options::NodeOptions {
@@ -130,8 +136,8 @@
 }
 
 impl ControlModel {
-    /// Starts a fleet that three hosts found.
-    pub(crate) fn new(seed: u64) -> Self {
+    /// Starts a fleet of `hosts`, three of which found it.
+    pub(crate) fn new(seed: u64, hosts: usize, tolerated_disks: usize) -> Self {
         let mut model = Self {
             now: Duration::ZERO,
             random: rngs::StdRng::seed_from_u64(seed),
@@ -146,13 +152,14 @@
             last_version: 0,
             newest: 0,
             calm_since: Duration::ZERO,
-            disk_lost: false,
+            tolerated_disks,
+            lost_disks: 0,
             leaders: BTreeMap::new(),
             counts: RunCounts::default(),
             violation: None,
         };
-        for _ in 0..3 {
-            model.add_host(true);
+        for host in 0..hosts {
+            model.add_host(host < FOUNDERS);
         }
         model
     }
@@ -198,7 +205,7 @@
             }
         };
         if founder && store.is_fresh() {
-            let founders: Vec<_> = (0..3)
+            let founders: Vec<_> = (0..FOUNDERS)
                 .map(|host| repair::founding_identity(member(host)))
                 .collect();
             let snapshot = replica::founding_snapshot(&founders);
@@ -206,8 +213,13 @@
         }
         let seed = self.random.random();
         let identity = store.identity();
-        let replica = replica::DeploymentReplica::new(identity, replica_options(), recovered, seed)
-            .expect("a recovered state is valid");
+        let replica = replica::DeploymentReplica::new(
+            identity,
+            replica_options(self.tolerated_disks),
+            recovered,
+            seed,
+        )
+        .expect("a recovered state is valid");
         let started = self.steady(host);
         self.hosts[host].process = Some(HostProcess {
             replica,
@@ -284,10 +296,9 @@
         }
     }
 
-    /// Returns whether a disk may be lost now: each disk lost before must have been replaced, and
-    /// the hosts undisturbed for [`CATCH_UP`] since.
+    /// Returns whether a disk may be lost now, whatever else goes on.
     pub(crate) fn tolerates_lost_disk(&self) -> bool {
-        !self.disk_lost
+        self.lost_disks < self.tolerated_disks
     }
 
     pub(crate) fn wipe(&mut self, host: usize, down: Duration) {
@@ -295,7 +306,7 @@
             return;
         }
         self.counts.wipes += 1;
-        self.disk_lost = true;
+        self.lost_disks += 1;
         self.calm_since = self.now;
         self.kill(host, true, down);
         self.hosts[host].disk.wipe();
@@ -303,10 +314,10 @@
 
     /// Takes a host away for good; an empty one starts at another address.
     pub(crate) fn replace(&mut self, host: usize) {
-        if self.hosts[host].removed || !self.tolerates_lost_disk() || self.size() > 6 {
+        if self.hosts[host].removed || !self.tolerates_lost_disk() || self.size() > 8 {
             return;
         }
-        self.disk_lost = true;
+        self.lost_disks += 1;
         self.calm_since = self.now;
         self.kill(host, true, Duration::ZERO);
         self.hosts[host].removed = true;
@@ -495,7 +506,7 @@
         if !self.blocked.is_empty() || !self.hosts.iter().all(undisturbed) {
             self.calm_since = self.now;
         } else if self.now - self.calm_since >= CATCH_UP {
-            self.disk_lost = false;
+            self.lost_disks = 0;
         }
     }
 
--- a/crates/waxwing-registrar/tests/repair.rs
+++ b/crates/waxwing-registrar/tests/repair.rs
@@ -7,9 +7,12 @@
 use waxwing_quorum::members::{MemberChange, MemberIdentity, MemberKind, Membership};
 use waxwing_registrar::{
     documents::{DocumentRegister, StoredDocument},
-    repair::{self, MemberView},
+    repair::{self, MemberView, VoterBounds},
 };
 
+const ONE_LOSS: VoterBounds = VoterBounds { min: 3, max: 7 };
+const TWO_LOSSES: VoterBounds = VoterBounds { min: 5, max: 7 };
+
 fn identity(host: u8) -> MemberIdentity {
     let link = SocketAddr::from(([10, 0, 0, host], 7600));
     repair::founding_identity(repair::member_id(link).unwrap())
@@ -37,7 +40,7 @@
 #[test_case(&[true]; "two voters, one silent")]
 #[test_case(&[true, false, false, false]; "five voters, one silent")]
 fn repair_never_lowers_fault_tolerance(silent: &[bool]) {
-    assert_eq!(repair::next_change(&voters(silent)), None);
+    assert_eq!(repair::next_change(&voters(silent), ONE_LOSS), None);
 }
 
 #[test]
@@ -45,12 +48,12 @@
     let mut views = voters(&[true, false]);
     views.push(view(9, MemberKind::Learner, false));
     assert_eq!(
-        repair::next_change(&views),
+        repair::next_change(&views, ONE_LOSS),
         Some(MemberChange::Promote(identity(9)))
     );
     views[2].kind = MemberKind::Voter;
     assert_eq!(
-        repair::next_change(&views),
+        repair::next_change(&views, ONE_LOSS),
         Some(MemberChange::Remove(identity(0)))
     );
 }
@@ -59,7 +62,7 @@
 fn single_learner_beside_an_odd_group_is_not_promoted() {
     let mut views = voters(&[false, false]);
     views.push(view(9, MemberKind::Learner, false));
-    assert_eq!(repair::next_change(&views), None);
+    assert_eq!(repair::next_change(&views, ONE_LOSS), None);
 }
 
 #[test]
@@ -68,14 +71,53 @@
     views.push(view(8, MemberKind::Learner, false));
     views.push(view(9, MemberKind::Learner, false));
     assert_eq!(
-        repair::next_change(&views),
+        repair::next_change(&views, ONE_LOSS),
         Some(MemberChange::Promote(identity(8)))
     );
     views[2].kind = MemberKind::Voter;
     assert_eq!(
-        repair::next_change(&views),
+        repair::next_change(&views, ONE_LOSS),
+        Some(MemberChange::Promote(identity(9)))
+    );
+}
+
+#[test]
+fn bounds_follow_the_tolerated_losses() {
+    assert_eq!(VoterBounds::tolerating(0), ONE_LOSS);
+    assert_eq!(VoterBounds::tolerating(1), ONE_LOSS);
+    assert_eq!(VoterBounds::tolerating(2), TWO_LOSSES);
+    assert_eq!(VoterBounds::tolerating(3), VoterBounds { min: 7, max: 10 });
+}
+
+/// Guards against silent voters that stay in a group which has replaced them, and use up the losses
+/// that it tolerates.
+#[test_case(6, 1; "six voters")]
+#[test_case(6, 2; "two silent of six voters")]
+#[test_case(7, 2; "two silent of seven voters")]
+fn voters_beyond_the_tolerated_losses_are_removed_when_silent(total: usize, silent: usize) {
+    let silent: Vec<_> = (1..total).map(|number| number <= silent).collect();
+    let change = repair::next_change(&voters(&silent), TWO_LOSSES);
+    assert!(
+        matches!(change, Some(MemberChange::Remove(_))),
+        "{change:?}"
+    );
+}
+
+/// Guards against a group that shrinks below what the tolerated losses ask for, since one of its
+/// hosts is cut off while another one joins again with an empty disk.
+#[test]
+fn group_is_not_shrunk_below_the_tolerated_losses() {
+    let mut views = voters(&[true, false, false]);
+    assert_eq!(repair::next_change(&views, TWO_LOSSES), None);
+    assert!(repair::next_change(&views, ONE_LOSS).is_some());
+    views.remove(2);
+    views.push(view(9, MemberKind::Learner, false));
+    views[0].silence = Duration::ZERO;
+    assert_eq!(
+        repair::next_change(&views, TWO_LOSSES),
         Some(MemberChange::Promote(identity(9)))
     );
+    assert_eq!(repair::next_change(&views, ONE_LOSS), None);
 }
 
 #[test]
@@ -83,7 +125,7 @@
     let mut views = voters(&[false, false]);
     views.push(view(9, MemberKind::Learner, true));
     assert_eq!(
-        repair::next_change(&views),
+        repair::next_change(&views, ONE_LOSS),
         Some(MemberChange::Remove(identity(9)))
     );
 }
