--- a/crates/waxwing-registrar/tests/durability/model.rs
+++ b/crates/waxwing-registrar/tests/durability/model.rs
@@ -1,6 +1,9 @@
 //! Control hosts with the real replica and store on in-memory disks, under a simulated network and
 //! simulated clocks, and operators that check every answer.
 
+mod calls;
+mod faults;
+
 use std::{
     collections::{BTreeMap, BTreeSet, VecDeque},
     net,
@@ -11,7 +14,7 @@
 use rand::{RngExt as _, SeedableRng as _, rngs};
 use waxwing_core::{ids, units as core_units};
 use waxwing_quorum::{messages, ready};
-use waxwing_registrar::{documents, repair, replica};
+use waxwing_registrar::{repair, replica};
 use waxwing_store::{errors, memory, store};
 
 pub(crate) const TICK: Duration = Duration::from_millis(5);
@@ -273,192 +276,6 @@
             .max_by_key(term)
     }
 
-    // Faults.
-
-    /// Ends the process of a host, which comes back after `down`. With `power`, its disk loses what
-    /// was not synced.
-    pub(crate) fn kill(&mut self, host: usize, power: bool, down: Duration) {
-        if self.hosts[host].removed {
-            return;
-        }
-        let seed = self.random.random();
-        let now = self.now;
-        let lost = &mut self.hosts[host];
-        lost.process = None;
-        lost.stopped = None;
-        // Settings of a restart no longer tell a host to found the fleet.
-        lost.founder = false;
-        lost.restart_at = Some(now + down);
-        if power {
-            lost.disk.crash(seed);
-        } else {
-            lost.disk.kill();
-        }
-    }
-
-    /// Returns whether a disk may be lost now, whatever else goes on.
-    pub(crate) fn tolerates_lost_disk(&self) -> bool {
-        self.lost_disks < self.tolerated_disks
-    }
-
-    pub(crate) fn wipe(&mut self, host: usize, down: Duration) {
-        if self.hosts[host].removed || !self.tolerates_lost_disk() {
-            return;
-        }
-        self.counts.wipes += 1;
-        self.lost_disks += 1;
-        self.calm_since = self.now;
-        self.kill(host, true, down);
-        self.hosts[host].disk.wipe();
-    }
-
-    /// Takes a host away for good; an empty one starts at another address.
-    pub(crate) fn replace(&mut self, host: usize) {
-        if self.hosts[host].removed || !self.tolerates_lost_disk() || self.size() > 8 {
-            return;
-        }
-        self.lost_disks += 1;
-        self.calm_since = self.now;
-        self.kill(host, true, Duration::ZERO);
-        self.hosts[host].removed = true;
-        self.hosts[host].restart_at = None;
-        self.add_host(false);
-    }
-
-    pub(crate) fn stop(&mut self, host: usize, stop: Stop, time: Duration) {
-        if self.runs(host) {
-            if stop == Stop::Suspend {
-                self.counts.suspensions += 1;
-            }
-            self.hosts[host].stopped = Some((stop, self.now + time));
-        }
-    }
-
-    pub(crate) fn slow_disk(&mut self, host: usize, delay: Duration) {
-        self.hosts[host].write_delay = delay;
-    }
-
-    pub(crate) fn fail_disk(&mut self, host: usize, syncs: u64) {
-        self.hosts[host].disk.set_faults(memory::DiskFaults {
-            failed_sync: Some(syncs),
-            ..memory::DiskFaults::default()
-        });
-    }
-
-    /// Cuts `side` off from the other hosts, in one direction or both.
-    pub(crate) fn cut(&mut self, side: &[usize], one_way: bool, mode: CutMode) {
-        self.cut_mode = mode;
-        for from in side {
-            for to in 0..self.size() {
-                if !side.contains(&to) {
-                    self.blocked.insert((*from, to));
-                    if !one_way {
-                        self.blocked.insert((to, *from));
-                    }
-                }
-            }
-        }
-    }
-
-    /// Lets new messages through all links; held ones wait on.
-    pub(crate) fn reconnect(&mut self) {
-        self.blocked.clear();
-    }
-
-    pub(crate) fn heal(&mut self) {
-        self.reconnect();
-        for (from, to, payload) in std::mem::take(&mut self.held) {
-            self.queue(from, to, payload);
-        }
-    }
-
-    // Calls of operators.
-
-    fn open_call(&mut self, stores: Option<u64>) -> u64 {
-        self.last_ticket += 1;
-        let floor = self.newest;
-        self.calls
-            .insert(self.last_ticket, OpenCall { stores, floor });
-        self.last_ticket
-    }
-
-    /// Sends a new version to a host.
-    pub(crate) fn put(&mut self, host: usize) {
-        if !self.runs(host) {
-            return;
-        }
-        self.last_version += 1;
-        self.send_put(host, self.last_version);
-    }
-
-    /// Sends a version that was sent before once more.
-    pub(crate) fn resend(&mut self, host: usize) {
-        if self.runs(host) && self.last_version > 0 {
-            let back = self.random.random_range(0..3).min(self.last_version - 1);
-            self.send_put(host, self.last_version - back);
-        }
-    }
-
-    fn send_put(&mut self, host: usize, version: u64) {
-        let ticket = self.open_call(Some(version));
-        let now = self.elapsed(host);
-        let document = documents::StoredDocument {
-            version,
-            body: body(version),
-        };
-        if let Some(process) = &mut self.hosts[host].process {
-            process.replica.put(now, document, ticket);
-        }
-        self.drive(host);
-    }
-
-    pub(crate) fn read(&mut self, host: usize) {
-        if !self.runs(host) {
-            return;
-        }
-        let ticket = self.open_call(None);
-        let now = self.elapsed(host);
-        if let Some(process) = &mut self.hosts[host].process {
-            process.replica.read(now, ticket);
-        }
-        self.drive(host);
-    }
-
-    fn check_outcome(&mut self, host: usize, ticket: u64, outcome: &replica::CallOutcome) {
-        let (Some(call), Ok(document)) = (self.calls.remove(&ticket), outcome) else {
-            return;
-        };
-        let version = document.version;
-        if version > 0 && document.body != body(version) {
-            self.report(format!(
-                "host {host} answers version {version} with another document"
-            ));
-        }
-        match call.stores {
-            Some(stored) => {
-                self.counts.acknowledged += 1;
-                if version < stored {
-                    self.report(format!(
-                        "host {host} acknowledges version {stored} and holds {version}"
-                    ));
-                }
-                self.newest = self.newest.max(stored);
-            }
-            None => {
-                self.counts.reads += 1;
-                let floor = call.floor;
-                if version < floor {
-                    self.report(format!(
-                        "version {version} is read at host {host}, {floor} had been confirmed"
-                    ));
-                }
-                self.newest = self.newest.max(version);
-            }
-        }
-    }
-
-    // Time, network and disks.
-
     /// Runs for `time`, or until a violation; `load` sends calls at each tick.
     pub(crate) fn run(&mut self, time: Duration, load: fn(&mut Self)) {
         let end = self.now + time;
@@ -642,31 +459,4 @@
             self.kill(host, false, REOPEN_PAUSE);
         }
     }
-
-    /// Ends all faults, and checks that a new version can be stored and that nothing confirmed is
-    /// lost.
-    pub(crate) fn recover_and_check(&mut self) -> Result<RunCounts, String> {
-        self.heal();
-        for host in 0..self.size() {
-            self.hosts[host].write_delay = Duration::ZERO;
-            self.hosts[host].stopped = None;
-            self.hosts[host]
-                .disk
-                .set_faults(memory::DiskFaults::default());
-        }
-        let before = self.counts;
-        for _ in 0..100 {
-            self.run(Duration::from_millis(200), |_| {});
-            if let Some(leader) = self.leader() {
-                self.read(leader);
-                self.put(leader);
-            }
-        }
-        let progressed =
-            self.counts.acknowledged > before.acknowledged && self.counts.reads > before.reads;
-        if !progressed {
-            self.report("the recovered group stores or reads nothing".to_owned());
-        }
-        self.violation.clone().map_or(Ok(self.counts), Err)
-    }
 }
--- /dev/null
+++ b/crates/waxwing-registrar/tests/durability/model/calls.rs
@@ -0,0 +1,126 @@
+//! Calls of operators, and the checks of what they are answered.
+
+use std::time::Duration;
+
+use rand::RngExt as _;
+use waxwing_registrar::{documents, replica};
+use waxwing_store::memory;
+
+use super::{ControlModel, OpenCall, RunCounts, body};
+
+impl ControlModel {
+    fn open_call(&mut self, stores: Option<u64>) -> u64 {
+        self.last_ticket += 1;
+        let floor = self.newest;
+        self.calls
+            .insert(self.last_ticket, OpenCall { stores, floor });
+        self.last_ticket
+    }
+
+    /// Sends a new version to a host.
+    pub(crate) fn put(&mut self, host: usize) {
+        if !self.runs(host) {
+            return;
+        }
+        self.last_version += 1;
+        self.send_put(host, self.last_version);
+    }
+
+    /// Sends a version that was sent before once more.
+    pub(crate) fn resend(&mut self, host: usize) {
+        if self.runs(host) && self.last_version > 0 {
+            let back = self.random.random_range(0..3).min(self.last_version - 1);
+            self.send_put(host, self.last_version - back);
+        }
+    }
+
+    fn send_put(&mut self, host: usize, version: u64) {
+        let ticket = self.open_call(Some(version));
+        let now = self.elapsed(host);
+        let document = documents::StoredDocument {
+            version,
+            body: body(version),
+        };
+        if let Some(process) = &mut self.hosts[host].process {
+            process.replica.put(now, document, ticket);
+        }
+        self.drive(host);
+    }
+
+    pub(crate) fn read(&mut self, host: usize) {
+        if !self.runs(host) {
+            return;
+        }
+        let ticket = self.open_call(None);
+        let now = self.elapsed(host);
+        if let Some(process) = &mut self.hosts[host].process {
+            process.replica.read(now, ticket);
+        }
+        self.drive(host);
+    }
+
+    pub(super) fn check_outcome(
+        &mut self,
+        host: usize,
+        ticket: u64,
+        outcome: &replica::CallOutcome,
+    ) {
+        let (Some(call), Ok(document)) = (self.calls.remove(&ticket), outcome) else {
+            return;
+        };
+        let version = document.version;
+        if version > 0 && document.body != body(version) {
+            self.report(format!(
+                "host {host} answers version {version} with another document"
+            ));
+        }
+        match call.stores {
+            Some(stored) => {
+                self.counts.acknowledged += 1;
+                if version < stored {
+                    self.report(format!(
+                        "host {host} acknowledges version {stored} and holds {version}"
+                    ));
+                }
+                self.newest = self.newest.max(stored);
+            }
+            None => {
+                self.counts.reads += 1;
+                let floor = call.floor;
+                if version < floor {
+                    self.report(format!(
+                        "version {version} is read at host {host}, {floor} had been confirmed"
+                    ));
+                }
+                self.newest = self.newest.max(version);
+            }
+        }
+    }
+
+    /// Ends all faults, and checks that a new version can be stored and that nothing confirmed is
+    /// lost.
+    pub(crate) fn recover_and_check(&mut self) -> Result<RunCounts, String> {
+        self.heal();
+        for host in 0..self.size() {
+            self.hosts[host].write_delay = Duration::ZERO;
+            self.hosts[host].stopped = None;
+            self.hosts[host]
+                .disk
+                .set_faults(memory::DiskFaults::default());
+        }
+        let before = self.counts;
+        for _ in 0..100 {
+            self.run(Duration::from_millis(200), |_| {});
+            if let Some(leader) = self.leader() {
+                self.read(leader);
+                self.put(leader);
+            }
+        }
+        let progressed =
+            self.counts.acknowledged > before.acknowledged && self.counts.reads > before.reads;
+        if !progressed {
+            self.report("the recovered group stores or reads nothing".to_owned());
+        }
+        self.violation.clone().map_or(Ok(self.counts), Err)
+    }
+}
--- /dev/null
+++ b/crates/waxwing-registrar/tests/durability/model/faults.rs
@@ -0,0 +1,107 @@
+//! Faults of hosts, disks and links.
+
+use std::time::Duration;
+
+use rand::RngExt as _;
+use waxwing_store::memory;
+
+use super::{ControlModel, CutMode, Stop};
+
+impl ControlModel {
+    /// Ends the process of a host, which comes back after `down`. With `power`, its disk loses what
+    /// was not synced.
+    pub(crate) fn kill(&mut self, host: usize, power: bool, down: Duration) {
+        if self.hosts[host].removed {
+            return;
+        }
+        let seed = self.random.random();
+        let now = self.now;
+        let lost = &mut self.hosts[host];
+        lost.process = None;
+        lost.stopped = None;
+        // Settings of a restart no longer tell a host to found the fleet.
+        lost.founder = false;
+        lost.restart_at = Some(now + down);
+        if power {
+            lost.disk.crash(seed);
+        } else {
+            lost.disk.kill();
+        }
+    }
+
+    /// Returns whether a disk may be lost now, whatever else goes on.
+    pub(crate) fn tolerates_lost_disk(&self) -> bool {
+        self.lost_disks < self.tolerated_disks
+    }
+
+    pub(crate) fn wipe(&mut self, host: usize, down: Duration) {
+        if self.hosts[host].removed || !self.tolerates_lost_disk() {
+            return;
+        }
+        self.counts.wipes += 1;
+        self.lost_disks += 1;
+        self.calm_since = self.now;
+        self.kill(host, true, down);
+        self.hosts[host].disk.wipe();
+    }
+
+    /// Takes a host away for good; an empty one starts at another address.
+    pub(crate) fn replace(&mut self, host: usize) {
+        if self.hosts[host].removed || !self.tolerates_lost_disk() || self.size() > 8 {
+            return;
+        }
+        self.lost_disks += 1;
+        self.calm_since = self.now;
+        self.kill(host, true, Duration::ZERO);
+        self.hosts[host].removed = true;
+        self.hosts[host].restart_at = None;
+        self.add_host(false);
+    }
+
+    pub(crate) fn stop(&mut self, host: usize, stop: Stop, time: Duration) {
+        if self.runs(host) {
+            if stop == Stop::Suspend {
+                self.counts.suspensions += 1;
+            }
+            self.hosts[host].stopped = Some((stop, self.now + time));
+        }
+    }
+
+    pub(crate) fn slow_disk(&mut self, host: usize, delay: Duration) {
+        self.hosts[host].write_delay = delay;
+    }
+
+    pub(crate) fn fail_disk(&mut self, host: usize, syncs: u64) {
+        self.hosts[host].disk.set_faults(memory::DiskFaults {
+            failed_sync: Some(syncs),
+            ..memory::DiskFaults::default()
+        });
+    }
+
+    /// Cuts `side` off from the other hosts, in one direction or both.
+    pub(crate) fn cut(&mut self, side: &[usize], one_way: bool, mode: CutMode) {
+        self.cut_mode = mode;
+        for from in side {
+            for to in 0..self.size() {
+                if !side.contains(&to) {
+                    self.blocked.insert((*from, to));
+                    if !one_way {
+                        self.blocked.insert((to, *from));
+                    }
+                }
+            }
+        }
+    }
+
+    /// Lets new messages through all links; held ones wait on.
+    pub(crate) fn reconnect(&mut self) {
+        self.blocked.clear();
+    }
+
+    pub(crate) fn heal(&mut self) {
+        self.reconnect();
+        for (from, to, payload) in std::mem::take(&mut self.held) {
+            self.queue(from, to, payload);
+        }
+    }
+}
