Look for limited endpoints in one pass

Cause: each decision walked all endpoints once more to see whether any names a limit. Change: one pass; the other entries are listed only once a limited endpoint is met. No change of what is decided; the tests of limits.rs pass.

--- a/crates/waxwing-gate/src/gate/statements.rs
+++ b/crates/waxwing-gate/src/gate/statements.rs
@@ -120,28 +120,26 @@
 
     /// Brings this entry's parts of the limits of a service's endpoints up to date.
     pub(super) fn refill_limits(&mut self, now: Instant, service: &SmolStr) {
-        let is_limited = |view: &crate::endpoints::EndpointView| view.limit.limit().is_some();
-        if !self.endpoints.values().any(is_limited) {
-            return;
-        }
         let own = self.options.address;
-        let others = self.other_entries(now);
-        let views = self.endpoints.values_mut();
-        for view in views.filter(|view| view.service == *service && is_limited(view)) {
-            let id = view.id.clone();
+        let retention = self.options.lost_peer_retention;
+        let (peers, lost_peers) = (&self.peers, &self.lost_peers);
+        // Entries that may still be running keep their parts.
+        let other_entries = || -> Vec<SocketAddr> {
+            let lost = lost_peers
+                .iter()
+                .filter(|(_, lost)| now.saturating_duration_since(lost.since) < retention);
+            let lost = lost.map(|(address, _)| *address);
+            peers.keys().copied().chain(lost).collect()
+        };
+        let mut others = None;
+        for view in self.endpoints.values_mut() {
+            if view.limit.limit().is_none() || view.service != *service {
+                continue;
+            }
+            let others = others.get_or_insert_with(other_entries);
+            let id = &view.id;
             view.limit
-                .refill(now, |limit| limits::entry_share(limit, own, &others, &id));
+                .refill(now, |limit| limits::entry_share(limit, own, others, id));
         }
     }
-
-    /// Returns the other entries that are connected or may still be running.
-    fn other_entries(&self, now: Instant) -> Vec<SocketAddr> {
-        let retention = self.options.lost_peer_retention;
-        let lost = self
-            .lost_peers
-            .iter()
-            .filter(|(_, lost)| now.saturating_duration_since(lost.since) < retention);
-        let lost = lost.map(|(address, _)| *address);
-        self.peers.keys().copied().chain(lost).collect()
-    }
 }
