Hold limits as load updates carry them

Cause: load updates carry limits in thousandths, rounded down, while the entry that got the answer held what it read. With more decimals each entry took the others' value for a change, told its own, and logged both, with every answer. Change: an entry rounds a limit to thousandths when it reads it.

--- a/crates/waxwing-conduit/src/suspects.rs
+++ b/crates/waxwing-conduit/src/suspects.rs
@@ -5,6 +5,7 @@
 use smol_str::SmolStr;
 use waxwing_core::clock::Clock;
 use waxwing_fleet::dialects;
+use waxwing_gate::endpoints;
 
 use crate::{intake, state, upstream};
 
@@ -23,7 +24,7 @@
         .gate()
         .core
         .endpoint(&run.endpoint)
-        .is_some_and(waxwing_gate::endpoints::EndpointView::is_serving);
+        .is_some_and(endpoints::EndpointView::is_serving);
     if !is_serving {
         return;
     }
--- a/crates/waxwing-gate/src/gate/statements.rs
+++ b/crates/waxwing-gate/src/gate/statements.rs
@@ -16,6 +16,20 @@
 /// Scale of limits in messages.
 const THOUSANDTHS: f64 = 1_000.0;
 
+/// Returns a limit as load updates carry it.
+#[expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "the conversion saturates, and limits are not negative"
+)]
+fn to_thousandths(limit: units::RequestRate) -> u64 {
+    (limit.0 * THOUSANDTHS).round() as u64
+}
+
+fn from_thousandths(thousandths: u64) -> units::RequestRate {
+    units::RequestRate(to_float(thousandths) / THOUSANDTHS)
+}
+
 /// A change of what an endpoint states, for the decision log.
 #[derive(Debug, Clone, PartialEq)]
 pub struct LimitChange {
@@ -35,6 +49,8 @@
         sent: Instant,
     ) {
         let at = if limit.is_some() { now } else { sent };
+        // All entries must hold the same value, or each would tell the others its own.
+        let limit = limit.map(|limit| from_thousandths(to_thousandths(limit)));
         self.observe_limit(endpoint, limits::LimitStatement { limit, at });
     }
 
@@ -64,10 +80,9 @@
             // One of the two entries hasn't learnt yet that the endpoint has started again.
             return;
         }
-        let rate = |thousandths| units::RequestRate(to_float(thousandths) / THOUSANDTHS);
         let age = Duration::from_millis(stated.age_millis);
         let statement = limits::LimitStatement {
-            limit: stated.thousandths.map(rate),
+            limit: stated.thousandths.map(from_thousandths),
             at: now.checked_sub(age).unwrap_or(now),
         };
         self.observe_limit(endpoint, statement);
@@ -104,15 +119,9 @@
     ) -> Option<messages::LimitStatement> {
         let view = self.endpoints.get(endpoint)?;
         let statement = view.limit.statement()?;
-        #[expect(
-            clippy::cast_possible_truncation,
-            clippy::cast_sign_loss,
-            reason = "the conversion saturates, and limits are not negative"
-        )]
-        let thousandths = |limit: units::RequestRate| (limit.0 * THOUSANDTHS) as u64;
         let age = now.saturating_duration_since(statement.at);
         Some(messages::LimitStatement {
-            thousandths: statement.limit.map(thousandths),
+            thousandths: statement.limit.map(to_thousandths),
             age_millis: u64::try_from(age.as_millis()).unwrap_or(u64::MAX),
             born: view.born,
         })
--- a/crates/waxwing-gate/tests/limits.rs
+++ b/crates/waxwing-gate/tests/limits.rs
@@ -101,6 +101,30 @@
     assert_eq!(core.take_limit_changes(), []);
 }
 
+/// Guards against entries that tell each other a limit again and again, since it differs by what
+/// load updates round off.
+#[test_case(2.3; "one decimal")]
+#[test_case(2.345_678; "more decimals than load updates carry")]
+fn unchanged_limit_is_told_once(limit: f64) {
+    let start = Instant::now();
+    let id = SmolStr::new(LIMITED);
+    let mut entries = [1, 2].map(|number| support::entry(start, number, &[(LIMITED, 9, 4)], 0));
+    let mut changes = 0;
+    for step in 0..10 {
+        let now = start + millis(10 * step);
+        let sender = usize::try_from(step % 2).unwrap();
+        entries[sender].record_limit(now, &id, Some(RequestRate(limit)), now);
+        let update = entries[sender].take_update(now, false);
+        let from = address(u8::try_from(sender).unwrap() + 1);
+        entries[1 - sender].apply_update(now, from, update);
+        changes += entries
+            .iter_mut()
+            .map(|core| core.take_limit_changes().len())
+            .sum::<usize>();
+    }
+    assert_eq!(changes, 2);
+}
+
 /// A request at an endpoint, and when its answer begins and ends.
 struct Run {
     entry: usize,
