Name and explain the parts of the new tests

Read as a newcomer: types with two words, what each collection of the model holds, how to explore more schedules by hand, and no rule names of the users' pages outside the adapter. No change of what is tested.

--- a/crates/waxwing-gate/tests/limits.rs
+++ b/crates/waxwing-gate/tests/limits.rs
@@ -126,7 +126,7 @@
 }
 
 /// A request at an endpoint, and when its answer begins and ends.
-struct Run {
+struct SimulatedRun {
     entry: usize,
     endpoint: SmolStr,
     sent: Instant,
@@ -139,7 +139,7 @@
     start: Instant,
     elapsed: u64,
     entries: Vec<gate::GateCore>,
-    runs: Vec<Run>,
+    runs: Vec<SimulatedRun>,
     /// The limit that the endpoint names now.
     limit: Option<f64>,
     /// When each request reached the limited endpoint, in milliseconds.
@@ -248,7 +248,7 @@
             if endpoint == LIMITED {
                 self.arrivals.push(self.elapsed);
             }
-            self.runs.push(Run {
+            self.runs.push(SimulatedRun {
                 entry,
                 endpoint,
                 sent: now,
@@ -304,7 +304,7 @@
     }
 }
 
-/// Guards against an endpoint that gets more requests than the limit it names (issue 22, LIMIT),
+/// Guards against an endpoint that gets more requests than the limit it names (issue 22),
 /// and against refusals while the other endpoints have room.
 #[test_case(1, 10; "one entry")]
 #[test_case(3, 30; "three entries")]
--- a/crates/waxwing-registrar/tests/durability/main.rs
+++ b/crates/waxwing-registrar/tests/durability/main.rs
@@ -1,12 +1,18 @@
 //! Explores what control hosts answer under orders of changes, syncs, crashes, lost disks, cuts,
-//! stopped hosts and membership changes, within the tolerated loss of one disk at a time. The model
-//! runs the replica, the repair and the store of production.
+//! stopped hosts and membership changes, within the tolerated losses of disks. The model runs the
+//! replica, the repair and the store of production.
+//!
+//! CI plays fixed seeds. To explore more of them by hand:
+//!
+//! ```sh
+//! WAXWING_SCHEDULES=8000 cargo test --release -p waxwing-registrar --test durability
+//! ```
 
 mod model;
 
 use std::time::Duration;
 
-use model::{ControlModel, CutMode, RunCounts, Stop};
+use model::{ControlModel, CutMode, HostStop, RunCounts};
 use rand::RngExt as _;
 use test_case::test_case;
 
@@ -61,6 +67,7 @@
     leader.unwrap_or_else(|| present[model.random.random_range(0..present.len())])
 }
 
+/// Injects a random fault at a host, or heals all links.
 fn inject(model: &mut ControlModel, fleet: FleetSize, mix: FaultMix) {
     let host = draw_host(model);
     let time = millis(model.random.random_range(10..6_000));
@@ -80,13 +87,13 @@
         }
         3 => model.wipe(host, down),
         4 => model.replace(host),
-        5 => model.stop(host, Stop::Freeze, time),
-        6 if mix == FaultMix::Everything => model.stop(host, Stop::Suspend, time),
+        5 => model.stop(host, HostStop::Freeze, time),
+        6 if mix == FaultMix::Everything => model.stop(host, HostStop::Suspend, time),
         6 | 7 => model.cut(&[host], false, mode),
         8 => model.cut(&[host], true, mode),
         9 => model.slow_disk(host, millis(down.as_millis() as u64 / 4)),
         10 => model.fail_disk(host, 2),
-        // A host misses changes, another one that holds them loses its disk, and the last one power.
+        // A host misses changes, others that hold them lose their disks, and the rest power.
         11 => {
             model.cut(&[host], false, mode);
             model.run(millis(300), load);
@@ -122,7 +129,7 @@
         }
     }
     if model.random.random_bool(0.5) && model.tolerates_lost_disk() {
-        // The final fault: a disk is lost right after an acknowledgement, the others lose power.
+        // The final fault: disks are lost right after an acknowledgement, the others lose power.
         if let Some(leader) = model.leader() {
             model.put(leader);
             model.run(millis(10), |_| {});
@@ -209,7 +216,7 @@
         reelected += 1;
         model.reconnect();
         model.run(millis(300), load);
-        model.stop(leader, Stop::Freeze, millis(3_000));
+        model.stop(leader, HostStop::Freeze, millis(3_000));
         model.heal();
         model.run(millis(3_200), load);
         assert_eq!(model.recover_and_check().err(), None, "seed {seed}");
@@ -225,7 +232,7 @@
         let mut model = ControlModel::new(seed, 3, 1);
         model.run(millis(1_500), load);
         let leader = model.leader().expect("a leader is elected");
-        model.stop(leader, Stop::Suspend, millis(4_000));
+        model.stop(leader, HostStop::Suspend, millis(4_000));
         let before = model.counts.acknowledged;
         model.run(millis(3_990), load);
         assert!(model.counts.acknowledged > before, "another host leads");
--- a/crates/waxwing-registrar/tests/durability/model.rs
+++ b/crates/waxwing-registrar/tests/durability/model.rs
@@ -33,7 +33,7 @@
 
 /// How long a host stops.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) enum Stop {
+pub(crate) enum HostStop {
     /// The processes stop and their steady clock goes on, as under SIGSTOP.
     Freeze,
     /// The machine is suspended; its steady clock doesn't count the time.
@@ -62,11 +62,13 @@
     disk: memory::MemoryDisk,
     process: Option<HostProcess>,
     restart_at: Option<Duration>,
-    stopped: Option<(Stop, Duration)>,
+    /// How the host is stopped, and until when.
+    stopped: Option<(HostStop, Duration)>,
     /// Time that the steady clock hasn't counted.
     uncounted: Duration,
     /// Whether the host was taken away for good.
     removed: bool,
+    /// The longest time from a write to its sync.
     write_delay: Duration,
 }
 
@@ -92,11 +94,15 @@
     pub(crate) now: Duration,
     pub(crate) random: rngs::StdRng,
     hosts: Vec<ControlHost>,
+    /// Messages on their way as sender, receiver and payload, by arrival time and number.
     network: BTreeMap<(Duration, u64), (usize, usize, Bytes)>,
     last_message: u64,
+    /// Blocked links, as pairs of sender and receiver.
     blocked: BTreeSet<(usize, usize)>,
     cut_mode: CutMode,
+    /// Messages that wait for their link to be healed.
     held: Vec<(usize, usize, Bytes)>,
+    /// Calls that are not answered yet, by ticket.
     calls: BTreeMap<u64, OpenCall>,
     last_ticket: u64,
     last_version: u64,
@@ -107,8 +113,10 @@
     /// The disks that are lost, until all hosts have run undisturbed for [`CATCH_UP`].
     lost_disks: usize,
     calm_since: Duration,
+    /// The leader of each term.
     leaders: BTreeMap<u64, usize>,
     pub(crate) counts: RunCounts,
+    /// The first broken promise.
     pub(crate) violation: Option<String>,
 }
 
@@ -305,7 +313,7 @@
         let Some((stop, until)) = resumed.stopped else {
             return;
         };
-        if stop == Stop::Suspend {
+        if stop == HostStop::Suspend {
             resumed.uncounted += TICK;
         }
         if until <= now {
--- a/crates/waxwing-registrar/tests/durability/model/faults.rs
+++ b/crates/waxwing-registrar/tests/durability/model/faults.rs
@@ -5,7 +5,7 @@
 use rand::RngExt as _;
 use waxwing_store::memory;
 
-use super::{ControlModel, CutMode, Stop};
+use super::{ControlModel, CutMode, HostStop};
 
 impl ControlModel {
     /// Ends the process of a host, which comes back after `down`. With `power`, its disk loses what
@@ -58,9 +58,9 @@
         self.add_host(false);
     }
 
-    pub(crate) fn stop(&mut self, host: usize, stop: Stop, time: Duration) {
+    pub(crate) fn stop(&mut self, host: usize, stop: HostStop, time: Duration) {
         if self.runs(host) {
-            if stop == Stop::Suspend {
+            if stop == HostStop::Suspend {
                 self.counts.suspensions += 1;
             }
             self.hosts[host].stopped = Some((stop, self.now + time));
