Keep an odd group whole while a data centre of it is silent

In a fleet of five control hosts that names one tolerated loss, two silent voters in one cut-off data centre were removed after 1.5 s, and changes were then acknowledged by two of three hosts where it had been three of five. Cause: the rule for two silent voters, which is meant for hosts that were replaced, also held where nobody had replaced them. Change: an odd group shrinks only while more voters respond than its quorum needs, as with two dead of seven.

--- a/crates/waxwing-registrar/src/repair.rs
+++ b/crates/waxwing-registrar/src/repair.rs
@@ -9,8 +9,9 @@
 //!   promote a learner that has not caught up.
 //! - A voter that has been silent for [`SILENCE_BEFORE_REMOVAL`] is removed only while there are
 //!   more voters than the tolerated losses ask for, and either their number is even, so that the
-//!   quorum becomes smaller, or two are silent, so that it does with the next removal. Silent voters
-//!   that stay would use up the losses that the group tolerates.
+//!   quorum becomes smaller, or two are silent beside more responsive ones than a quorum, so that it
+//!   does with the next removal. Silent voters that stay would use up the losses that the group
+//!   tolerates.
 //! - A learner that has been silent for the same time is removed.
 //! - A host whose data folder was wiped returns with its member id and a new store id. The data of
 //!   its old identity is lost, so the old identity is removed at once, and the host joins as a new
@@ -77,7 +78,11 @@
         .filter(is_voter)
         .filter(|view| view.silence >= SILENCE_BEFORE_REMOVAL);
     let silent = silent_voters.clone().max_by_key(|view| view.silence);
-    let shrinks_quorum = voters.is_multiple_of(2) || silent_voters.count() > 1;
+    // A whole data centre may be silent and come back with its disks, so an odd group shrinks only
+    // while more voters respond than its quorum needs.
+    let silent_count = silent_voters.count();
+    let spares = (voters - silent_count).saturating_sub(voters / 2 + 1);
+    let shrinks_quorum = voters.is_multiple_of(2) || silent_count > 1 && spares > 0;
     if let Some(view) = silent.filter(|_| voters > bounds.min && shrinks_quorum) {
         return Some(members::MemberChange::Remove(view.identity));
     }
--- a/crates/waxwing-registrar/tests/repair.rs
+++ b/crates/waxwing-registrar/tests/repair.rs
@@ -39,6 +39,8 @@
 #[test_case(&[true, true]; "three voters, two silent")]
 #[test_case(&[true]; "two voters, one silent")]
 #[test_case(&[true, false, false, false]; "five voters, one silent")]
+#[test_case(&[true, true, false, false]; "five voters, a data centre of two silent")]
+#[test_case(&[true, true, true, false, false, false]; "seven voters, a data centre of three silent")]
 fn repair_never_lowers_fault_tolerance(silent: &[bool]) {
     assert_eq!(repair::next_change(&voters(silent), ONE_LOSS), None);
 }
