--- a/crates/waxwing-quorum/src/messages.rs
+++ b/crates/waxwing-quorum/src/messages.rs
@@ -112,7 +112,8 @@
     /// Whether this is a pre-vote, for which neither candidate nor receiver changes its term.
     #[prost(bool, tag = "3")]
     pub pre_vote: bool,
-    /// Whether this election is part of a leadership transfer; voters then don't wait for the leader to fall silent.
+    /// Whether this election is part of a leadership transfer; voters then don't wait for the leader
+    /// to fall silent.
     #[prost(bool, tag = "4")]
     pub transfer: bool,
 }
--- a/crates/waxwing-quorum/src/node.rs
+++ b/crates/waxwing-quorum/src/node.rs
@@ -145,8 +145,8 @@
         Ok(node)
     }
 
-    /// Advances the time to `now`: starts elections, sends heartbeats, expires
-    /// leadership transfers, and makes a leader without a quorum step down.
+    /// Advances the time to `now`: starts elections, sends heartbeats, expires leadership transfers,
+    /// and makes a leader without a quorum step down.
     pub fn tick(&mut self, now: Duration) {
         self.now = self.now.max(now);
         match self.role {
--- a/crates/waxwing-quorum/tests/rules.rs
+++ b/crates/waxwing-quorum/tests/rules.rs
@@ -287,10 +287,10 @@
     assert_eq!(node.status().role, ready::NodeRole::Follower);
 }
 
-/// Guards against reads and proposals that are confirmed or taken after `TimeoutNow` was sent: its
-/// target may start an election at any later time.
+/// Guards against a read that is confirmed without a quorum, and a proposal that is taken, after
+/// `TimeoutNow` was sent: its target may start an election at any later time.
 #[test]
-fn leadership_transfer_confirms_and_takes_nothing() {
+fn leadership_transfer_confirms_no_read_by_itself_and_takes_no_proposal() {
     let mut node = elected_leader(options::NodeOptions::default());
     acknowledge(&mut node, START, 2, 1);
     complete_writes(&mut node);
