Keep serving after a request or load update with absurd counts

Callers saw: after one request with token counts near 2^64 of an account with a quota in tokens, builds with overflow checks failed every later request; release builds charged the account next to nothing. Cause: the sum of the two counts overflowed while the gate was locked, and the poisoned lock failed every later request. Sums over the entries in load updates overflowed likewise. Change: token counts are clamped when a request is accepted, sums saturate, and the gate is used as it was left after a panic of one request.

--- a/crates/waxwing-conduit/src/checks.rs
+++ b/crates/waxwing-conduit/src/checks.rs
@@ -68,6 +68,10 @@
     };
     let draw = rand::random_range(0..route.total_weight().max(1));
     let service = route.target(draw).cloned().unwrap_or_default();
+    let facts = dialects::RequestFacts {
+        tokens: facts.tokens.map(dialects::TokenCounts::clamped),
+        ..facts
+    };
     let size = match facts.tokens {
         Some(tokens) => tickets::WorkSize::Generation {
             prompt: tokens.prompt,
@@ -187,7 +191,8 @@
         (deployments::QuotaUnit::Requests, _) => 1.0,
         (deployments::QuotaUnit::Tokens, None) => quota.default_cost,
         (deployments::QuotaUnit::Tokens, Some(tokens)) => {
-            let sum = u32::try_from(tokens.prompt + tokens.max_answer).unwrap_or(u32::MAX);
+            let sum = tokens.prompt.saturating_add(tokens.max_answer);
+            let sum = u32::try_from(sum).unwrap_or(u32::MAX);
             f64::from(sum)
         }
     };
--- a/crates/waxwing-conduit/src/state.rs
+++ b/crates/waxwing-conduit/src/state.rs
@@ -3,7 +3,7 @@
 use std::{
     collections::HashMap,
     sync::{
-        Arc, Mutex, MutexGuard, OnceLock,
+        Arc, Mutex, MutexGuard, OnceLock, PoisonError,
         atomic::{AtomicBool, AtomicUsize, Ordering},
     },
     time::{Duration, Instant},
@@ -103,10 +103,10 @@
         }
     }
 
+    /// Locks the gate. A request that panicked while it held the lock must not end the service of
+    /// all others, so the state is used as it was left; load updates and notices correct it.
     pub(crate) fn gate(&self) -> MutexGuard<'_, GateState> {
-        self.gate
-            .lock()
-            .expect("the gate does not panic while it is locked")
+        self.gate.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     pub(crate) fn is_stopping(&self) -> bool {
--- a/crates/waxwing-fleet/src/dialects.rs
+++ b/crates/waxwing-fleet/src/dialects.rs
@@ -94,6 +94,22 @@
     pub expected: Option<u64>,
 }
 
+/// The largest token count that is reckoned with, far above the memory of any engine; callers may
+/// state any number, and sums over many requests must stay in range.
+const MAX_TOKENS: u64 = 1 << 32;
+
+impl TokenCounts {
+    /// Returns the counts, each at most 2^32.
+    #[must_use]
+    pub fn clamped(self) -> Self {
+        Self {
+            prompt: self.prompt.min(MAX_TOKENS),
+            max_answer: self.max_answer.min(MAX_TOKENS),
+            expected: self.expected.map(|tokens| tokens.min(MAX_TOKENS)),
+        }
+    }
+}
+
 /// A part of a prompt that other requests may share.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct PromptPart {
--- a/crates/waxwing-gate/src/endpoints.rs
+++ b/crates/waxwing-gate/src/endpoints.rs
@@ -107,8 +107,8 @@
         self.others
             .values()
             .fold(self.own, |sum, other| EndpointUse {
-                running: sum.running + other.running,
-                pending_prefill: sum.pending_prefill + other.pending_prefill,
+                running: sum.running.saturating_add(other.running),
+                pending_prefill: sum.pending_prefill.saturating_add(other.pending_prefill),
             })
     }
 
@@ -170,7 +170,7 @@
                 models::from_millis(millis).mul_f64(1.0 + utilization)
             }
             tickets::WorkSize::Generation { prompt, .. } => {
-                let backlog = to_float(total.pending_prefill + prompt);
+                let backlog = to_float(total.pending_prefill.saturating_add(prompt));
                 model.first_event(&self.speed, backlog)
                     + options
                         .contention_penalty
--- a/crates/waxwing-gate/src/gate.rs
+++ b/crates/waxwing-gate/src/gate.rs
@@ -287,7 +287,7 @@
             if view.is_usable(now, &self.options) {
                 load.usable += 1;
                 load.slots = load.slots.saturating_add(view.slots);
-                load.running += view.total().running;
+                load.running = load.running.saturating_add(view.total().running);
             }
         }
         loads.into_values().collect()
--- a/crates/waxwing-gate/src/gate/dispatch.rs
+++ b/crates/waxwing-gate/src/gate/dispatch.rs
@@ -366,7 +366,8 @@
         let view = self.endpoints.get_mut(endpoint)?;
         view.own.running += 1;
         view.limit.take();
-        view.own.pending_prefill += ticket.size.prompt();
+        let pending = &mut view.own.pending_prefill;
+        *pending = pending.saturating_add(ticket.size.prompt());
         let address = view.address;
         self.mark_changed(endpoint);
         Some(tickets::GateDecision::Grant {
--- a/crates/waxwing-gate/tests/gate.rs
+++ b/crates/waxwing-gate/tests/gate.rs
@@ -79,6 +79,37 @@
     assert_eq!(granted(&core.decide(now)).len(), 2);
 }
 
+/// Guards against a load update with absurd counts that ends the process of each entry that gets it:
+/// sums over the entries overflowed.
+#[test]
+fn absurd_counts_of_other_entries_do_not_end_the_process() {
+    let now = Instant::now();
+    let mut core = gate(now, &[("one", 1, 3)]);
+    for host in [98, 99] {
+        let update = messages::LoadUpdate {
+            endpoints: vec![messages::EndpointUse {
+                limit: None,
+                id: "one".to_owned(),
+                running: u32::MAX,
+                pending_prefill: u64::MAX,
+            }],
+            accounts: Vec::new(),
+            whole: true,
+            demands: Vec::new(),
+            age_millis: u64::MAX,
+            crashes: None,
+        };
+        core.apply_update(now, support::address(host), update);
+    }
+    core.enqueue(ticket(now, 1, u64::MAX));
+    assert!(granted(&core.decide(now)).is_empty());
+    assert_eq!(core.loads(now).len(), 1);
+    core.forget_peer(now, support::address(98));
+    core.forget_peer(now, support::address(99));
+    core.enqueue(ticket(now, 1, 100));
+    assert!(!granted(&core.decide(now)).is_empty());
+}
+
 #[test]
 fn draining_endpoint_gets_no_new_requests() {
     let now = Instant::now();
