Start late requests of a stopping entry only if their deadline ends them in time

Callers would see (report of other operators, not met here so far): in a planned stop, calls that came late in the grace period were passed on and cut without an answer at its end. Cause: a call was started by its expected run time until shortly before the drain deadline; time in the queue and a slow endpoint were not counted.

--- a/crates/waxwing-conduit/src/checks.rs
+++ b/crates/waxwing-conduit/src/checks.rs
@@ -122,7 +122,7 @@
     left.mul_f64(rand::random_range(RETRY_AFTER_SHARES))
 }
 
-/// Refuses a request that is not expected to end before the process stops.
+/// Refuses a request that may be cut off when the process stops.
 pub(crate) fn check_stopping<C: Clock, D: dialects::RequestDialect>(
     state: &state::EntryState<C, D>,
     request: &intake::AcceptedRequest,
@@ -134,14 +134,12 @@
         .gate()
         .core
         .expected_run(&request.service, request.size);
-    let elapsed = state.clock.now().saturating_duration_since(*requested_at);
-    let generation = request.size != tickets::WorkSize::Call;
-    match stopping::may_start(
-        elapsed,
-        state.options.grace(),
-        generation,
+    let starting = stopping::StartingRequest {
         expected_run_time,
-    ) {
+        time_limit: intake::remaining_time(state, request),
+    };
+    let elapsed = state.clock.now().saturating_duration_since(*requested_at);
+    match stopping::may_start(elapsed, state.options.grace(), starting) {
         true => Ok(()),
         false => Err(intake::RequestFailure {
             retry_after: Some(STOPPING_RETRY_AFTER),
