Leave a silent endpoint only for a free slot elsewhere

Callers saw (reports of other operators): slow but sound streams were cut, streams that sent a byte now and then never went on, and repeatable requests got 502 while their endpoint was still at work. Cause: after a silence the run was ended before a slot elsewhere was found; without one, or without retry budget, nothing was left. Any byte counted as progress of a stream. A caller that read nothing held the slot of its run without a time limit. Change: the slot, and the retry budget, are taken first, while the silent run goes on; if there is none, the run is left as it is and the search is repeated after the next silence. Only whole events are progress. Delivery ends at the deadline, and the run ends before its stream is aborted.

--- a/crates/waxwing-conduit/src/intake.rs
+++ b/crates/waxwing-conduit/src/intake.rs
@@ -94,7 +94,7 @@
 }
 
 /// Attempts made so far to send one request to endpoints.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 pub(crate) struct AttemptHistory {
     /// Number of attempts that reached an endpoint.
     pub(crate) delivered: u32,
@@ -106,6 +106,17 @@
     pub(crate) excluded: Vec<SmolStr>,
 }
 
+impl AttemptHistory {
+    /// Returns the history with the attempt in progress at `endpoint`, which has been silent.
+    pub(crate) fn after_silence(&self, endpoint: &SmolStr) -> Self {
+        let mut history = self.clone();
+        history.delivered += 1;
+        history.possible_runs += 1;
+        history.excluded.push(endpoint.clone());
+        history
+    }
+}
+
 /// Logs a request whose caller disconnects before the head of its answer is ready: the server then
 /// drops the future of the request and this guard with it.
 struct DisconnectGuard<'a, C: Clock, D> {
@@ -229,7 +240,7 @@
     let mut history = AttemptHistory::default();
     let last_event = request.facts.last_event;
     loop {
-        let mut usable = send_with_retries(state, request, &mut history, last_event).await?;
+        let mut usable = send_with_retries(state, request, &mut history, last_event, None).await?;
         if request.route.kind.is_stream() && usable.response.status().is_success() {
             return Ok(relay::start(
                 state.clone(),
@@ -301,27 +312,49 @@
     );
 }
 
-/// Sends a request to one endpoint after another until one gives a usable answer. Once an attempt
-/// has reached an endpoint, each further one is charged to the retry budget.
+/// Sends a request to one endpoint after another until one gives a usable answer. `reserved` is a
+/// slot that the caller of this function holds already for the first attempt.
 pub(crate) async fn send_with_retries<C: Clock, D: dialects::RequestDialect>(
     state: &Arc<state::EntryState<C, D>>,
     request: &AcceptedRequest,
     history: &mut AttemptHistory,
     last_event: Option<u64>,
+    reserved: Option<state::StartedRun<C, D>>,
 ) -> Result<UsableAnswer<C, D>, RequestFailure> {
+    let mut reserved = reserved;
     loop {
-        let run = acquire_slot(state, request, history, last_event).await?;
-        claim_parts(state, request, history)?;
-        if history.delivered > 0 {
-            let now = state.clock.now();
-            if !state.gate().core.take_retry(now, &request.service) {
-                return Err(dispatch_failure(history, "retry-budget"));
-            }
+        let run = match reserved.take() {
+            Some(run) => run,
+            None => reserve(state, request, history, last_event).await?,
+        };
+        match attempt(state, request, history, last_event, run).await? {
+            AttemptOutcome::Usable(usable) => return Ok(usable),
+            AttemptOutcome::Retry => {}
+            AttemptOutcome::Moved(next) => reserved = Some(next),
         }
-        if let Some(usable) = attempt(state, request, history, last_event, run).await? {
-            return Ok(usable);
+    }
+}
+
+/// Waits for a slot for the next attempt. Once an attempt has reached an endpoint, each further one
+/// is charged to the retry budget.
+pub(crate) async fn reserve<C: Clock, D: dialects::RequestDialect>(
+    state: &Arc<state::EntryState<C, D>>,
+    request: &AcceptedRequest,
+    history: &AttemptHistory,
+    last_event: Option<u64>,
+) -> Result<state::StartedRun<C, D>, RequestFailure> {
+    let run = acquire_slot(state, request, history, last_event).await?;
+    if history.possible_runs == 0 {
+        checks::check_stopping(state, request)?;
+    }
+    claim_parts(state, request, history)?;
+    if history.delivered > 0 {
+        let now = state.clock.now();
+        if !state.gate().core.take_retry(now, &request.service) {
+            return Err(dispatch_failure(history, "retry-budget"));
         }
     }
+    Ok(run)
 }
 
 /// Checks the parts of a prompt again when the request is about to be sent, since one of them may
@@ -344,14 +377,24 @@
     }
 }
 
-/// Sends a request to one endpoint. `None` means that it may be sent to another one.
+/// Result of an attempt that didn't end the request.
+enum AttemptOutcome<C: Clock, D> {
+    /// The endpoint gave an answer that is forwarded.
+    Usable(UsableAnswer<C, D>),
+    /// The request may be sent to another endpoint.
+    Retry,
+    /// The endpoint was silent and was given up for this slot at another one.
+    Moved(state::StartedRun<C, D>),
+}
+
+/// Sends a request to one endpoint.
 async fn attempt<C: Clock, D: dialects::RequestDialect>(
     state: &Arc<state::EntryState<C, D>>,
     request: &AcceptedRequest,
     history: &mut AttemptHistory,
     last_event: Option<u64>,
-    mut run: state::StartedRun<C, D>,
-) -> Result<Option<UsableAnswer<C, D>>, RequestFailure> {
+    run: state::StartedRun<C, D>,
+) -> Result<AttemptOutcome<C, D>, RequestFailure> {
     let repeatable = request.route.kind.is_repeatable();
     let sent = state.clock.now();
     let waited = sent.saturating_duration_since(request.arrival);
@@ -372,27 +415,10 @@
         send = history.delivered + 1,
         last_event
     );
-    let outgoing = forwarding::endpoint_request(state, request, &run, last_event);
-    let sending = state.pool.send(
-        &state.clock,
-        &run.endpoint,
-        run.address,
-        outgoing,
-        repeatable,
-    );
-    let remaining = remaining_time(state, request);
-    let head_timeout = answer_head_timeout(request, &run, history);
-    let outcome = tokio::select! {
-        outcome = sending => outcome,
-        () = state.clock.sleep(remaining.min(head_timeout)) => {
-            history.delivered += 1;
-            history.possible_runs += 1;
-            if remaining <= head_timeout {
-                state.metrics.count_attempt("timed-out");
-                return Err(timeout_failure(history));
-            }
-            Err(errors::SendError::Lost("silent"))
-        }
+    let head = await_head(state, request, history, last_event, &run, sent).await?;
+    let outcome = match head {
+        HeadOutcome::Received(outcome) => outcome,
+        HeadOutcome::Moved(next) => return Ok(AttemptOutcome::Moved(next)),
     };
     let answer = match outcome {
         Ok(answer) => {
@@ -408,13 +434,7 @@
                 errors::SendError::NotSent(_) => "not-sent",
                 errors::SendError::Lost(_) => "lost",
             });
-            tracing::info!(
-                event = "send-failed",
-                id = %request.facts.id,
-                endpoint = %run.endpoint,
-                after_ms = state.clock.now().saturating_duration_since(sent).as_millis(),
-                %error
-            );
+            log_failed_send(state, request, &run, sent, &error);
             history.excluded.push(run.endpoint.clone());
             match error {
                 errors::SendError::NotSent(_) => {
@@ -423,15 +443,13 @@
                         return Err(dispatch_failure(history, "unreachable"));
                     }
                 }
-                errors::SendError::Lost(reason) => {
-                    if reason != "silent" {
-                        history.delivered += 1;
-                        history.possible_runs += 1;
-                    }
+                errors::SendError::Lost(_) => {
+                    history.delivered += 1;
+                    history.possible_runs += 1;
                     check_retryable(state, request, history)?;
                 }
             }
-            return Ok(None);
+            return Ok(AttemptOutcome::Retry);
         }
     };
     let (response, connection) = answer.split();
@@ -454,7 +472,7 @@
             run.record_connect_failure();
         }
         history.excluded.push(run.endpoint.clone());
-        return Ok(None);
+        return Ok(AttemptOutcome::Retry);
     }
     history.possible_runs += 1;
     if !facts.id_matches || !facts.sealed {
@@ -470,7 +488,7 @@
         );
         history.excluded.push(run.endpoint.clone());
         check_retryable(state, request, history)?;
-        return Ok(None);
+        return Ok(AttemptOutcome::Retry);
     }
     if head.status.is_server_error() {
         run.record_failure();
@@ -486,14 +504,14 @@
         let retry = repeatable && history.possible_runs < request.route.attempts;
         if retry {
             history.excluded.push(run.endpoint.clone());
-            return Ok(None);
+            return Ok(AttemptOutcome::Retry);
         }
     }
     if !head.status.is_server_error() {
         state.metrics.count_attempt("answered");
     }
     let response = Response::from_parts(head, incoming);
-    Ok(Some(UsableAnswer {
+    Ok(AttemptOutcome::Usable(UsableAnswer {
         response,
         connection,
         run,
@@ -501,6 +519,82 @@
     }))
 }
 
+/// Result of waiting for the head of an answer.
+enum HeadOutcome<C: Clock, D> {
+    Received(Result<upstream::EndpointAnswer, errors::SendError>),
+    /// The endpoint was silent and was given up for this slot at another one.
+    Moved(state::StartedRun<C, D>),
+}
+
+/// Sends a request and waits for the head of the answer. While a repeatable request gets none, a
+/// slot at another endpoint is sought; without one, the silent endpoint may still answer.
+async fn await_head<C: Clock, D: dialects::RequestDialect>(
+    state: &Arc<state::EntryState<C, D>>,
+    request: &AcceptedRequest,
+    history: &mut AttemptHistory,
+    last_event: Option<u64>,
+    run: &state::StartedRun<C, D>,
+    sent: Instant,
+) -> Result<HeadOutcome<C, D>, RequestFailure> {
+    let sending = state.pool.send(
+        &state.clock,
+        &run.endpoint,
+        run.address,
+        forwarding::endpoint_request(state, request, run, last_event),
+        request.route.kind.is_repeatable(),
+    );
+    tokio::pin!(sending);
+    loop {
+        let remaining = remaining_time(state, request);
+        let head_timeout = answer_head_timeout(request, run, history);
+        tokio::select! {
+            outcome = &mut sending => return Ok(HeadOutcome::Received(outcome)),
+            () = state.clock.sleep(remaining.min(head_timeout)) => {}
+        }
+        if remaining <= head_timeout {
+            history.delivered += 1;
+            history.possible_runs += 1;
+            state.metrics.count_attempt("timed-out");
+            return Err(timeout_failure(history));
+        }
+        let next_history = history.after_silence(&run.endpoint);
+        let next = tokio::select! {
+            outcome = &mut sending => return Ok(HeadOutcome::Received(outcome)),
+            next = reserve(state, request, &next_history, last_event) => next,
+        };
+        if let Ok(next) = next {
+            run.record_failure();
+            state.metrics.count_attempt("lost");
+            log_failed_send(
+                state,
+                request,
+                run,
+                sent,
+                &errors::SendError::Lost("silent"),
+            );
+            *history = next_history;
+            return Ok(HeadOutcome::Moved(next));
+        }
+    }
+}
+
+/// Logs an attempt that got no answer.
+fn log_failed_send<C: Clock, D: dialects::RequestDialect>(
+    state: &state::EntryState<C, D>,
+    request: &AcceptedRequest,
+    run: &state::StartedRun<C, D>,
+    sent: Instant,
+    error: &errors::SendError,
+) {
+    tracing::info!(
+        event = "send-failed",
+        id = %request.facts.id,
+        endpoint = %run.endpoint,
+        after_ms = state.clock.now().saturating_duration_since(sent).as_millis(),
+        %error
+    );
+}
+
 /// Returns how long to wait for the head of an answer before the request is sent to another
 /// endpoint; unlimited if it must not run again.
 fn answer_head_timeout<C: Clock, D>(
--- a/crates/waxwing-conduit/src/relay.rs
+++ b/crates/waxwing-conduit/src/relay.rs
@@ -30,10 +30,16 @@
     sent: std::time::Instant,
     /// When the first event arrived, and its id if it has one.
     first: Option<(std::time::Instant, Option<u64>)>,
+    /// When the run last made progress: its start, the last whole event, or the last attempt to
+    /// leave it. Bytes that complete no event are no progress.
+    progress: std::time::Instant,
 }
 
 impl<C: Clock, D> StreamSource<C, D> {
-    fn split(usable: intake::UsableAnswer<C, D>) -> (hyper::http::response::Parts, Self) {
+    fn split(
+        usable: intake::UsableAnswer<C, D>,
+        now: std::time::Instant,
+    ) -> (hyper::http::response::Parts, Self) {
         let (head, body) = usable.response.into_parts();
         let source = Self {
             body,
@@ -41,21 +47,31 @@
             run: usable.run,
             sent: usable.sent,
             first: None,
+            progress: now,
         };
         (head, source)
     }
 }
 
 /// Outcome of waiting for the next chunk of a stream.
-enum NextChunk {
+enum NextChunk<C: Clock, D> {
     Data(bytes::Bytes),
     End,
     Broken,
-    Stalled,
+    /// The run made no progress, and this slot at another endpoint takes its place.
+    Moved(state::StartedRun<C, D>),
     Disconnected,
     TimedOut,
 }
 
+/// Outcome of passing events on to the caller.
+enum Delivery {
+    Sent,
+    Disconnected,
+    /// The caller read nothing until the deadline.
+    TimedOut,
+}
+
 /// Relays one stream to its caller.
 struct StreamRelay<C: Clock, D> {
     state: Arc<state::EntryState<C, D>>,
@@ -74,7 +90,7 @@
     usable: intake::UsableAnswer<C, D>,
 ) -> Response<answers::AnswerBody> {
     let (chunks, receiver) = mpsc::channel(CHUNK_QUEUE_LENGTH);
-    let (head, source) = StreamSource::split(usable);
+    let (head, source) = StreamSource::split(usable, state.clock.now());
     let splitter = events::EventSplitter::starting_after(request.facts.last_event);
     let active = state.count_active();
     let relay = StreamRelay {
@@ -96,6 +112,7 @@
                 NextChunk::Data(data) => {
                     let complete = self.splitter.push(&data);
                     if self.splitter.is_oversized() {
+                        drop(source);
                         return self
                             .abort(errors::RelayError::Broken, "event-too-long")
                             .await;
@@ -111,8 +128,13 @@
                         source.run.record_first_event(took, parts);
                         self.state.metrics.observe_latency("first-event", took);
                     }
-                    if self.chunks.send(Ok(complete)).await.is_err() {
-                        return self.log_disconnect(&source);
+                    match self.deliver(complete).await {
+                        Delivery::Sent => source.progress = self.state.clock.now(),
+                        Delivery::Disconnected => return self.log_disconnect(&source),
+                        Delivery::TimedOut => {
+                            drop(source);
+                            return self.abort(errors::RelayError::Deadline, "unread").await;
+                        }
                     }
                 }
                 NextChunk::End if self.is_complete(&source) => {
@@ -126,18 +148,28 @@
                     self.state.pool.release(source.connection, now).await;
                     return;
                 }
-                ended @ (NextChunk::End | NextChunk::Broken | NextChunk::Stalled) => {
+                NextChunk::End | NextChunk::Broken => {
                     source.run.record_failure();
-                    if source.first.is_none() && !matches!(ended, NextChunk::Stalled) {
+                    if source.first.is_none() {
                         suspects::report_broken(&self.state, &self.request, &source.run);
                     }
-                    match self.resume(source).await {
+                    self.history.excluded.push(source.run.endpoint.clone());
+                    match self.resume(source, None).await {
+                        Some(next) => source = next,
+                        None => return,
+                    }
+                }
+                NextChunk::Moved(next) => {
+                    source.run.record_failure();
+                    self.history.excluded.push(source.run.endpoint.clone());
+                    match self.resume(source, Some(next)).await {
                         Some(next) => source = next,
                         None => return,
                     }
                 }
                 NextChunk::Disconnected => return self.log_disconnect(&source),
                 NextChunk::TimedOut => {
+                    drop(source);
                     return self.abort(errors::RelayError::Deadline, "deadline").await;
                 }
             }
@@ -164,45 +196,91 @@
         source.run.record_generation(tokens, took, run_time);
     }
 
-    async fn next_chunk(&self, source: &mut StreamSource<C, D>) -> NextChunk {
+    /// Passes events on to the caller. A caller that doesn't read must not hold the slot of its run
+    /// beyond its deadline.
+    async fn deliver(&self, events: bytes::Bytes) -> Delivery {
         let remaining = intake::remaining_time(&self.state, &self.request);
-        let timeout = self.stall_timeout(source);
         tokio::select! {
-            frame = source.body.frame() => match frame {
-                Some(Ok(frame)) => match frame.into_data() {
-                    Ok(data) => NextChunk::Data(data),
-                    Err(_) => NextChunk::Data(bytes::Bytes::new()),
-                },
-                Some(Err(error)) => {
-                    tracing::info!(
-                        event = "stream-broken",
-                        id = %self.request.facts.id,
-                        endpoint = %source.run.endpoint,
-                        last = self.splitter.last_id(),
-                        %error
-                    );
-                    NextChunk::Broken
-                }
-                None => NextChunk::End,
+            sent = self.chunks.send(Ok(events)) => match sent {
+                Ok(()) => Delivery::Sent,
+                Err(_) => Delivery::Disconnected,
             },
-            () = self.chunks.closed() => NextChunk::Disconnected,
-            () = self.state.clock.sleep(remaining.min(timeout)) => match remaining <= timeout {
-                true => NextChunk::TimedOut,
-                false => {
+            () = self.state.clock.sleep(remaining) => Delivery::TimedOut,
+        }
+    }
+
+    /// Waits for the next chunk. Once the run has made no progress for its stall timeout, a slot at
+    /// another endpoint is sought meanwhile; without one, the run is left as it is, since a slow
+    /// stream is better than a broken one.
+    async fn next_chunk(&self, source: &mut StreamSource<C, D>) -> NextChunk<C, D> {
+        loop {
+            let now = self.state.clock.now();
+            let remaining = intake::remaining_time(&self.state, &self.request);
+            let idle = now.saturating_duration_since(source.progress);
+            let timeout = self.stall_timeout(source).saturating_sub(idle);
+            tokio::select! {
+                frame = source.body.frame() => return self.read_frame(frame, source),
+                () = self.chunks.closed() => return NextChunk::Disconnected,
+                () = self.state.clock.sleep(remaining.min(timeout)) => {}
+            }
+            if remaining <= timeout {
+                return NextChunk::TimedOut;
+            }
+            tracing::info!(
+                event = "stream-stalled",
+                id = %self.request.facts.id,
+                endpoint = %source.run.endpoint,
+                last = self.splitter.last_id(),
+                idle_ms = (idle + timeout).as_millis()
+            );
+            let mut history = self.history.clone();
+            history.excluded.push(source.run.endpoint.clone());
+            let last = self.splitter.last_id();
+            let next = tokio::select! {
+                frame = source.body.frame() => return self.read_frame(frame, source),
+                () = self.chunks.closed() => return NextChunk::Disconnected,
+                next = intake::reserve(&self.state, &self.request, &history, last) => next,
+            };
+            match next {
+                Ok(next) => return NextChunk::Moved(next),
+                Err(failure) => {
+                    source.progress = self.state.clock.now();
                     tracing::info!(
-                        event = "stream-stalled",
+                        event = "stream-kept",
                         id = %self.request.facts.id,
                         endpoint = %source.run.endpoint,
-                        last = self.splitter.last_id(),
-                        limit_ms = timeout.as_millis()
+                        reason = failure.reason
                     );
-                    NextChunk::Stalled
                 }
+            }
+        }
+    }
+
+    fn read_frame(
+        &self,
+        frame: Option<Result<body::Frame<bytes::Bytes>, hyper::Error>>,
+        source: &StreamSource<C, D>,
+    ) -> NextChunk<C, D> {
+        match frame {
+            Some(Ok(frame)) => match frame.into_data() {
+                Ok(data) => NextChunk::Data(data),
+                Err(_) => NextChunk::Data(bytes::Bytes::new()),
             },
+            Some(Err(error)) => {
+                tracing::info!(
+                    event = "stream-broken",
+                    id = %self.request.facts.id,
+                    endpoint = %source.run.endpoint,
+                    last = self.splitter.last_id(),
+                    %error
+                );
+                NextChunk::Broken
+            }
+            None => NextChunk::End,
         }
     }
 
-    /// Returns the time without data after which the stream is resumed elsewhere; unlimited if it
+    /// Returns the time without progress after which the stream is resumed elsewhere; unlimited if it
     /// can't be.
     fn stall_timeout(&self, source: &StreamSource<C, D>) -> Duration {
         let route = &self.request.route;
@@ -217,9 +295,13 @@
     }
 
     /// Ends the current run and resumes the stream at another endpoint after the last event that
-    /// was forwarded. Returns `None` if the stream has ended for the caller.
-    async fn resume(&mut self, source: StreamSource<C, D>) -> Option<StreamSource<C, D>> {
-        self.history.excluded.push(source.run.endpoint.clone());
+    /// was forwarded; `reserved` is a slot there, if there is one already. Returns `None` if the
+    /// stream has ended for the caller.
+    async fn resume(
+        &mut self,
+        source: StreamSource<C, D>,
+        reserved: Option<state::StartedRun<C, D>>,
+    ) -> Option<StreamSource<C, D>> {
         // The old run must end before the next one starts; this closes its connection and releases
         // its slot.
         drop(source);
@@ -233,8 +315,9 @@
         }
         let last = self.splitter.last_id();
         let outcome = {
+            let history = &mut self.history;
             let sending =
-                intake::send_with_retries(&self.state, &self.request, &mut self.history, last);
+                intake::send_with_retries(&self.state, &self.request, history, last, reserved);
             tokio::select! {
                 outcome = sending => outcome,
                 () = self.chunks.closed() => return None,
@@ -242,7 +325,7 @@
         };
         match outcome {
             Ok(usable) if usable.response.status().is_success() => {
-                let (_, source) = StreamSource::split(usable);
+                let (_, source) = StreamSource::split(usable, self.state.clock.now());
                 self.state.metrics.count_stream("resumed");
                 tracing::info!(
                     event = "stream-resumed",
--- a/crates/waxwing-conduit/src/state.rs
+++ b/crates/waxwing-conduit/src/state.rs
@@ -340,7 +340,7 @@
     }
 
     /// Records that the endpoint could not be reached.
-    pub(crate) fn record_connect_failure(&mut self) {
+    pub(crate) fn record_connect_failure(&self) {
         let now = self.state.clock.now();
         self.state
             .gate()
@@ -349,7 +349,7 @@
     }
 
     /// Records a failed answer or broken connection of the endpoint.
-    pub(crate) fn record_failure(&mut self) {
+    pub(crate) fn record_failure(&self) {
         let now = self.state.clock.now();
         self.state.gate().core.record_failure(now, &self.endpoint);
     }
