--- a/crates/waxwing-conduit/src/intake.rs
+++ b/crates/waxwing-conduit/src/intake.rs
@@ -260,7 +260,10 @@
             Ok(body) => {
                 let now = state.clock.now();
                 let took = now.saturating_duration_since(usable.sent);
-                usable.run.record_answer(took, &request.shared_parts);
+                // A failure has been recorded with the head.
+                if !head.status.is_server_error() {
+                    usable.run.record_answer(took, &request.shared_parts);
+                }
                 log_answer(state, request, &history, &usable.run, head.status);
                 let connection = usable.connection;
                 let state = state.clone();
