Let requests wait at a new entry until its deployment is confirmed

Cause: a request was refused when it met no deployment, and one that met a deployment which no quorum had confirmed was served with it, also with a key that had been withdrawn meanwhile. Change: such a request waits for the confirmation for a third of its caller's time, up to 2,000 requests an entry. With a deployment in hand it waits until two seconds after the start of the process at most, so that an entry without a quorum goes on serving. Evidence: request_waits_at_a_new_entry_until_the_deployment_is_known failed before (503). tests/starting.rs has the bounds.

--- a/crates/waxwing-conduit/src/checks.rs
+++ b/crates/waxwing-conduit/src/checks.rs
@@ -33,6 +33,7 @@
     incoming: body::Incoming,
     facts: dialects::RequestFacts,
 ) -> Result<intake::AcceptedRequest, intake::RequestFailure> {
+    state.await_confirmation(facts.deadline).await;
     let no_deployment = intake::RequestFailure {
         retry_after: facts.deadline.map(late_retry_after),
         ..intake::RequestFailure::new(StatusCode::SERVICE_UNAVAILABLE, "no-deployment")
--- a/crates/waxwing-conduit/src/fleet.rs
+++ b/crates/waxwing-conduit/src/fleet.rs
@@ -4,7 +4,7 @@
 use std::{
     collections::HashSet,
     net::SocketAddr,
-    sync::{Arc, Mutex, MutexGuard, atomic::Ordering},
+    sync::{Arc, Mutex, MutexGuard},
     time::Duration,
 };
 
@@ -265,8 +265,7 @@
             let fetcher = self.fetcher();
             (fetcher.is_confirmed(), fetcher.held_version())
         };
-        let ready = &self.state.deployment_confirmed;
-        if confirmed && !ready.swap(true, Ordering::Relaxed) {
+        if confirmed && self.state.confirm_deployment() {
             tracing::info!(event = "entry-ready", version);
         }
     }
--- a/crates/waxwing-conduit/src/lib.rs
+++ b/crates/waxwing-conduit/src/lib.rs
@@ -14,6 +14,7 @@
 mod relay;
 pub mod roles;
 mod sockets;
+pub mod starting;
 mod state;
 mod statements;
 pub mod stopping;
--- a/crates/waxwing-conduit/src/state.rs
+++ b/crates/waxwing-conduit/src/state.rs
@@ -16,7 +16,7 @@
 use waxwing_fleet::{deployments, dialects};
 use waxwing_gate::{gate, tickets};
 
-use crate::{metrics, options, statements, stopping, upstream};
+use crate::{metrics, options, starting, statements, stopping, upstream};
 
 /// State of one entry process.
 pub(crate) struct EntryState<C, D> {
@@ -36,8 +36,14 @@
     pub(crate) stop_time: OnceLock<Instant>,
     /// Number of requests in flight.
     active: AtomicUsize,
+    /// When the process started.
+    started: Instant,
     /// Whether a control host has confirmed that the deployment is current.
-    pub(crate) deployment_confirmed: AtomicBool,
+    deployment_confirmed: AtomicBool,
+    /// Wakes the requests that wait for that confirmation.
+    confirmation: Notify,
+    /// Number of these requests.
+    unconfirmed_requests: AtomicUsize,
 }
 
 /// Refusal of a queued request by the gate.
@@ -57,6 +63,26 @@
     }
 }
 
+/// Counts a waiting request until it is dropped.
+struct WaitingGuard<'a> {
+    count: &'a AtomicUsize,
+    /// Number of waiting requests, this one included.
+    position: usize,
+}
+
+impl<'a> WaitingGuard<'a> {
+    fn new(count: &'a AtomicUsize) -> Self {
+        let position = count.fetch_add(1, Ordering::Relaxed) + 1;
+        Self { count, position }
+    }
+}
+
+impl Drop for WaitingGuard<'_> {
+    fn drop(&mut self) {
+        self.count.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
 /// The gate and the tasks that wait for its decisions.
 pub(crate) struct GateState {
     pub(crate) core: gate::GateCore,
@@ -85,6 +111,7 @@
         metrics: metrics::EntryMetrics,
     ) -> Self {
         Self {
+            started: clock.now(),
             options,
             clock,
             dialect,
@@ -100,6 +127,8 @@
             stop_time: OnceLock::new(),
             active: AtomicUsize::new(0),
             deployment_confirmed: AtomicBool::new(false),
+            confirmation: Notify::new(),
+            unconfirmed_requests: AtomicUsize::new(0),
         }
     }
 
@@ -143,6 +172,39 @@
         !self.is_stopping() && self.deployment_confirmed.load(Ordering::Relaxed)
     }
 
+    /// Records that a control host has confirmed the deployment; returns whether it is the first
+    /// confirmation.
+    pub(crate) fn confirm_deployment(&self) -> bool {
+        let is_first = !self.deployment_confirmed.swap(true, Ordering::Relaxed);
+        if is_first {
+            self.confirmation.notify_waiters();
+        }
+        is_first
+    }
+
+    /// Waits until a control host has confirmed the deployment, for as long as it is of use to a
+    /// caller that waits for `caller_time`.
+    pub(crate) async fn await_confirmation(&self, caller_time: Option<Duration>) {
+        let confirmed = self.confirmation.notified();
+        tokio::pin!(confirmed);
+        // Registered before the check, so that a confirmation in between is not missed.
+        confirmed.as_mut().enable();
+        if self.deployment_confirmed.load(Ordering::Relaxed) {
+            return;
+        }
+        let waiting = WaitingGuard::new(&self.unconfirmed_requests);
+        if waiting.position > starting::MAX_WAITING_REQUESTS {
+            return;
+        }
+        let age = self.clock.now().saturating_duration_since(self.started);
+        let has_deployment = self.deployment.load().is_some();
+        let wait = starting::confirmation_wait(age, has_deployment, caller_time);
+        tokio::select! {
+            () = confirmed => {}
+            () = self.clock.sleep(wait) => {}
+        }
+    }
+
     /// Runs the gate until it makes no further decision, and delivers each one to the waiting
     /// request.
     pub(crate) fn dispatch_decisions(&self) {
