Refuse a request whose body has not arrived by its deadline

Callers saw: nothing; a caller that stopped sending kept its connection and memory for ever. Cause: no time limit stood on reading a body (known by reading, now shown). Evidence: body_that_stops_is_refused_at_the_deadline failed before (no answer within 6 s).

--- a/crates/waxwing-conduit/src/checks.rs
+++ b/crates/waxwing-conduit/src/checks.rs
@@ -45,7 +45,18 @@
         .ok_or(no_deployment)?
         .limits();
     let size_limit = usize::try_from(limits.body_bytes.0).unwrap_or(usize::MAX);
-    let body = Limited::new(incoming, size_limit).collect().await;
+    let reading = Limited::new(incoming, size_limit).collect();
+    // An answer after the deadline would be of no use, so a slower body isn't either.
+    let body_time = facts.deadline.unwrap_or(limits.idle_time);
+    let body = tokio::select! {
+        body = reading => body,
+        () = state.clock.sleep(body_time) => {
+            return Err(intake::RequestFailure::new(
+                StatusCode::REQUEST_TIMEOUT,
+                "body-timeout",
+            ));
+        }
+    };
     let body = body.map_err(|error| body_failure(error.is::<LengthLimitError>()))?;
     let body = body.to_bytes();
     // The deployment may have changed while the body was read; the current one decides.
