Enforce the deployment's limit on heads, and keep proxy headers from endpoints

Cause: head_bytes of a deployment was not enforced; Proxy-Authorization and Proxy-Connection concern one connection only and were forwarded to endpoints (both known by reading, now shown). Change: longer heads are answered 431; both headers count as hop-by-hop. Evidence: head_is_limited_and_its_connection_credentials_stay_here failed before.

--- a/crates/waxwing-conduit/src/checks.rs
+++ b/crates/waxwing-conduit/src/checks.rs
@@ -44,6 +44,12 @@
         .as_ref()
         .ok_or(no_deployment)?
         .limits();
+    if head_length(&head) > limits.head_bytes.0 {
+        return Err(intake::RequestFailure::new(
+            StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
+            "head-too-long",
+        ));
+    }
     let size_limit = usize::try_from(limits.body_bytes.0).unwrap_or(usize::MAX);
     let reading = Limited::new(incoming, size_limit).collect();
     // An answer after the deadline would be of no use, so a slower body isn't either.
@@ -120,6 +126,18 @@
     })
 }
 
+/// Returns the length of the head of a request in bytes, without the line ends.
+fn head_length(head: &http::request::Parts) -> u64 {
+    let target = head
+        .uri
+        .path_and_query()
+        .map_or(0, |path| path.as_str().len());
+    let fields = head.headers.iter();
+    let fields = fields.map(|(name, value)| name.as_str().len() + value.len());
+    let length = fields.fold(head.method.as_str().len() + target, usize::saturating_add);
+    u64::try_from(length).unwrap_or(u64::MAX)
+}
+
 /// Builds the failure for a body that is too long or whose connection broke.
 fn body_failure(too_long: bool) -> intake::RequestFailure {
     match too_long {
--- a/crates/waxwing-conduit/src/forwarding.rs
+++ b/crates/waxwing-conduit/src/forwarding.rs
@@ -12,10 +12,12 @@
 use crate::{answers, intake, state};
 
 /// Headers that apply to a single connection and are not forwarded.
-const HOP_BY_HOP_HEADERS: [HeaderName; 7] = [
+const HOP_BY_HOP_HEADERS: [HeaderName; 9] = [
     header::CONNECTION,
     HeaderName::from_static("keep-alive"),
     header::PROXY_AUTHENTICATE,
+    header::PROXY_AUTHORIZATION,
+    HeaderName::from_static("proxy-connection"),
     header::TE,
     header::TRAILER,
     header::TRANSFER_ENCODING,
--- a/crates/waxwing-fleet/src/deployments.rs
+++ b/crates/waxwing-fleet/src/deployments.rs
@@ -161,7 +161,8 @@
     pub quota: Option<AccountQuota>,
 }
 
-/// Limits on the connections and requests of callers. Entries enforce only `body_bytes`.
+/// Limits on the connections and requests of callers. Entries enforce `head_bytes` and
+/// `body_bytes`; their own limit on idle connections lies below the usual `idle_time`.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct IngressLimits {
     /// Maximum size of the head of a request.
