Add a replay of load patterns against the gates of many entries

waxwing-load replay plays seeded arrivals of three tiers, with callers that return, against the real gates of any number of entries and simulated engines that differ in speed, without network; load updates are late and can be lost. The update interval moves from the conduit to the gate, so that the replay uses the same one.

--- a/crates/waxwing-conduit/src/fleet.rs
+++ b/crates/waxwing-conduit/src/fleet.rs
@@ -12,18 +12,11 @@
 use tokio_util::sync::CancellationToken;
 use waxwing_core::clock::Clock;
 use waxwing_fleet::{deployments, dialects, network};
-use waxwing_gate::fetches;
+use waxwing_gate::{fetches, pacing};
 use waxwing_wire::messages;
 
 use crate::{state, statements, suspects};
 
-/// Shortest time between two load updates; changes within it are sent in one message.
-const UPDATE_INTERVAL: Duration = Duration::from_millis(10);
-
-/// Number of other entries up to which load updates are sent at the shortest interval. With more of
-/// them the interval grows in proportion, so that the cost per entry stays constant.
-const PEERS_PER_INTERVAL: u32 = 4;
-
 /// Time between two checks of queued requests for timeouts.
 const QUEUE_CHECK_INTERVAL: Duration = Duration::from_millis(20);
 
@@ -340,9 +333,7 @@
                 .network
                 .linked_addresses(messages::ProcessKind::Entry)
                 .len();
-            let peers = u32::try_from(peers).unwrap_or(u32::MAX);
-            let interval = UPDATE_INTERVAL * peers.div_ceil(PEERS_PER_INTERVAL).max(1);
-            self.state.clock.sleep(interval).await;
+            self.state.clock.sleep(pacing::update_interval(peers)).await;
         }
     }
 
--- a/crates/waxwing-gate/src/lib.rs
+++ b/crates/waxwing-gate/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod limits;
 pub mod models;
 pub mod options;
+pub mod pacing;
 pub mod patience;
 pub mod quotas;
 pub mod shares;
--- a/crates/waxwing-load/src/lib.rs
+++ b/crates/waxwing-load/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod fleets;
 pub mod pages;
 pub mod plots;
+pub mod replay;
 pub mod reports;
 pub mod runs;
 pub mod tallies;
--- a/crates/waxwing-load/src/main.rs
+++ b/crates/waxwing-load/src/main.rs
@@ -1,14 +1,18 @@
-//! Command line of the load tool: `waxwing-load run EXPERIMENT` and `waxwing-load compare A B`.
+//! Command line of the load tool: `waxwing-load run EXPERIMENT`, `waxwing-load compare A B` and
+//! `waxwing-load replay`.
 
 use std::{
     net::SocketAddr,
     path::{Path, PathBuf},
     process::ExitCode,
+    time::Duration,
 };
 
 use clap::Parser;
 use smol_str::SmolStr;
-use waxwing_load::{comparison, errors::LoadError, experiments, fleets, pages, reports, runs};
+use waxwing_load::{
+    comparison, errors::LoadError, experiments, fleets, pages, replay, reports, runs,
+};
 
 /// Load and experiment tool.
 #[derive(Debug, Parser)]
@@ -24,6 +28,62 @@
         /// the base.
         other: PathBuf,
     },
+    /// Play a load pattern against the gates of many entries, without network.
+    Replay(ReplayArguments),
+}
+
+#[derive(Debug, clap::Args)]
+struct ReplayArguments {
+    /// Number of entries.
+    #[arg(long, default_value_t = 27)]
+    entries: u16,
+    /// Number of endpoints.
+    #[arg(long, default_value_t = 120)]
+    endpoints: u16,
+    /// Slots of an endpoint.
+    #[arg(long, default_value_t = 6)]
+    slots: u32,
+    /// How many times slower the slowest engine is than the fastest one.
+    #[arg(long, default_value_t = 5.0)]
+    speed_ratio: f64,
+    /// Requests a second over all entries.
+    #[arg(long, default_value_t = 750.0)]
+    rate: f64,
+    /// Factor of the rate for two seconds from the third second on.
+    #[arg(long, default_value_t = 1.0)]
+    burst: f64,
+    /// Seconds during which requests arrive.
+    #[arg(long, default_value_t = 12)]
+    seconds: u64,
+    /// Share of the load updates that are lost.
+    #[arg(long, default_value_t = 0.0)]
+    lost_updates: f64,
+    /// Seed; can be repeated.
+    #[arg(long = "seed", default_values_t = [1])]
+    seeds: Vec<u64>,
+}
+
+fn replay(arguments: &ReplayArguments) {
+    let burst = replay::LoadBurst {
+        at: Duration::from_secs(3),
+        length: Duration::from_secs(2),
+        factor: arguments.burst,
+    };
+    for seed in &arguments.seeds {
+        let plan = replay::ReplayPlan {
+            entries: arguments.entries,
+            endpoints: arguments.endpoints,
+            slots: arguments.slots,
+            speed_ratio: arguments.speed_ratio,
+            rate: arguments.rate,
+            bursts: vec![burst],
+            duration: Duration::from_secs(arguments.seconds),
+            lost_updates: arguments.lost_updates,
+            seed: *seed,
+            ..replay::ReplayPlan::default()
+        };
+        println!("seed {seed}: {}", replay::play(&plan));
+    }
 }
 
 #[derive(Debug, clap::Args)]
@@ -96,6 +156,10 @@
     let result = match LoadArguments::parse() {
         LoadArguments::Run(arguments) => run(arguments).await,
         LoadArguments::Compare { one, other } => compare(&one, &other),
+        LoadArguments::Replay(arguments) => {
+            replay(&arguments);
+            Ok(true)
+        }
     };
     match result {
         Ok(true) => ExitCode::SUCCESS,
