Let a request go back to the only usable endpoint, and name the causes of a refusal

Cause: an endpoint that failed or refused a request was excluded for good, and the queue didn't tell that from a lack of slots. Change: exclusion is a preference. After 100 ms the request may go back if no other endpoint is usable, within the retry budget and the route's attempts; not while the endpoint may still be at work on it, then it is refused at once. no-room now means too many requests ahead; waited-out and no-other-endpoint are the two other causes, in the decision line and in the counter. Evidence: request_goes_back_to_the_only_endpoint_after_a_pause, request_with_nowhere_to_go_is_ refused_at_once and refusals_name_their_cause fail on the code before.

--- a/crates/waxwing-conduit/src/intake.rs
+++ b/crates/waxwing-conduit/src/intake.rs
@@ -102,17 +102,26 @@
     pub(crate) possible_runs: u32,
     /// Number of attempts that failed before a byte was written.
     unsent: u32,
-    /// Endpoints that are not tried again.
+    /// Endpoints that failed or refused the request.
     pub(crate) excluded: Vec<SmolStr>,
+    /// Whether the last of them may still be at work on it.
+    is_running: bool,
 }
 
 impl AttemptHistory {
-    /// Returns the history with the attempt in progress at `endpoint`, which has been silent.
-    pub(crate) fn after_silence(&self, endpoint: &SmolStr) -> Self {
+    /// Returns the history for the search for another endpoint while the run at `endpoint` goes on.
+    pub(crate) fn while_running(&self, endpoint: &SmolStr) -> Self {
         let mut history = self.clone();
+        history.excluded.push(endpoint.clone());
+        history.is_running = true;
+        history
+    }
+
+    /// Returns the same with the attempt in progress at `endpoint`, which has sent no head yet.
+    fn while_silent(&self, endpoint: &SmolStr) -> Self {
+        let mut history = self.while_running(endpoint);
         history.delivered += 1;
         history.possible_runs += 1;
-        history.excluded.push(endpoint.clone());
         history
     }
 }
@@ -560,7 +569,7 @@
             state.metrics.count_attempt("timed-out");
             return Err(timeout_failure(history));
         }
-        let next_history = history.after_silence(&run.endpoint);
+        let next_history = history.while_silent(&run.endpoint);
         let next = tokio::select! {
             outcome = &mut sending => return Ok(HeadOutcome::Received(outcome)),
             next = reserve(state, request, &next_history, last_event) => next,
@@ -575,7 +584,10 @@
                 sent,
                 &errors::SendError::Lost("silent"),
             );
-            *history = next_history;
+            *history = AttemptHistory {
+                is_running: false,
+                ..next_history
+            };
             return Ok(HeadOutcome::Moved(next));
         }
     }
@@ -632,6 +644,7 @@
         // A caller that resumes a stream already has a part of the answer, so less work is left.
         resumed: history.possible_runs > 0 || last_event.is_some(),
         excluded: history.excluded.clone(),
+        may_go_back: !history.is_running,
     };
     let started = state.wait_for_slot(ticket).await;
     started.map_err(|refusal| {
--- a/crates/waxwing-conduit/src/relay.rs
+++ b/crates/waxwing-conduit/src/relay.rs
@@ -233,8 +233,7 @@
                 last = self.splitter.last_id(),
                 idle_ms = (idle + timeout).as_millis()
             );
-            let mut history = self.history.clone();
-            history.excluded.push(source.run.endpoint.clone());
+            let history = self.history.while_running(&source.run.endpoint);
             let last = self.splitter.last_id();
             let next = tokio::select! {
                 frame = source.body.frame() => return self.read_frame(frame, source),
--- a/crates/waxwing-gate/src/gate/dispatch.rs
+++ b/crates/waxwing-gate/src/gate/dispatch.rs
@@ -139,7 +139,26 @@
             true => self.latest_start(ticket),
             false => self.patience_end(ticket),
         };
-        now >= self.patience_end(ticket) || start >= latest
+        now >= self.patience_end(ticket) || start >= latest || self.has_nowhere_to_go(now, ticket)
+    }
+
+    /// Tells whether endpoints are usable, but none of them for this request now or later.
+    fn has_nowhere_to_go(&self, now: Instant, ticket: &tickets::WaitingTicket) -> bool {
+        if ticket.excluded.is_empty() || ticket.may_go_back {
+            return false;
+        }
+        let mut usable = self.usable_endpoints(now, &ticket.service).peekable();
+        usable.peek().is_some() && usable.all(|view| ticket.excluded.contains(&view.id))
+    }
+
+    fn usable_endpoints<'a>(
+        &'a self,
+        now: Instant,
+        service: &'a SmolStr,
+    ) -> impl Iterator<Item = &'a endpoints::EndpointView> {
+        self.endpoints
+            .values()
+            .filter(move |view| view.service == *service && view.is_usable(now, &self.options))
     }
 
     fn refusal(
@@ -152,8 +171,12 @@
         tickets::GateDecision::Refuse {
             ticket: key.ticket,
             reason: match round.capacity.usable {
-                true => tickets::RefusalReason::NoRoom,
                 false => tickets::RefusalReason::NoEndpoint,
+                true if self.has_nowhere_to_go(now, ticket) => {
+                    tickets::RefusalReason::NoOtherEndpoint
+                }
+                true if now >= self.patience_end(ticket) => tickets::RefusalReason::WaitedOut,
+                true => tickets::RefusalReason::NoRoom,
             },
             retry_after: self.retry_after(now, ticket, key.ticket),
             inputs: tickets::RefusalInputs {
@@ -217,10 +240,7 @@
 
     /// Returns the present capacity of a service.
     fn capacity(&self, now: Instant, service: &SmolStr) -> ServiceCapacity {
-        let usable = self
-            .endpoints
-            .values()
-            .filter(|view| view.service == *service && view.is_usable(now, &self.options));
+        let usable = self.usable_endpoints(now, service);
         let run_time = self.model(service).mean_run_time();
         let peer_usage_known = run_time >= self.options.min_run_for_peer_usage;
         let (mut slots, mut free, mut any_usable) = (0_u32, 0_u32, false);
@@ -276,18 +296,19 @@
 
     /// Returns the endpoints that may serve a request, with or without a free slot. Those whose
     /// limit is used up are left out, so that no request waits for one of them that another
-    /// endpoint could run.
+    /// endpoint could run. Endpoints that failed or refused the request are left out as well, unless
+    /// there is no other one and it may go back.
     fn candidates<'a>(
         &'a self,
         now: Instant,
         ticket: &'a tickets::WaitingTicket,
     ) -> impl Iterator<Item = &'a endpoints::EndpointView> {
-        self.endpoints.values().filter(move |view| {
-            view.service == ticket.service
-                && view.is_usable(now, &self.options)
-                && view.limit.available() > 0
-                && !ticket.excluded.contains(&view.id)
-        })
+        let is_excluded = |view: &endpoints::EndpointView| ticket.excluded.contains(&view.id);
+        let goes_back = ticket.may_go_back
+            && now >= ticket.queued + self.options.go_back_pause
+            && self.usable_endpoints(now, &ticket.service).all(is_excluded);
+        self.usable_endpoints(now, &ticket.service)
+            .filter(move |view| view.limit.available() > 0 && (goes_back || !is_excluded(view)))
     }
 
     /// Returns the endpoint with a free slot and the best score. A request stays queued if it can
--- a/crates/waxwing-gate/src/options.rs
+++ b/crates/waxwing-gate/src/options.rs
@@ -60,6 +60,9 @@
     /// Consecutive failures after which an endpoint is ejected. A single failure says little:
     /// endpoints fail a part of their requests.
     pub ejection_failures: u32,
+    /// Pause before a request goes back to an endpoint that failed or refused it, if no other one is
+    /// usable; some run times of a plain call.
+    pub go_back_pause: Duration,
     /// Longest wait of a new request, as a share of its latency objective.
     pub new_request_patience: f64,
     /// Share of its patience for which a new request waits for an endpoint at which it can meet its
@@ -128,6 +131,7 @@
             resumed_patience: Duration::from_millis(1_600),
             failure_penalty: Duration::from_secs(2),
             ejection_failures: 3,
+            go_back_pause: Duration::from_millis(100),
             new_request_patience: 1.0,
             objective_wait_share: 0.5,
             call_patience: 0.5,
--- a/crates/waxwing-gate/src/tickets.rs
+++ b/crates/waxwing-gate/src/tickets.rs
@@ -70,15 +70,22 @@
     /// Whether it is a retry that may have run before, or resumes a stream; it is queued ahead of
     /// all new requests.
     pub resumed: bool,
-    /// Endpoints that it must not be sent to again.
+    /// Endpoints that failed or refused it.
     pub excluded: Vec<SmolStr>,
+    /// Whether it may go back to one of them after a pause if no other endpoint is usable. It must
+    /// not while the endpoint may still be at work on it.
+    pub may_go_back: bool,
 }
 
 /// Why a request was refused before it ran.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub enum RefusalReason {
-    /// No endpoint has a free slot in time.
+    /// Too many requests are ahead for a slot to become free in time.
     NoRoom,
+    /// No slot became free while it was of use to its caller to wait.
+    WaitedOut,
+    /// All usable endpoints have failed or refused it.
+    NoOtherEndpoint,
     /// No endpoint of the service is known to be usable.
     NoEndpoint,
 }
@@ -89,6 +96,8 @@
     pub const fn as_str(self) -> &'static str {
         match self {
             Self::NoRoom => "no-room",
+            Self::WaitedOut => "waited-out",
+            Self::NoOtherEndpoint => "no-other-endpoint",
             Self::NoEndpoint => "no-endpoint",
         }
     }
--- a/crates/waxwing-gate/tests/gate.rs
+++ b/crates/waxwing-gate/tests/gate.rs
@@ -331,3 +331,75 @@
     core.enqueue(ticket(start, 0, 100));
     assert!(granted(&core.decide(start)).is_empty());
 }
+
+/// Guards against a request that waits for its whole patience beside free slots: the only usable
+/// endpoint had failed it.
+#[test]
+fn request_goes_back_to_the_only_endpoint_after_a_pause() {
+    let now = Instant::now();
+    let mut core = gate(now, &[("one", 1, 3)]);
+    let failed = tickets::WaitingTicket {
+        excluded: vec![SmolStr::new("one")],
+        resumed: true,
+        ..ticket(now, 1, 100)
+    };
+    core.enqueue(failed.clone());
+    assert!(core.decide(now).is_empty());
+    assert_eq!(granted(&core.decide(now + millis(150))).len(), 1);
+    // Another usable endpoint goes first, without a pause.
+    core.observe_notice(notice("two", 2, 1), now);
+    core.enqueue(failed);
+    assert_eq!(granted(&core.decide(now))[0].1, "two");
+}
+
+/// Guards against a run that is started again at the endpoint that is at work on it, and against a
+/// wait that can't end well: the refusal is immediate and names its cause.
+#[test]
+fn request_with_nowhere_to_go_is_refused_at_once() {
+    let now = Instant::now();
+    let mut core = gate(now, &[("one", 1, 3)]);
+    core.enqueue(tickets::WaitingTicket {
+        excluded: vec![SmolStr::new("one")],
+        resumed: true,
+        may_go_back: false,
+        ..ticket(now, 1, 100)
+    });
+    let decisions = core.decide(now);
+    assert!(matches!(
+        decisions[..],
+        [tickets::GateDecision::Refuse {
+            reason: tickets::RefusalReason::NoOtherEndpoint,
+            ..
+        }]
+    ));
+}
+
+/// Guards against one name for different causes of a refusal.
+#[test]
+fn refusals_name_their_cause() {
+    let now = Instant::now();
+    let mut core = gate(now, &[("one", 1, 1)]);
+    for _ in 0..40 {
+        core.enqueue(ticket(now, 1, 100));
+    }
+    let reasons = |decisions: Vec<tickets::GateDecision>| {
+        let reasons = decisions.into_iter().filter_map(|decision| match decision {
+            tickets::GateDecision::Refuse { reason, .. } => Some(reason),
+            tickets::GateDecision::Grant { .. } => None,
+        });
+        reasons.collect::<std::collections::HashSet<_>>()
+    };
+    let early = reasons(core.decide(now));
+    assert_eq!(early, [tickets::RefusalReason::NoRoom].into());
+    let patient = tickets::WaitingTicket {
+        due: now + millis(2_000),
+        ..ticket(now, 0, 100)
+    };
+    core.enqueue(patient);
+    core.decide(now);
+    let late = reasons(core.decide(now + millis(2_001)));
+    assert!(
+        late.contains(&tickets::RefusalReason::WaitedOut),
+        "{late:?}"
+    );
+}
--- a/crates/waxwing-gate/tests/support/mod.rs
+++ b/crates/waxwing-gate/tests/support/mod.rs
@@ -85,6 +85,7 @@
         returned: false,
         resumed: false,
         excluded: Vec::new(),
+        may_go_back: true,
     }
 }
 
--- a/crates/waxwing-load/src/replay/entries.rs
+++ b/crates/waxwing-load/src/replay/entries.rs
@@ -283,6 +283,7 @@
             returned: arrival.refusals > 0,
             resumed: false,
             excluded,
+            may_go_back: true,
         };
         let id = self.core.enqueue(ticket);
         self.held.insert(id, (arrival, received));
