--- a/crates/waxwing-core/src/events.rs
+++ b/crates/waxwing-core/src/events.rs
@@ -31,7 +31,7 @@
 }
 
 /// All events of the decision log, those of requests first.
-pub const LOG_EVENTS: [LogEvent; 59] = [
+pub const LOG_EVENTS: [LogEvent; 60] = [
     log_event(
         "request-started",
         "the gate gave the request a slot and the entry sent it",
@@ -62,7 +62,11 @@
     ),
     log_event(
         "stream-stalled",
-        "the endpoint sent nothing for the limit, and the stream may go on elsewhere",
+        "the endpoint sent no whole event for the limit, and another endpoint is sought",
+    ),
+    log_event(
+        "stream-kept",
+        "no other endpoint took a stalled stream, so it stays where it is; `reason` says why",
     ),
     log_event(
         "stream-resumed",
