--- a/crates/waxwing-proof/src/lib.rs
+++ b/crates/waxwing-proof/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod events;
 pub mod evidence;
 pub mod faults;
+pub mod field_reports;
 pub mod matrix;
 pub mod report;
 pub mod steps;
--- a/crates/waxwing-proof/src/report.rs
+++ b/crates/waxwing-proof/src/report.rs
@@ -3,6 +3,7 @@
 use std::fmt::Write as _;
 
 use crate::{
+    field_reports,
     matrix::{self, CellState, MatrixCell},
     steps,
 };
@@ -62,9 +63,37 @@
             render_step(&mut text, step.label(), &row);
         }
     }
+    render_field_reports(&mut text);
     text
 }
 
+fn render_field_reports(text: &mut String) {
+    text.push_str(FIELD_REPORTS_HEAD);
+    for report in field_reports::ALL {
+        let tests: Vec<_> = report
+            .tests
+            .iter()
+            .map(|test| format!("`{}` in `{}`", test.test, test.file))
+            .collect();
+        let _ = writeln!(
+            text,
+            "| {} | {} | {} |",
+            report.failure,
+            report.outcome_label(),
+            tests.join(", ")
+        );
+    }
+}
+
+const FIELD_REPORTS_HEAD: &str = "
+## Reports of other operators
+
+Failures of similar systems that their operators reported. \"Happened, fixed\" means that the test failed on the code before the fix; \"not reproduced\" that it passed on the code as it was. The tests run the entry and the control hosts over loopback, or the decision alone.
+
+| failure | here | tests |
+|---|---|---|
+";
+
 const HEAD: &str = "# Fault matrix
 
 Made by `cargo run --locked -p waxwing-proof --bin waxwing-faults`; a test fails when this page and the table in `crates/waxwing-proof` differ. Steps and faults are those of [design](design.md), section 14.
--- a/crates/waxwing-proof/tests/matrix.rs
+++ b/crates/waxwing-proof/tests/matrix.rs
@@ -2,7 +2,7 @@
 
 use std::{fs, path::PathBuf};
 
-use waxwing_proof::{evidence, matrix, report};
+use waxwing_proof::{evidence, field_reports, matrix, report};
 
 fn root() -> PathBuf {
     PathBuf::from(env!("CARGO_MANIFEST_DIR")).join("../..")
@@ -18,17 +18,16 @@
     );
 }
 
-/// Guards against cells that name a test which was renamed or removed.
+/// Guards against cells and reports that name a test which was renamed or removed.
 #[test]
 fn named_tests_exist() {
-    for evidence in evidence::ALL {
-        let text = fs::read_to_string(root().join(evidence.file)).expect(evidence.file);
-        let function = format!("fn {}(", evidence.test);
-        assert!(
-            text.contains(&function),
-            "{} has no {function}",
-            evidence.file
-        );
+    let cells = evidence::ALL.iter().map(|test| (test.file, test.test));
+    let reports = field_reports::ALL.iter().flat_map(|report| report.tests);
+    let reports = reports.map(|test| (test.file, test.test));
+    for (file, test) in cells.chain(reports) {
+        let text = fs::read_to_string(root().join(file)).expect(file);
+        let function = format!("fn {test}(");
+        assert!(text.contains(&function), "{file} has no {function}");
     }
 }
 
