Keep endpoints known to all control hosts, and give each departure a start time

Cause: a control host told the others only of changes, so they forgot an endpoint that lived after 60 s. A deregistration without a start time at such a host got the start time 0, which is older than everything: the other hosts kept the endpoint as ready, and a late notice replaced the departure.

Evidence: in the log of the host of the deregistration, endpoint-changed has an empty address and born 0 for an endpoint that it had listed 70 s before, and 1 s later phase Ready with the start time of the late notice. A lost message would have kept address and start time. endpoint-forgotten and departure-ignored are logged from now on; nothing told of them before.

Change: control hosts relay what they heard of every 20 s; a deregistration without a start time at a host that doesn't know the endpoint means every life that has begun by now.

--- a/crates/waxwing-fleet/src/registry.rs
+++ b/crates/waxwing-fleet/src/registry.rs
@@ -14,7 +14,7 @@
 const GONE_RETENTION: Duration = Duration::from_secs(60);
 
 /// Time after which an endpoint that sends no notices is removed.
-const SILENCE_RETENTION: Duration = Duration::from_secs(60);
+pub const SILENCE_RETENTION: Duration = Duration::from_secs(60);
 
 /// The effect of a notice on the registry.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -99,32 +99,49 @@
         }
     }
 
-    /// Builds the notice that deregisters an endpoint, from its last notice. `born` is the start
-    /// time in the call, in Unix milliseconds.
+    /// Builds the notice that deregisters an endpoint, from its last notice. `stated_born` is the
+    /// start time in the call, and `wall_millis` the wall-clock time, both in Unix milliseconds.
+    ///
+    /// A call that states no start time means the known life of the endpoint. If none is known here,
+    /// it means all lives that have begun by now, since other hosts may know one of them.
     #[must_use]
-    pub fn deregistration(&self, id: &str, born: Option<u64>) -> messages::EndpointNotice {
+    pub fn deregistration(
+        &self,
+        id: &str,
+        stated_born: Option<u64>,
+        wall_millis: u64,
+    ) -> messages::EndpointNotice {
         let known = self.records.get(id).map(|record| &record.notice);
+        let known_born = known.map_or(wall_millis, |notice| notice.born);
         let mut notice = known.cloned().unwrap_or_default();
         id.clone_into(&mut notice.id);
         notice.phase = messages::EndpointPhase::Gone.into();
-        notice.born = born.unwrap_or(notice.born);
+        notice.born = stated_born.unwrap_or(known_born);
         notice
     }
 
+    /// Returns the record of an endpoint.
+    #[must_use]
+    pub fn record(&self, id: &str) -> Option<&RegistryRecord> {
+        self.records.get(id)
+    }
+
     /// Returns the records of all endpoints, in no particular order.
     pub fn records(&self) -> impl Iterator<Item = &RegistryRecord> {
         self.records.values()
     }
 
-    /// Removes endpoints that have been gone or silent for longer than their retention time.
-    pub fn expire(&mut self, now: Instant) {
-        self.records.retain(|_, record| {
+    /// Removes endpoints that have been gone or silent for longer than their retention time, and
+    /// returns their last notices.
+    pub fn expire(&mut self, now: Instant) -> Vec<messages::EndpointNotice> {
+        let expired = self.records.extract_if(|_, record| {
             let limit = match record.notice.phase() {
                 messages::EndpointPhase::Gone => GONE_RETENTION,
                 _ => SILENCE_RETENTION,
             };
-            now.saturating_duration_since(record.received_at) < limit
+            now.saturating_duration_since(record.received_at) >= limit
         });
+        expired.map(|(_, record)| record.notice).collect()
     }
 }
 
--- a/crates/waxwing-fleet/tests/registry.rs
+++ b/crates/waxwing-fleet/tests/registry.rs
@@ -42,7 +42,7 @@
     let now = Instant::now();
     let mut registry = EndpointRegistry::default();
     registry.observe(notice("one", 5, 1, EndpointPhase::Ready), now);
-    let deregistration = registry.deregistration("one", None);
+    let deregistration = registry.deregistration("one", None, 9);
     assert_eq!(registry.observe(deregistration, now), NoticeEffect::Changed);
     let late = registry.observe(notice("one", 5, 2, EndpointPhase::Ready), now);
     assert_eq!(late, NoticeEffect::Stale);
--- /dev/null
+++ b/crates/waxwing-registrar/src/directory.rs
@@ -0,0 +1,127 @@
+//! What a control host knows of the endpoints, and what it tells entries and the other control
+//! hosts. It does no I/O and reads no clock, so that tests can simulate several hosts.
+
+use std::{
+    collections::HashMap,
+    time::{Duration, Instant},
+};
+
+use smol_str::SmolStr;
+use waxwing_fleet::registry;
+use waxwing_wire::messages;
+
+/// Time between two relays of the endpoints that this host heard of to the other control hosts,
+/// which would otherwise forget an endpoint that sends its notices here. It is a third of
+/// [`registry::SILENCE_RETENTION`], so that one lost relay doesn't matter.
+pub const RELAY_INTERVAL: Duration = Duration::from_secs(20);
+
+/// The endpoints that a control host knows, and the notices that it has yet to pass on.
+#[derive(Debug, Default)]
+pub struct EndpointDirectory {
+    registry: registry::EndpointRegistry,
+    /// Notices without a change that entries have not received yet.
+    refreshes: Vec<messages::EndpointNotice>,
+    /// The last notice without a change of each endpoint that sent one here since the last relay.
+    unrelayed: HashMap<SmolStr, registry::RegistryRecord>,
+    /// When these are relayed to the other control hosts; `None` before the first one.
+    next_relay: Option<Instant>,
+}
+
+impl EndpointDirectory {
+    /// Applies a notice that an endpoint sent to this host at `now`.
+    pub fn observe(
+        &mut self,
+        notice: messages::EndpointNotice,
+        now: Instant,
+    ) -> registry::NoticeEffect {
+        let effect = self.registry.observe(notice.clone(), now);
+        if effect == registry::NoticeEffect::Refreshed {
+            self.refreshes.push(notice.clone());
+            self.next_relay.get_or_insert(now + RELAY_INTERVAL);
+            let record = registry::RegistryRecord {
+                received_at: now,
+                notice,
+            };
+            self.unrelayed
+                .insert(SmolStr::new(&record.notice.id), record);
+        }
+        effect
+    }
+
+    /// Applies notices that another control host received.
+    pub fn observe_relayed(&mut self, relayed: messages::EndpointNotices, now: Instant) {
+        for notice in relayed.notices {
+            let age = Duration::from_millis(notice.age_millis);
+            let received_at = now.checked_sub(age).unwrap_or(now);
+            let gone = messages::EndpointPhase::Gone;
+            let departed = (notice.phase() == gone).then(|| (notice.id.clone(), notice.born));
+            self.registry.observe(notice, received_at);
+            let Some((id, born)) = departed else { continue };
+            let record = self.registry.record(&id);
+            if let Some(known) = record.filter(|record| record.notice.phase() != gone) {
+                let known_born = known.notice.born;
+                tracing::info!(event = "departure-ignored", endpoint = id, born, known_born);
+            }
+        }
+    }
+
+    /// Builds the notice that deregisters an endpoint. `stated_born` is the start time in the call,
+    /// and `wall_millis` the wall-clock time, both in Unix milliseconds.
+    #[must_use]
+    pub fn deregistration(
+        &self,
+        id: &str,
+        stated_born: Option<u64>,
+        wall_millis: u64,
+    ) -> messages::EndpointNotice {
+        self.registry.deregistration(id, stated_born, wall_millis)
+    }
+
+    /// Returns the notices of all endpoints, with their ages at `now`.
+    #[must_use]
+    pub fn all_notices(&self, now: Instant) -> messages::EndpointNotices {
+        with_ages(self.registry.records(), now)
+    }
+
+    /// Returns the notices without a change that entries have not received yet.
+    pub fn take_refreshes(&mut self) -> messages::EndpointNotices {
+        messages::EndpointNotices {
+            notices: std::mem::take(&mut self.refreshes),
+        }
+    }
+
+    /// Returns the notices to relay to the other control hosts at `now`, if they are due.
+    pub fn take_relay(&mut self, now: Instant) -> Option<messages::EndpointNotices> {
+        self.next_relay.take_if(|due| *due <= now)?;
+        let unrelayed = std::mem::take(&mut self.unrelayed);
+        Some(with_ages(unrelayed.values(), now))
+    }
+
+    /// Removes endpoints that have been gone or silent for too long.
+    pub fn expire(&mut self, now: Instant) {
+        for notice in self.registry.expire(now) {
+            tracing::info!(
+                event = "endpoint-forgotten",
+                endpoint = notice.id,
+                phase = ?notice.phase(),
+                born = notice.born
+            );
+        }
+    }
+}
+
+fn with_ages<'a>(
+    records: impl Iterator<Item = &'a registry::RegistryRecord>,
+    now: Instant,
+) -> messages::EndpointNotices {
+    let notices = records.map(|record| {
+        let age = now.saturating_duration_since(record.received_at);
+        messages::EndpointNotice {
+            age_millis: u64::try_from(age.as_millis()).unwrap_or(u64::MAX),
+            ..record.notice.clone()
+        }
+    });
+    messages::EndpointNotices {
+        notices: notices.collect(),
+    }
+}
--- a/crates/waxwing-registrar/src/host.rs
+++ b/crates/waxwing-registrar/src/host.rs
@@ -1,4 +1,4 @@
-//! The shared state of a control host: the registry of endpoints, and the updates that are sent to
+//! The shared state of a control host: the directory of endpoints, and the updates that are sent to
 //! entries and other control hosts.
 
 use std::{
@@ -14,7 +14,7 @@
 use waxwing_fleet::{network, registry};
 use waxwing_wire::messages;
 
-use crate::{errors, handles, history, metrics, options};
+use crate::{directory, errors, handles, history, metrics, options};
 
 /// Time for which notices without a change are batched before they are sent to entries, which need
 /// them only to know that the endpoint is alive.
@@ -34,12 +34,10 @@
     pub(crate) group: handles::GroupHandle,
     pub(crate) network: network::ProcessNetwork<C>,
     pub(crate) metrics: metrics::RegistrarMetrics,
-    registry: Arc<Mutex<registry::EndpointRegistry>>,
+    directory: Arc<Mutex<directory::EndpointDirectory>>,
     history: Arc<Mutex<history::DeploymentHistory>>,
     /// Wakes the task that confirms the newest deployment, since an entry waits for it.
     confirmation_wanted: Arc<Notify>,
-    /// Notices without a change that entries have not received yet.
-    pending_refreshes: Arc<Mutex<Vec<messages::EndpointNotice>>>,
     /// The seeds in the settings file; they may change while the process runs.
     pub(crate) seeds: watch::Receiver<Vec<SocketAddr>>,
 }
@@ -59,18 +57,17 @@
             group,
             network,
             metrics,
-            registry: Arc::default(),
+            directory: Arc::default(),
             history: Arc::default(),
             confirmation_wanted: Arc::default(),
-            pending_refreshes: Arc::default(),
             seeds,
         }
     }
 
-    pub(crate) fn registry(&self) -> MutexGuard<'_, registry::EndpointRegistry> {
-        self.registry
+    fn directory(&self) -> MutexGuard<'_, directory::EndpointDirectory> {
+        self.directory
             .lock()
-            .expect("no thread panics while it holds the registry lock")
+            .expect("no thread panics while it holds the lock of the directory")
     }
 
     fn history(&self) -> MutexGuard<'_, history::DeploymentHistory> {
@@ -79,17 +76,21 @@
             .expect("no thread panics while it holds the lock of the history")
     }
 
-    fn pending_refreshes(&self) -> MutexGuard<'_, Vec<messages::EndpointNotice>> {
-        self.pending_refreshes
-            .lock()
-            .expect("no thread panics while it holds the lock of the notices")
+    /// Handles the deregistration of an endpoint; `stated_born` is the start time in the call, in
+    /// Unix milliseconds.
+    pub(crate) fn deregister(&self, id: &str, stated_born: Option<u64>) {
+        let wall_millis = self.clock.wall_millis();
+        let notice = self
+            .directory()
+            .deregistration(id, stated_born, wall_millis);
+        self.handle_notice(notice);
     }
 
     /// Handles a notice from an endpoint. A change is queued for all linked entries and control
     /// hosts before this returns, so that it is on its way when the endpoint gets the
     /// acknowledgement of a drain.
     pub(crate) fn handle_notice(&self, notice: messages::EndpointNotice) {
-        let effect = self.registry().observe(notice.clone(), self.clock.now());
+        let effect = self.directory().observe(notice.clone(), self.clock.now());
         self.metrics.count_notice(match effect {
             registry::NoticeEffect::Stale => "stale",
             registry::NoticeEffect::Refreshed => "refreshed",
@@ -104,7 +105,7 @@
                     born = notice.born
                 );
             }
-            registry::NoticeEffect::Refreshed => self.pending_refreshes().push(notice),
+            registry::NoticeEffect::Refreshed => {}
             registry::NoticeEffect::Changed => {
                 tracing::info!(
                     event = "endpoint-changed",
@@ -124,30 +125,6 @@
         }
     }
 
-    /// Adds notices that another control host received to the registry.
-    fn handle_relayed(&self, relayed: messages::EndpointNotices) {
-        let now = self.clock.now();
-        let mut registry = self.registry();
-        for notice in relayed.notices {
-            let age = Duration::from_millis(notice.age_millis);
-            registry.observe(notice, now.checked_sub(age).unwrap_or(now));
-        }
-    }
-
-    fn all_notices(&self, now: Instant) -> messages::EndpointNotices {
-        let registry = self.registry();
-        let notices = registry.records().map(|record| {
-            let age = now.saturating_duration_since(record.received_at);
-            messages::EndpointNotice {
-                age_millis: u64::try_from(age.as_millis()).unwrap_or(u64::MAX),
-                ..record.notice.clone()
-            }
-        });
-        messages::EndpointNotices {
-            notices: notices.collect(),
-        }
-    }
-
     fn fleet_hosts(&self) -> messages::FleetHosts {
         let members = self.group.view.borrow().members.clone();
         let mut control: HashSet<_> = members.into_iter().collect();
@@ -170,7 +147,7 @@
 
     /// Sends the full state to a process whose link has just opened.
     fn send_full_state(&self, remote: network::RemoteProcess) {
-        let notices = self.all_notices(self.clock.now());
+        let notices = self.directory().all_notices(self.clock.now());
         let address = remote.address;
         self.network
             .send(address, messages::Body::EndpointNotices(notices));
@@ -203,7 +180,10 @@
                 payload: quorum.payload,
             },
             messages::Body::JoinGroup(join) => handles::GroupRequest::Join(join),
-            messages::Body::EndpointNotices(notices) => return self.handle_relayed(notices),
+            messages::Body::EndpointNotices(notices) => {
+                let now = self.clock.now();
+                return self.directory().observe_relayed(notices, now);
+            }
             messages::Body::FetchDeployment(fetch) => return self.send_chunk(remote, &fetch),
             other => {
                 tracing::debug!(address = %remote.address, ?other, "unexpected message");
@@ -327,7 +307,7 @@
             let now = self.clock.now();
             if now >= next_hosts {
                 next_hosts = now + HOSTS_CHECK_INTERVAL;
-                self.registry().expire(now);
+                self.directory().expire(now);
                 self.update_links();
                 let current_hosts = self.fleet_hosts();
                 if current_hosts != hosts {
@@ -336,11 +316,7 @@
                     self.network.broadcast(messages::ProcessKind::Entry, &body);
                 }
             }
-            let notices = std::mem::take(&mut *self.pending_refreshes());
-            if !notices.is_empty() {
-                let body = messages::Body::EndpointNotices(messages::EndpointNotices { notices });
-                self.network.broadcast(messages::ProcessKind::Entry, &body);
-            }
+            self.pass_on_refreshes(now);
             tokio::select! {
                 () = shutdown.cancelled() => return,
                 () = self.clock.sleep(REFRESH_INTERVAL) => {}
@@ -348,6 +324,23 @@
         }
     }
 
+    /// Sends the notices without a change that are due to entries and to other control hosts.
+    fn pass_on_refreshes(&self, now: Instant) {
+        let (refreshes, relay) = {
+            let mut directory = self.directory();
+            (directory.take_refreshes(), directory.take_relay(now))
+        };
+        if !refreshes.notices.is_empty() {
+            let body = messages::Body::EndpointNotices(refreshes);
+            self.network.broadcast(messages::ProcessKind::Entry, &body);
+        }
+        if let Some(relay) = relay {
+            let body = messages::Body::EndpointNotices(relay);
+            self.network
+                .broadcast(messages::ProcessKind::Control, &body);
+        }
+    }
+
     fn update_links(&self) {
         let mut wanted: HashSet<_> = self.group.view.borrow().members.iter().copied().collect();
         let seeds = self.seeds.borrow().clone();
--- a/crates/waxwing-registrar/src/http.rs
+++ b/crates/waxwing-registrar/src/http.rs
@@ -69,8 +69,7 @@
         },
         dialects::ControlCall::Deregister { endpoint } => {
             let born = dialect.deregistration(&body);
-            let notice = host.registry().deregistration(&endpoint, born);
-            host.handle_notice(notice);
+            host.deregister(&endpoint, born);
             json_response(StatusCode::OK, Bytes::from_static(b"{}"))
         }
         dialects::ControlCall::Unknown => text_response(StatusCode::NOT_FOUND, "no such call"),
