Commit departures of endpoints to the log before they are acknowledged

Cause: that an endpoint has left was kept in the memory of control hosts and entries only. After the loss of all memory a late notice of the endpoint was that of a new one.

Evidence: the log of control host 1 has endpoint-changed Gone, process-started, and then endpoint-changed Ready with the same start time, 1.8 s after a leader was elected, and no entry of the log in between: nothing was lost with the log, and no host was behind.

Change: a drain or deregistration is acknowledged once id and start time of the life that leaves are in the replicated log; hosts that don't lead ask the leader. A control host that has started tells entries of no endpoint until a confirmed leader has told it which ones have left. Ready notices of a life that has left are dropped. An entry whose link opens is told of the newest 256 departures.

--- a/crates/waxwing-fleet/src/registry.rs
+++ b/crates/waxwing-fleet/src/registry.rs
@@ -131,6 +131,17 @@
         self.records.values()
     }
 
+    /// Marks an endpoint as draining if its known life began at `born` or before and is ready.
+    /// Returns its notice then.
+    pub fn mark_draining(&mut self, id: &str, born: u64) -> Option<&messages::EndpointNotice> {
+        let known = &mut self.records.get_mut(id)?.notice;
+        if known.born > born || known.phase() != messages::EndpointPhase::Ready {
+            return None;
+        }
+        known.phase = messages::EndpointPhase::Draining.into();
+        Some(known)
+    }
+
     /// Removes endpoints that have been gone or silent for longer than their retention time, and
     /// returns their last notices.
     pub fn expire(&mut self, now: Instant) -> Vec<messages::EndpointNotice> {
--- /dev/null
+++ b/crates/waxwing-registrar/src/departures.rs
@@ -0,0 +1,83 @@
+//! The departures of endpoints that control hosts have acknowledged. They are part of the replicated
+//! log, so that a late notice can't bring an endpoint back after all processes were lost.
+//! `docs/design.md` lists them among the facts that outlive a process.
+
+use std::collections::{HashMap, VecDeque};
+
+use prost::Message;
+use smol_str::SmolStr;
+use waxwing_wire::messages;
+
+/// The number of endpoints whose last departure is kept. It exceeds the largest fleet, so that the
+/// departures of a release that replaces every endpoint are all kept, and a notice that is late by
+/// the length of such a release is still recognized.
+pub const MAX_DEPARTURES: usize = 4_096;
+
+/// The departures that the replicated log holds, as entries and snapshots store them.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct DepartureList {
+    /// The departures, the oldest first.
+    #[prost(message, repeated, tag = "3")]
+    pub departures: Vec<messages::EndpointDeparture>,
+}
+
+/// The last departure of each endpoint. Only the newest [`MAX_DEPARTURES`] are kept; which ones
+/// follows from the order of the log alone, so that all replicas agree.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct DepartureLedger {
+    /// The start time of the last life that has left, in Unix milliseconds, by endpoint id.
+    born: HashMap<SmolStr, u64>,
+    /// The ids in the order of their last departures.
+    order: VecDeque<SmolStr>,
+}
+
+impl DepartureLedger {
+    /// Records a departure; returns whether it was new.
+    pub fn record(&mut self, departure: &messages::EndpointDeparture) -> bool {
+        let id = SmolStr::new(&departure.id);
+        if self.covers(&id, departure.born) {
+            return false;
+        }
+        if self.born.insert(id.clone(), departure.born).is_some() {
+            self.order.retain(|known| *known != id);
+        }
+        self.order.push_back(id);
+        while self.order.len() > MAX_DEPARTURES {
+            if let Some(oldest) = self.order.pop_front() {
+                self.born.remove(&oldest);
+            }
+        }
+        true
+    }
+
+    /// Tells whether the life of an endpoint that began at `born` has left.
+    #[must_use]
+    pub fn covers(&self, id: &str, born: u64) -> bool {
+        self.born.get(id).is_some_and(|left| born <= *left)
+    }
+
+    /// Returns the newest `count` departures, the oldest of them first.
+    pub fn newest(&self, count: usize) -> impl Iterator<Item = messages::EndpointDeparture> {
+        let skipped = self.order.len().saturating_sub(count);
+        let ids = self.order.iter().skip(skipped);
+        ids.map(|id| messages::EndpointDeparture {
+            id: id.to_string(),
+            born: self.born.get(id).copied().unwrap_or_default(),
+        })
+    }
+
+    /// Returns all departures, the oldest first.
+    #[must_use]
+    pub fn to_list(&self) -> DepartureList {
+        DepartureList {
+            departures: self.newest(MAX_DEPARTURES).collect(),
+        }
+    }
+
+    /// Records all departures of a list.
+    pub fn extend(&mut self, list: &DepartureList) {
+        for departure in &list.departures {
+            self.record(departure);
+        }
+    }
+}
--- a/crates/waxwing-registrar/src/directory.rs
+++ b/crates/waxwing-registrar/src/directory.rs
@@ -10,15 +10,28 @@
 use waxwing_fleet::registry;
 use waxwing_wire::messages;
 
+use crate::departures;
+
 /// Time between two relays of the endpoints that this host heard of to the other control hosts,
 /// which would otherwise forget an endpoint that sends its notices here. It is a third of
 /// [`registry::SILENCE_RETENTION`], so that one lost relay doesn't matter.
 pub const RELAY_INTERVAL: Duration = Duration::from_secs(20);
 
+/// The number of recent departures that an entry is told when its link opens. An entry that was cut
+/// off for longer than a registry keeps deregistered endpoints learns of them so.
+const RECENT_DEPARTURES: usize = 256;
+
 /// The endpoints that a control host knows, and the notices that it has yet to pass on.
+///
+/// Before the host has learnt all departures that the replicated log holds, a notice may be a late
+/// one of an endpoint that has left, and entries are told nothing.
 #[derive(Debug, Default)]
 pub struct EndpointDirectory {
     registry: registry::EndpointRegistry,
+    /// The departures that are known to be committed.
+    departures: departures::DepartureLedger,
+    /// Whether these were all that the log held at some time since the process started.
+    is_complete: bool,
     /// Notices without a change that entries have not received yet.
     refreshes: Vec<messages::EndpointNotice>,
     /// The last notice without a change of each endpoint that sent one here since the last relay.
@@ -34,9 +47,15 @@
         notice: messages::EndpointNotice,
         now: Instant,
     ) -> registry::NoticeEffect {
+        if self.has_left(&notice) {
+            return registry::NoticeEffect::Stale;
+        }
         let effect = self.registry.observe(notice.clone(), now);
         if effect == registry::NoticeEffect::Refreshed {
-            self.refreshes.push(notice.clone());
+            // Otherwise entries get all notices once the departures are known.
+            if self.is_complete {
+                self.refreshes.push(notice.clone());
+            }
             self.next_relay.get_or_insert(now + RELAY_INTERVAL);
             let record = registry::RegistryRecord {
                 received_at: now,
@@ -48,9 +67,48 @@
         effect
     }
 
+    /// Tells whether the notice is a late one of a life that has left.
+    fn has_left(&self, notice: &messages::EndpointNotice) -> bool {
+        notice.phase() == messages::EndpointPhase::Ready
+            && self.departures.covers(&notice.id, notice.born)
+    }
+
+    /// Tells whether a departure is known to be committed.
+    #[must_use]
+    pub fn is_recorded(&self, departure: &messages::EndpointDeparture) -> bool {
+        self.departures.covers(&departure.id, departure.born)
+    }
+
+    /// Returns whether entries may be told of the endpoints.
+    #[must_use]
+    pub const fn is_complete(&self) -> bool {
+        self.is_complete
+    }
+
+    /// Records committed departures, and returns the notices of endpoints that were taken for ready
+    /// until now. `whole` tells that the log held no others when a quorum was last asked.
+    pub fn learn(
+        &mut self,
+        departures: &[messages::EndpointDeparture],
+        whole: bool,
+    ) -> messages::EndpointNotices {
+        self.is_complete |= whole;
+        let mut notices = Vec::new();
+        for departure in departures {
+            if self.departures.record(departure) {
+                let marked = self.registry.mark_draining(&departure.id, departure.born);
+                notices.extend(marked.cloned());
+            }
+        }
+        messages::EndpointNotices { notices }
+    }
+
     /// Applies notices that another control host received.
     pub fn observe_relayed(&mut self, relayed: messages::EndpointNotices, now: Instant) {
         for notice in relayed.notices {
+            if self.has_left(&notice) {
+                continue;
+            }
             let age = Duration::from_millis(notice.age_millis);
             let received_at = now.checked_sub(age).unwrap_or(now);
             let gone = messages::EndpointPhase::Gone;
@@ -83,6 +141,26 @@
         with_ages(self.registry.records(), now)
     }
 
+    /// Returns what an entry is told when its link opens: the notices of all endpoints, and the
+    /// recent departures of others. It is told nothing while departures may be missing here.
+    #[must_use]
+    pub fn notices_for_entry(&self, now: Instant) -> messages::EndpointNotices {
+        if !self.is_complete {
+            return messages::EndpointNotices::default();
+        }
+        let mut all = self.all_notices(now);
+        let recent = self.departures.newest(RECENT_DEPARTURES);
+        let unlisted = recent.filter(|departure| self.registry.record(&departure.id).is_none());
+        all.notices
+            .extend(unlisted.map(|departure| messages::EndpointNotice {
+                id: departure.id,
+                born: departure.born,
+                phase: messages::EndpointPhase::Gone.into(),
+                ..messages::EndpointNotice::default()
+            }));
+        all
+    }
+
     /// Returns the notices without a change that entries have not received yet.
     pub fn take_refreshes(&mut self) -> messages::EndpointNotices {
         messages::EndpointNotices {
--- a/crates/waxwing-registrar/src/group.rs
+++ b/crates/waxwing-registrar/src/group.rs
@@ -173,6 +173,9 @@
                 let elapsed = self.elapsed();
                 self.replica.read(elapsed, reply);
             }
+            GroupRequest::RecordDepartures { list, reply } => {
+                self.replica.record_departures(&list, reply);
+            }
             GroupRequest::Peer { from, payload } => self.receive(from, payload),
             GroupRequest::Join(join) => self.handle_join(&join),
         }
@@ -228,6 +231,7 @@
                 .map(|(identity, _)| repair::link_address(identity.member))
                 .collect(),
             document: self.replica.document().clone(),
+            departures: self.replica.departures().clone(),
         };
         self.channels.view.send_if_modified(|last_view| {
             let changed = *last_view != view;
--- a/crates/waxwing-registrar/src/handles.rs
+++ b/crates/waxwing-registrar/src/handles.rs
@@ -1,12 +1,12 @@
 //! The channels between the task that runs the replicated log and the other tasks of the host.
 
-use std::net::SocketAddr;
+use std::{net::SocketAddr, sync::Arc};
 
 use bytes::Bytes;
 use tokio::sync::{mpsc, oneshot, watch};
 use waxwing_wire::messages as wire;
 
-use crate::{documents, errors, replica};
+use crate::{departures, documents, errors, replica};
 
 /// Capacity of the request queue of the group task, in requests.
 const REQUEST_QUEUE_LEN: usize = 1_024;
@@ -23,6 +23,11 @@
     Read {
         reply: oneshot::Sender<replica::CallOutcome>,
     },
+    /// Record departures of endpoints; it is answered once they are committed.
+    RecordDepartures {
+        list: departures::DepartureList,
+        reply: oneshot::Sender<replica::CallOutcome>,
+    },
     /// Handle a consensus message from another member.
     Peer { from: SocketAddr, payload: Bytes },
     /// Handle the request of a host to join the group.
@@ -44,6 +49,8 @@
     pub(crate) members: Vec<SocketAddr>,
     /// The current deployment document.
     pub(crate) document: documents::StoredDocument,
+    /// The departures of endpoints that are committed.
+    pub(crate) departures: Arc<departures::DepartureLedger>,
 }
 
 /// Sends requests to the group task and reads its published state; clones share both.
@@ -76,6 +83,20 @@
             .map_err(|_| errors::GroupError::Unavailable)?
     }
 
+    /// Records departures of endpoints in the log.
+    pub(crate) async fn record_departures(
+        &self,
+        list: departures::DepartureList,
+    ) -> Result<(), errors::GroupError> {
+        let (reply, receiver) = oneshot::channel();
+        self.submit(GroupRequest::RecordDepartures { list, reply })
+            .await?;
+        let outcome = receiver
+            .await
+            .map_err(|_| errors::GroupError::Unavailable)?;
+        outcome.map(|_| ())
+    }
+
     async fn submit(&self, request: GroupRequest) -> Result<(), errors::GroupError> {
         let sent = self.requests.send(request).await;
         sent.map_err(|_| errors::GroupError::Unavailable)
--- a/crates/waxwing-registrar/src/host.rs
+++ b/crates/waxwing-registrar/src/host.rs
@@ -14,7 +14,7 @@
 use waxwing_fleet::{network, registry};
 use waxwing_wire::messages;
 
-use crate::{directory, errors, handles, history, metrics, options};
+use crate::{departures, directory, errors, handles, history, metrics, options};
 
 /// Time for which notices without a change are batched before they are sent to entries, which need
 /// them only to know that the endpoint is alive.
@@ -26,6 +26,9 @@
 /// Shortest time between two confirmations of the newest deployment, which are sent to all entries.
 const CONFIRMATION_INTERVAL: Duration = Duration::from_millis(50);
 
+/// Time after which the leader is asked again to record a departure.
+const DEPARTURE_RETRY_INTERVAL: Duration = Duration::from_millis(200);
+
 /// The state that the tasks of a control host share; clones refer to the same state.
 #[derive(Debug, Clone)]
 pub(crate) struct RegistrarHost<C> {
@@ -35,6 +38,10 @@
     pub(crate) network: network::ProcessNetwork<C>,
     pub(crate) metrics: metrics::RegistrarMetrics,
     directory: Arc<Mutex<directory::EndpointDirectory>>,
+    /// Wakes the calls that wait until a departure is committed.
+    departures_changed: Arc<Notify>,
+    /// Control hosts to which the departures are sent once a quorum has confirmed them.
+    uninformed: Arc<Mutex<HashSet<SocketAddr>>>,
     history: Arc<Mutex<history::DeploymentHistory>>,
     /// Wakes the task that confirms the newest deployment, since an entry waits for it.
     confirmation_wanted: Arc<Notify>,
@@ -58,6 +65,8 @@
             network,
             metrics,
             directory: Arc::default(),
+            departures_changed: Arc::default(),
+            uninformed: Arc::default(),
             history: Arc::default(),
             confirmation_wanted: Arc::default(),
             seeds,
@@ -76,21 +85,59 @@
             .expect("no thread panics while it holds the lock of the history")
     }
 
+    fn uninformed(&self) -> MutexGuard<'_, HashSet<SocketAddr>> {
+        self.uninformed
+            .lock()
+            .expect("no thread panics while it holds the lock of the hosts")
+    }
+
     /// Handles the deregistration of an endpoint; `stated_born` is the start time in the call, in
     /// Unix milliseconds.
-    pub(crate) fn deregister(&self, id: &str, stated_born: Option<u64>) {
+    ///
+    /// # Errors
+    /// Fails if the departure was not recorded in time.
+    pub(crate) async fn deregister(
+        &self,
+        id: &str,
+        stated_born: Option<u64>,
+    ) -> Result<(), errors::GroupError> {
         let wall_millis = self.clock.wall_millis();
         let notice = self
             .directory()
             .deregistration(id, stated_born, wall_millis);
-        self.handle_notice(notice);
+        self.handle_notice(notice).await
     }
 
     /// Handles a notice from an endpoint. A change is queued for all linked entries and control
-    /// hosts before this returns, so that it is on its way when the endpoint gets the
-    /// acknowledgement of a drain.
-    pub(crate) fn handle_notice(&self, notice: messages::EndpointNotice) {
-        let effect = self.directory().observe(notice.clone(), self.clock.now());
+    /// hosts before this returns. A departure is committed too, so that no late notice brings the
+    /// endpoint back once it got its acknowledgement, even if all processes are lost.
+    ///
+    /// # Errors
+    /// Fails if the endpoint leaves and its departure was not recorded in time.
+    pub(crate) async fn handle_notice(
+        &self,
+        notice: messages::EndpointNotice,
+    ) -> Result<(), errors::GroupError> {
+        let leaves = notice.phase() != messages::EndpointPhase::Ready;
+        // Without a start time, a departure can't be told from that of the next life. The registry
+        // then keeps it for as long as the process runs.
+        let departure = (leaves && notice.born > 0).then(|| messages::EndpointDeparture {
+            id: notice.id.clone(),
+            born: notice.born,
+        });
+        self.apply_notice(notice);
+        match departure {
+            Some(departure) => self.record_departure(departure).await,
+            None => Ok(()),
+        }
+    }
+
+    fn apply_notice(&self, notice: messages::EndpointNotice) {
+        let (effect, is_complete) = {
+            let mut directory = self.directory();
+            let effect = directory.observe(notice.clone(), self.clock.now());
+            (effect, directory.is_complete())
+        };
         self.metrics.count_notice(match effect {
             registry::NoticeEffect::Stale => "stale",
             registry::NoticeEffect::Refreshed => "refreshed",
@@ -118,13 +165,127 @@
                 );
                 let notices = vec![notice];
                 let body = messages::Body::EndpointNotices(messages::EndpointNotices { notices });
-                self.network.broadcast(messages::ProcessKind::Entry, &body);
+                if is_complete {
+                    self.network.broadcast(messages::ProcessKind::Entry, &body);
+                }
                 self.network
                     .broadcast(messages::ProcessKind::Control, &body);
             }
         }
     }
 
+    /// Waits until a departure is committed. A host that doesn't lead asks the others, of which the
+    /// leader answers, so that it needs neither its own disk nor to know who leads.
+    async fn record_departure(
+        &self,
+        departure: messages::EndpointDeparture,
+    ) -> Result<(), errors::GroupError> {
+        let deadline = self.clock.now() + self.options.call_limit();
+        let departures = vec![departure.clone()];
+        let request = messages::Body::RecordDepartures(messages::RecordDepartures { departures });
+        loop {
+            let changed = self.departures_changed.notified();
+            tokio::pin!(changed);
+            // Registered before the check, so that a change in between is not missed.
+            changed.as_mut().enable();
+            if self.directory().is_recorded(&departure) {
+                return Ok(());
+            }
+            let remaining = deadline.saturating_duration_since(self.clock.now());
+            if remaining.is_zero() {
+                let (endpoint, born) = (&departure.id, departure.born);
+                tracing::info!(event = "departure-not-recorded", endpoint, born);
+                return Err(errors::GroupError::Unavailable);
+            }
+            if self.group.view.borrow().leads {
+                self.spawn_recording(vec![departure.clone()], None);
+            } else {
+                self.network
+                    .broadcast(messages::ProcessKind::Control, &request);
+            }
+            tokio::select! {
+                () = changed => {}
+                () = self.clock.sleep(remaining.min(DEPARTURE_RETRY_INTERVAL)) => {}
+            }
+        }
+    }
+
+    /// Records departures in the log if this host leads, and then tells the host that asked for it.
+    fn spawn_recording(
+        &self,
+        departures: Vec<messages::EndpointDeparture>,
+        asked_by: Option<SocketAddr>,
+    ) {
+        if !self.group.view.borrow().leads {
+            return;
+        }
+        let host = self.clone();
+        tokio::spawn(async move {
+            let list = departures::DepartureList { departures };
+            let recorded = tokio::select! {
+                recorded = host.group.record_departures(list.clone()) => recorded,
+                () = host.clock.sleep(host.options.call_limit()) => {
+                    Err(errors::GroupError::Unavailable)
+                }
+            };
+            if recorded.is_err() {
+                return;
+            }
+            host.learn_departures(&list.departures, false);
+            if let Some(asked_by) = asked_by {
+                let recorded = messages::RecordedDepartures {
+                    departures: list.departures,
+                    whole: false,
+                };
+                host.network
+                    .send(asked_by, messages::Body::RecordedDepartures(recorded));
+            }
+        });
+    }
+
+    /// Takes committed departures. `whole` tells that the log held no others when a quorum was last
+    /// asked; entries are told of the endpoints from then on.
+    fn learn_departures(&self, departures: &[messages::EndpointDeparture], whole: bool) {
+        let (notices, completed) = {
+            let mut directory = self.directory();
+            let was_complete = directory.is_complete();
+            let changed = directory.learn(departures, whole);
+            let completed = !was_complete && directory.is_complete();
+            let notices = match completed {
+                true => directory.notices_for_entry(self.clock.now()),
+                false => changed,
+            };
+            (notices, completed)
+        };
+        self.departures_changed.notify_waiters();
+        if completed {
+            tracing::info!(event = "departures-known", departures = departures.len());
+        }
+        if !notices.notices.is_empty() {
+            let body = messages::Body::EndpointNotices(notices);
+            self.network.broadcast(messages::ProcessKind::Entry, &body);
+        }
+    }
+
+    /// Sends all departures to the control hosts that may lack some, after a quorum has confirmed
+    /// that this host knows them.
+    fn share_departures(&self) {
+        if self.uninformed().is_empty() && self.directory().is_complete() {
+            return;
+        }
+        let departures = self.group.view.borrow().departures.to_list().departures;
+        self.learn_departures(&departures, true);
+        let uninformed = std::mem::take(&mut *self.uninformed());
+        for address in uninformed {
+            let recorded = messages::RecordedDepartures {
+                departures: departures.clone(),
+                whole: true,
+            };
+            self.network
+                .send(address, messages::Body::RecordedDepartures(recorded));
+        }
+    }
+
     fn fleet_hosts(&self) -> messages::FleetHosts {
         let members = self.group.view.borrow().members.clone();
         let mut control: HashSet<_> = members.into_iter().collect();
@@ -147,11 +308,20 @@
 
     /// Sends the full state to a process whose link has just opened.
     fn send_full_state(&self, remote: network::RemoteProcess) {
-        let notices = self.directory().all_notices(self.clock.now());
         let address = remote.address;
+        let is_entry = remote.kind == messages::ProcessKind::Entry;
+        let now = self.clock.now();
+        let notices = match is_entry {
+            true => self.directory().notices_for_entry(now),
+            false => self.directory().all_notices(now),
+        };
         self.network
             .send(address, messages::Body::EndpointNotices(notices));
-        if remote.kind == messages::ProcessKind::Entry {
+        if remote.kind == messages::ProcessKind::Control {
+            self.uninformed().insert(address);
+            self.confirmation_wanted.notify_one();
+        }
+        if is_entry {
             let announcement = self.history().announcement(false);
             self.network
                 .send(address, messages::Body::DeploymentVersion(announcement));
@@ -185,6 +355,12 @@
                 return self.directory().observe_relayed(notices, now);
             }
             messages::Body::FetchDeployment(fetch) => return self.send_chunk(remote, &fetch),
+            messages::Body::RecordDepartures(request) => {
+                return self.spawn_recording(request.departures, Some(remote.address));
+            }
+            messages::Body::RecordedDepartures(recorded) => {
+                return self.learn_departures(&recorded.departures, recorded.whole);
+            }
             other => {
                 tracing::debug!(address = %remote.address, ?other, "unexpected message");
                 return;
@@ -240,17 +416,22 @@
         self.network.broadcast(messages::ProcessKind::Entry, &body);
     }
 
-    /// Announces each new deployment to the entries.
+    /// Announces each new deployment to the entries, and takes the departures that were committed.
     pub(crate) async fn announce_deployments(self, shutdown: CancellationToken) {
         let mut view = self.group.view.clone();
         let mut announced = 0;
         let mut led = false;
+        let mut known = Arc::new(departures::DepartureLedger::default());
         loop {
-            let (document, leads) = {
+            let (document, leads, departures) = {
                 let view = view.borrow_and_update();
                 self.metrics.record_view(&view);
-                (view.document.clone(), view.leads)
+                (view.document.clone(), view.leads, view.departures.clone())
             };
+            if !Arc::ptr_eq(&known, &departures) {
+                self.learn_departures(&departures.to_list().departures, false);
+                known = departures;
+            }
             if document.version > announced {
                 announced = document.version;
                 self.history().record(&document);
@@ -258,6 +439,10 @@
                 self.confirmation_wanted.notify_one();
             }
             if leads && !led {
+                let controls = self
+                    .network
+                    .linked_addresses(messages::ProcessKind::Control);
+                self.uninformed().extend(controls);
                 self.confirmation_wanted.notify_one();
             }
             led = leads;
@@ -286,11 +471,13 @@
                 }
             };
             match read {
-                Ok(document) if document.version > 0 => {
-                    self.history().record(&document);
-                    self.announce(true);
+                Ok(document) => {
+                    self.share_departures();
+                    if document.version > 0 {
+                        self.history().record(&document);
+                        self.announce(true);
+                    }
                 }
-                Ok(_) => {}
                 // While the host leads, it tries again until a quorum answers.
                 Err(_) => self.confirmation_wanted.notify_one(),
             }
--- a/crates/waxwing-registrar/src/http.rs
+++ b/crates/waxwing-registrar/src/http.rs
@@ -57,10 +57,7 @@
         dialects::ControlCall::PutDeployment => put(host, dialect, &path, body).await,
         dialects::ControlCall::GetDeployment => get(host, dialect, &path).await,
         dialects::ControlCall::Notice { endpoint } => match dialect.notice(&endpoint, &body) {
-            Ok(notice) => {
-                host.handle_notice(notice);
-                json_response(StatusCode::OK, Bytes::from_static(b"{}"))
-            }
+            Ok(notice) => acknowledge(host.handle_notice(notice).await),
             Err(error) => {
                 host.metrics.count_notice("refused");
                 tracing::info!(event = "notice-refused", %endpoint, %error);
@@ -69,13 +66,20 @@
         },
         dialects::ControlCall::Deregister { endpoint } => {
             let born = dialect.deregistration(&body);
-            host.deregister(&endpoint, born);
-            json_response(StatusCode::OK, Bytes::from_static(b"{}"))
+            acknowledge(host.deregister(&endpoint, born).await)
         }
         dialects::ControlCall::Unknown => text_response(StatusCode::NOT_FOUND, "no such call"),
     }
 }
 
+/// Answers the call of an endpoint, which asks another host after an error.
+fn acknowledge(handled: Result<(), errors::GroupError>) -> HttpResponse {
+    match handled {
+        Ok(()) => json_response(StatusCode::OK, Bytes::from_static(b"{}")),
+        Err(error) => text_response(StatusCode::SERVICE_UNAVAILABLE, &error.to_string()),
+    }
+}
+
 async fn put<C: Clock, D: dialects::ControlDialect>(
     host: &host::RegistrarHost<C>,
     dialect: &D,
--- a/crates/waxwing-registrar/src/lib.rs
+++ b/crates/waxwing-registrar/src/lib.rs
@@ -2,6 +2,7 @@
 //! log, collects the notices of endpoints, and sends both to the entries. `docs/platform.md` gives
 //! its place in the system.
 
+pub mod departures;
 pub mod directory;
 pub mod documents;
 pub mod errors;
--- a/crates/waxwing-registrar/src/replica.rs
+++ b/crates/waxwing-registrar/src/replica.rs
@@ -1,9 +1,10 @@
-//! A control host's replica of the deployment document: what it answers to operators, and which
-//! membership changes it proposes. It has no network, disk or clock, so that tests can explore
+//! A control host's replica of the deployment document and of the departures of endpoints: what it
+//! answers to operators and endpoints, and which membership changes it proposes. It has no network, disk or clock, so that tests can explore
 //! orders of failures with the code that runs in production.
 
 use std::{
     collections::{BTreeMap, HashMap},
+    sync::Arc,
     time::Duration,
 };
 
@@ -14,7 +15,7 @@
     errors as quorum_errors, members, messages, node, options as quorum_options, ready, units,
 };
 
-use crate::{documents, errors, repair};
+use crate::{departures, documents, errors, repair};
 
 /// Time between two checks by the leader of whether the membership needs a repair.
 const REPAIR_INTERVAL: Duration = Duration::from_millis(250);
@@ -89,6 +90,7 @@
 pub struct DeploymentReplica<T> {
     node: node::QuorumNode,
     register: documents::DocumentRegister,
+    departures: Arc<departures::DepartureLedger>,
     snapshot_bytes: core_units::ByteCount,
     voter_bounds: repair::VoterBounds,
     proposals: BTreeMap<units::LogIndex, PendingProposal<T>>,
@@ -118,14 +120,15 @@
         recovered: ready::RecoveredState,
         seed: u64,
     ) -> Result<Self, errors::RegistrarError> {
-        let register = match &recovered.snapshot {
-            Some(snapshot) => documents::DocumentRegister::from_snapshot(&snapshot.data)?,
-            None => documents::DocumentRegister::default(),
+        let (register, departures) = match &recovered.snapshot {
+            Some(snapshot) => decode_snapshot(&snapshot.data)?,
+            None => Default::default(),
         };
         let node = node::QuorumNode::new(identity, options.node, recovered, seed, Duration::ZERO)?;
         Ok(Self {
             node,
             register,
+            departures: Arc::new(departures),
             snapshot_bytes: options.snapshot_bytes,
             voter_bounds: repair::VoterBounds::tolerating(options.tolerated_losses),
             proposals: BTreeMap::new(),
@@ -157,6 +160,12 @@
         self.register.current()
     }
 
+    /// Returns the departures of endpoints that are committed as far as this replica knows.
+    #[must_use]
+    pub const fn departures(&self) -> &Arc<departures::DepartureLedger> {
+        &self.departures
+    }
+
     /// Returns whether this host is the leader.
     #[must_use]
     pub const fn leads(&self) -> bool {
@@ -262,6 +271,31 @@
         self.confirm_leadership(now, PendingCall::Read(ticket));
     }
 
+    /// Starts to record departures of endpoints. It is answered once they are committed; only the
+    /// leader can record those that are not.
+    pub fn record_departures(&mut self, list: &departures::DepartureList, ticket: T) {
+        let missing = list
+            .departures
+            .iter()
+            .any(|departure| !self.departures.covers(&departure.id, departure.born));
+        if !missing {
+            self.outcomes
+                .push((ticket, Ok(self.register.current().clone())));
+            return;
+        }
+        match self.node.propose(list.encode_to_vec().into()) {
+            Ok(proposal) => {
+                let term = proposal.term;
+                let pending = PendingProposal { term, ticket };
+                self.proposals.insert(proposal.index, pending);
+            }
+            Err(error) => {
+                tracing::info!(event = "departure-failed", %error);
+                self.fail(ticket);
+            }
+        }
+    }
+
     fn confirm_leadership(&mut self, now: Duration, call: PendingCall<T>) {
         let token = self.next_read_token;
         self.next_read_token += 1;
@@ -304,8 +338,11 @@
 
     /// Replaces the document by that of a snapshot from the leader.
     pub fn install(&mut self, snapshot: &ready::Snapshot) {
-        match documents::DocumentRegister::from_snapshot(&snapshot.data) {
-            Ok(register) => self.register = register,
+        match decode_snapshot(&snapshot.data) {
+            Ok((register, departures)) => {
+                self.register = register;
+                self.departures = Arc::new(departures);
+            }
             Err(error) => {
                 // Applying later entries to the older state would make this replica diverge.
                 tracing::error!(%error, "cannot decode a snapshot from the leader; halting");
@@ -337,6 +374,17 @@
     }
 
     fn apply_command(&mut self, entry: &messages::LogEntry) {
+        match departures::DepartureList::decode(&entry.payload[..]) {
+            Ok(list) if list.departures.is_empty() => {}
+            Ok(list) => {
+                Arc::make_mut(&mut self.departures).extend(&list);
+                return;
+            }
+            Err(error) => {
+                tracing::error!(%error, index = entry.index, "cannot decode a command");
+                return;
+            }
+        }
         match self.register.apply(&entry.payload) {
             Ok(true) => tracing::info!(
                 event = "deployment-committed",
@@ -357,7 +405,7 @@
         if status.log_bytes < self.snapshot_bytes.0.max(document_bytes) {
             return;
         }
-        let data = self.register.to_snapshot();
+        let data = encode_snapshot(&self.register, &self.departures);
         if let Err(error) = self.node.compact(status.applied_index, data) {
             tracing::warn!(%error, "cannot compact the log");
         }
@@ -431,6 +479,28 @@
     }
 }
 
+/// Encodes the state of the log. The fields of the document and of the departures have different
+/// numbers, so that either one can be read without the other.
+fn encode_snapshot(
+    register: &documents::DocumentRegister,
+    departures: &departures::DepartureLedger,
+) -> Bytes {
+    let mut data = register.to_snapshot().to_vec();
+    data.extend(departures.to_list().encode_to_vec());
+    data.into()
+}
+
+fn decode_snapshot(
+    data: &[u8],
+) -> Result<(documents::DocumentRegister, departures::DepartureLedger), prost::DecodeError> {
+    let mut departures = departures::DepartureLedger::default();
+    departures.extend(&departures::DepartureList::decode(data)?);
+    Ok((
+        documents::DocumentRegister::from_snapshot(data)?,
+        departures,
+    ))
+}
+
 /// Returns the first snapshot of a new group with these voters and no document. Every founding
 /// member stores the same one.
 #[must_use]
--- a/crates/waxwing-registrar/tests/directory.rs
+++ b/crates/waxwing-registrar/tests/directory.rs
@@ -5,8 +5,11 @@
 
 use test_case::test_case;
 use waxwing_fleet::registry::{EndpointRegistry, NoticeEffect};
-use waxwing_registrar::directory::EndpointDirectory;
-use waxwing_wire::messages::{EndpointNotice, EndpointNotices, EndpointPhase};
+use waxwing_registrar::{
+    departures::{DepartureLedger, MAX_DEPARTURES},
+    directory::EndpointDirectory,
+};
+use waxwing_wire::messages::{EndpointDeparture, EndpointNotice, EndpointNotices, EndpointPhase};
 
 /// Time between two notices of an endpoint.
 const NOTICE_INTERVAL: Duration = Duration::from_millis(1_200);
@@ -147,3 +150,69 @@
         }
     }
 }
+
+fn departure(id: &str, born: u64) -> EndpointDeparture {
+    EndpointDeparture {
+        id: id.to_owned(),
+        born,
+    }
+}
+
+/// Guards against an endpoint that is used because a control host that has just started doesn't
+/// know of its departure yet and passes on a late notice.
+#[test]
+fn late_notice_reaches_no_entry_before_the_departures_are_known() {
+    let now = Instant::now();
+    let mut host = EndpointDirectory::default();
+    assert_eq!(
+        host.observe(notice(START_MILLIS, 9), now),
+        NoticeEffect::Changed
+    );
+    assert!(host.notices_for_entry(now).notices.is_empty());
+    let changed = host.learn(&[departure("leaving", START_MILLIS)], true);
+    assert_eq!(changed.notices[0].phase(), EndpointPhase::Draining);
+    let late = host.observe(notice(START_MILLIS, 10), now);
+    assert_eq!(late, NoticeEffect::Stale);
+    let known = host.notices_for_entry(now).notices;
+    assert_eq!(known.len(), 1);
+    assert_eq!(known[0].phase(), EndpointPhase::Draining);
+    // The next life of the endpoint is another one.
+    let restarted = host.observe(notice(START_MILLIS + 5_000, 1), now);
+    assert_eq!(restarted, NoticeEffect::Changed);
+}
+
+/// Guards against an endpoint that an entry still uses since it was cut off when the endpoint left,
+/// and until control hosts had forgotten it.
+#[test]
+fn entry_that_was_cut_off_learns_of_departures() {
+    let now = Instant::now();
+    let mut host = EndpointDirectory::default();
+    host.learn(&[departure("leaving", START_MILLIS)], true);
+    let mut entry = EndpointRegistry::default();
+    entry.observe(notice(START_MILLIS, 1), now);
+    for told in host.notices_for_entry(now).notices {
+        entry.observe(told, now);
+    }
+    assert_eq!(
+        entry.record("leaving").unwrap().notice.phase(),
+        EndpointPhase::Gone
+    );
+}
+
+/// Guards against departures that use up the memory of control hosts, and against recent ones that
+/// are forgotten before older ones.
+#[test]
+fn oldest_departures_are_forgotten_first() {
+    let mut ledger = DepartureLedger::default();
+    for number in 0..MAX_DEPARTURES {
+        assert!(ledger.record(&departure(&number.to_string(), 5)));
+    }
+    assert!(!ledger.record(&departure("0", 4)));
+    assert!(ledger.record(&departure("0", 9)));
+    assert!(ledger.record(&departure("next", 1)));
+    assert!(!ledger.covers("1", 5));
+    assert!(ledger.covers("0", 9) && ledger.covers("2", 5) && ledger.covers("next", 1));
+    let mut restored = DepartureLedger::default();
+    restored.extend(&ledger.to_list());
+    assert_eq!(restored, ledger);
+}
--- a/crates/waxwing-registrar/tests/durability/main.rs
+++ b/crates/waxwing-registrar/tests/durability/main.rs
@@ -31,6 +31,7 @@
     match model.random.random_range(0..20) {
         0..=2 => model.put(host),
         3 => model.resend(host),
+        4 => model.depart(host),
         _ => {}
     }
 }
@@ -164,6 +165,7 @@
             Ok(counts) => {
                 total.acknowledged += counts.acknowledged;
                 total.reads += counts.reads;
+                total.departures += counts.departures;
                 total.leaders += counts.leaders;
                 total.wipes += counts.wipes;
                 total.suspensions += counts.suspensions;
@@ -179,10 +181,11 @@
         failures.join("\n")
     );
     assert!(total.reads > 0 && total.acknowledged > 0 && total.wipes > 0);
+    assert!(total.departures > 0);
 }
 
-/// Guards against an older version that is read, and a confirmed one that is lost, after any order
-/// of faults.
+/// Guards against an older version that is read, and a confirmed one or an acknowledged departure of
+/// an endpoint that is lost, after any order of faults.
 #[test_case(THREE_HOSTS, FaultMix::WithoutSuspension; "three hosts without suspension")]
 #[test_case(THREE_HOSTS, FaultMix::Everything; "three hosts")]
 #[test_case(FIVE_HOSTS, FaultMix::Everything; "five hosts")]
--- a/crates/waxwing-registrar/tests/durability/model.rs
+++ b/crates/waxwing-registrar/tests/durability/model.rs
@@ -72,12 +72,23 @@
     write_delay: Duration,
 }
 
-/// A call of an operator that is not answered yet.
+/// What a call asks for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum CallKind {
+    Read,
+    /// To store this version.
+    Put(u64),
+    /// To record that this endpoint has left.
+    Depart(u64),
+}
+
+/// A call that is not answered yet.
 struct OpenCall {
-    /// The version to store; `None` for a read.
-    stores: Option<u64>,
+    kind: CallKind,
     /// The newest version that had been acknowledged or read when the call was sent.
     floor: u64,
+    /// The number of departures that had been acknowledged then.
+    departed: usize,
 }
 
 /// Counts of what a run has exercised.
@@ -85,6 +96,7 @@
 pub(crate) struct RunCounts {
     pub(crate) acknowledged: u64,
     pub(crate) reads: u64,
+    pub(crate) departures: u64,
     pub(crate) leaders: u64,
     pub(crate) wipes: u64,
     pub(crate) suspensions: u64,
@@ -106,6 +118,9 @@
     calls: BTreeMap<u64, OpenCall>,
     last_ticket: u64,
     last_version: u64,
+    last_endpoint: u64,
+    /// The endpoints whose departure was acknowledged.
+    departed: Vec<u64>,
     /// The newest version that was acknowledged or read.
     newest: u64,
     /// The disks that may be lost at a time.
@@ -161,6 +176,8 @@
             calls: BTreeMap::new(),
             last_ticket: 0,
             last_version: 0,
+            last_endpoint: 0,
+            departed: Vec::new(),
             newest: 0,
             calm_since: Duration::ZERO,
             tolerated_disks,
--- a/crates/waxwing-registrar/tests/durability/model/calls.rs
+++ b/crates/waxwing-registrar/tests/durability/model/calls.rs
@@ -3,20 +3,60 @@
 use std::time::Duration;
 
 use rand::RngExt as _;
-use waxwing_registrar::{documents, replica};
+use waxwing_registrar::{departures, documents, replica};
 use waxwing_store::memory;
+use waxwing_wire::messages::EndpointDeparture;
 
-use super::{ControlModel, OpenCall, RunCounts, body};
+use super::{CallKind, ControlModel, OpenCall, RunCounts, body};
 
 impl ControlModel {
-    fn open_call(&mut self, stores: Option<u64>) -> u64 {
+    fn open_call(&mut self, kind: CallKind) -> u64 {
         self.last_ticket += 1;
-        let floor = self.newest;
-        self.calls
-            .insert(self.last_ticket, OpenCall { stores, floor });
+        let call = OpenCall {
+            kind,
+            floor: self.newest,
+            departed: self.departed.len(),
+        };
+        self.calls.insert(self.last_ticket, call);
         self.last_ticket
     }
 
+    /// An endpoint leaves at a host.
+    pub(crate) fn depart(&mut self, host: usize) {
+        if !self.runs(host) {
+            return;
+        }
+        self.last_endpoint += 1;
+        let endpoint = self.last_endpoint;
+        let ticket = self.open_call(CallKind::Depart(endpoint));
+        let list = departures::DepartureList {
+            departures: vec![EndpointDeparture {
+                id: endpoint.to_string(),
+                born: endpoint,
+            }],
+        };
+        if let Some(process) = &mut self.hosts[host].process {
+            process.replica.record_departures(&list, ticket);
+        }
+        self.drive(host);
+    }
+
+    /// Checks that a host which has just answered a read knows the departures that had been
+    /// acknowledged when the read was sent.
+    fn check_departures(&mut self, host: usize, acknowledged: usize) {
+        let Some(process) = &self.hosts[host].process else {
+            return;
+        };
+        let ledger = process.replica.departures();
+        let lost = self.departed[..acknowledged]
+            .iter()
+            .find(|endpoint| !ledger.covers(&endpoint.to_string(), **endpoint));
+        if let Some(lost) = lost {
+            let text = format!("host {host} has lost the departure of endpoint {lost}");
+            self.report(text);
+        }
+    }
+
     /// Sends a new version to a host.
     pub(crate) fn put(&mut self, host: usize) {
         if !self.runs(host) {
@@ -35,7 +75,7 @@
     }
 
     fn send_put(&mut self, host: usize, version: u64) {
-        let ticket = self.open_call(Some(version));
+        let ticket = self.open_call(CallKind::Put(version));
         let now = self.elapsed(host);
         let document = documents::StoredDocument {
             version,
@@ -51,7 +91,7 @@
         if !self.runs(host) {
             return;
         }
-        let ticket = self.open_call(None);
+        let ticket = self.open_call(CallKind::Read);
         let now = self.elapsed(host);
         if let Some(process) = &mut self.hosts[host].process {
             process.replica.read(now, ticket);
@@ -74,8 +114,12 @@
                 "host {host} answers version {version} with another document"
             ));
         }
-        match call.stores {
-            Some(stored) => {
+        match call.kind {
+            CallKind::Depart(endpoint) => {
+                self.counts.departures += 1;
+                self.departed.push(endpoint);
+            }
+            CallKind::Put(stored) => {
                 self.counts.acknowledged += 1;
                 if version < stored {
                     self.report(format!(
@@ -84,8 +128,9 @@
                 }
                 self.newest = self.newest.max(stored);
             }
-            None => {
+            CallKind::Read => {
                 self.counts.reads += 1;
+                self.check_departures(host, call.departed);
                 let floor = call.floor;
                 if version < floor {
                     self.report(format!(
--- a/crates/waxwing-wire/src/messages.rs
+++ b/crates/waxwing-wire/src/messages.rs
@@ -21,8 +21,9 @@
 };
 pub use self::fleet::{
     AccountUse, BlockedPart, CrashEvidence, CrashUpdate, DeploymentChunk, DeploymentVersion,
-    EndpointNotice, EndpointNotices, EndpointPhase, EndpointUse, FetchDeployment, FleetHosts,
-    JoinGroup, LimitStatement, LoadUpdate, ServiceDemand,
+    EndpointDeparture, EndpointNotice, EndpointNotices, EndpointPhase, EndpointUse,
+    FetchDeployment, FleetHosts, JoinGroup, LimitStatement, LoadUpdate, RecordDepartures,
+    RecordedDepartures, ServiceDemand,
 };
 pub use self::groups::{AskGroup, GroupInfo, Quorum, Redirect, Submit, Submitted, Unavailable};
 pub use self::links::{Heartbeat, Hello, Leaving, ProcessKind};
@@ -55,7 +56,7 @@
     /// The message.
     #[prost(
         oneof = "Body",
-        tags = "3,4,5,10,11,12,13,14,15,16,17,18,19,20,21,22,23,24,30,31,32,33,34,35,36,37,38,39,40,41,42,43,44,45,46,47,50,51,52,53,54,60,62,63,64,65,66,67"
+        tags = "3,4,5,10,11,12,13,14,15,16,17,18,19,20,21,22,23,24,30,31,32,33,34,35,36,37,38,39,40,41,42,43,44,45,46,47,50,51,52,53,54,60,62,63,64,65,66,67,68,69"
     )]
     pub body: Option<Body>,
 }
@@ -207,6 +208,12 @@
     /// Control to entry: a part of a deployment.
     #[prost(message, tag = "67")]
     DeploymentChunk(DeploymentChunk),
+    /// Control to control: asks the leader to record departures of endpoints.
+    #[prost(message, tag = "68")]
+    RecordDepartures(RecordDepartures),
+    /// Control to control: departures that the log holds.
+    #[prost(message, tag = "69")]
+    RecordedDepartures(RecordedDepartures),
 }
 
 impl Body {
--- a/crates/waxwing-wire/src/messages/fleet.rs
+++ b/crates/waxwing-wire/src/messages/fleet.rs
@@ -129,6 +129,37 @@
     pub notices: Vec<EndpointNotice>,
 }
 
+/// The departure of an endpoint: it drains or has deregistered.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct EndpointDeparture {
+    /// The id of the endpoint.
+    #[prost(string, tag = "1")]
+    pub id: String,
+    /// Start time of the life that leaves, in milliseconds since the Unix epoch; earlier lives have
+    /// left too.
+    #[prost(uint64, tag = "2")]
+    pub born: u64,
+}
+
+/// Asks the leader to record departures in the replicated log.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct RecordDepartures {
+    /// The departures.
+    #[prost(message, repeated, tag = "1")]
+    pub departures: Vec<EndpointDeparture>,
+}
+
+/// Departures that the replicated log holds.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct RecordedDepartures {
+    /// The departures, the oldest first.
+    #[prost(message, repeated, tag = "1")]
+    pub departures: Vec<EndpointDeparture>,
+    /// Whether these are all that the log held when a quorum was last asked.
+    #[prost(bool, tag = "2")]
+    pub whole: bool,
+}
+
 /// The addresses on which the other processes accept links.
 #[derive(Clone, PartialEq, Eq, Message)]
 pub struct FleetHosts {
