Serve only with a deployment that a control host has confirmed

An entry that had started waited for a confirmation for a third of its caller's time, and for two seconds of its life at most, and then served with what it had.

Evidence: control host 1 opened its log at version 30 with entries up to 43 behind it and announced 30. The entry had 30 in force 9 ms after its start, started requests, and became ready with 43 417 ms later. Nothing was lost, and no leader had confirmed 30.

Change: no request is handled before the first confirmation; requests wait for it as long as before and are refused with 503 then.

--- a/crates/waxwing-conduit/src/checks.rs
+++ b/crates/waxwing-conduit/src/checks.rs
@@ -33,11 +33,13 @@
     incoming: body::Incoming,
     facts: dialects::RequestFacts,
 ) -> Result<intake::AcceptedRequest, intake::RequestFailure> {
-    state.await_confirmation(facts.deadline).await;
     let no_deployment = intake::RequestFailure {
         retry_after: facts.deadline.map(late_retry_after),
         ..intake::RequestFailure::new(StatusCode::SERVICE_UNAVAILABLE, "no-deployment")
     };
+    if !state.await_confirmation(facts.deadline).await {
+        return Err(no_deployment);
+    }
     let limits = state
         .deployment
         .load()
--- a/crates/waxwing-conduit/src/state.rs
+++ b/crates/waxwing-conduit/src/state.rs
@@ -36,8 +36,6 @@
     pub(crate) stop_time: OnceLock<Instant>,
     /// Number of requests in flight.
     active: AtomicUsize,
-    /// When the process started.
-    started: Instant,
     /// Whether a control host has confirmed that the deployment is current.
     deployment_confirmed: AtomicBool,
     /// Wakes the requests that wait for that confirmation.
@@ -111,7 +109,6 @@
         metrics: metrics::EntryMetrics,
     ) -> Self {
         Self {
-            started: clock.now(),
             options,
             clock,
             dialect,
@@ -183,25 +180,22 @@
     }
 
     /// Waits until a control host has confirmed the deployment, for as long as it is of use to a
-    /// caller that waits for `caller_time`.
-    pub(crate) async fn await_confirmation(&self, caller_time: Option<Duration>) {
+    /// caller that waits for `caller_time`. Returns whether it is confirmed.
+    pub(crate) async fn await_confirmation(&self, caller_time: Option<Duration>) -> bool {
         let confirmed = self.confirmation.notified();
         tokio::pin!(confirmed);
         // Registered before the check, so that a confirmation in between is not missed.
         confirmed.as_mut().enable();
         if self.deployment_confirmed.load(Ordering::Relaxed) {
-            return;
+            return true;
         }
         let waiting = WaitingGuard::new(&self.unconfirmed_requests);
         if waiting.position > starting::MAX_WAITING_REQUESTS {
-            return;
+            return false;
         }
-        let age = self.clock.now().saturating_duration_since(self.started);
-        let has_deployment = self.deployment.load().is_some();
-        let wait = starting::confirmation_wait(age, has_deployment, caller_time);
         tokio::select! {
-            () = confirmed => {}
-            () = self.clock.sleep(wait) => {}
+            () = confirmed => true,
+            () = self.clock.sleep(starting::confirmation_wait(caller_time)) => false,
         }
     }
 
