Bound the memory of all bodies that an entry reads together

What callers saw (report of other operators): a faulty endpoint sent bytes without end, the host that had called it ran out of memory, and the requests of other callers there ended with it.

Cause: an answer that isn't streamed is read whole, up to 16 MiB, and copied once when it is complete; nothing bounded all of them together. The same holds for the bodies of requests.

Change: bodies share a part of the memory in the new setting memory_megabytes, for each direction; bodies of up to 16 KiB need none of it.

--- a/crates/waxwing-conduit/src/answers.rs
+++ b/crates/waxwing-conduit/src/answers.rs
@@ -11,18 +11,26 @@
     Response, StatusCode, body,
     http::{HeaderValue, header},
 };
-use tokio::sync::mpsc;
+use tokio::sync::{self, mpsc};
 use waxwing_fleet::dialects;
 
 use crate::errors;
 
+/// A chunk of a stream that waits until its caller reads. It holds its part of the bytes that may
+/// wait.
+#[derive(Debug)]
+pub(crate) struct QueuedChunk {
+    pub(crate) bytes: Bytes,
+    pub(crate) _permit: sync::OwnedSemaphorePermit,
+}
+
 /// Body of an answer to a caller.
 #[derive(Debug)]
 pub(crate) enum AnswerBody {
     /// The complete body; `None` once it was sent.
     Whole(Option<Bytes>),
     /// A body that is streamed in chunks; an error aborts it.
-    Chunks(mpsc::Receiver<Result<Bytes, errors::RelayError>>),
+    Chunks(mpsc::Receiver<Result<QueuedChunk, errors::RelayError>>),
 }
 
 impl AnswerBody {
@@ -46,7 +54,9 @@
             }
             Self::Chunks(chunks) => {
                 let chunk = chunks.poll_recv(context);
-                chunk.map(|chunk| chunk.map(|chunk| chunk.map(body::Frame::data)))
+                chunk.map(|chunk| {
+                    chunk.map(|chunk| chunk.map(|chunk| body::Frame::data(chunk.bytes)))
+                })
             }
         }
     }
--- a/crates/waxwing-conduit/src/checks.rs
+++ b/crates/waxwing-conduit/src/checks.rs
@@ -3,7 +3,6 @@
 
 use std::time::{Duration, Instant};
 
-use http_body_util::{BodyExt as _, LengthLimitError, Limited};
 use hyper::{
     StatusCode, body,
     http::{self, header},
@@ -12,6 +11,7 @@
 use waxwing_core::clock::Clock;
 use waxwing_fleet::{deployments, dialects};
 use waxwing_gate::{crashes, quotas, tickets};
+use waxwing_process::bodies;
 
 use crate::{forwarding, intake, state, stopping};
 
@@ -53,7 +53,7 @@
         ));
     }
     let size_limit = usize::try_from(limits.body_bytes.0).unwrap_or(usize::MAX);
-    let reading = Limited::new(incoming, size_limit).collect();
+    let reading = state.request_memory.read(incoming, size_limit);
     // An answer after the deadline would be of no use, so a slower body isn't either.
     let body_time = facts.deadline.unwrap_or(limits.idle_time);
     let body = tokio::select! {
@@ -65,8 +65,7 @@
             ));
         }
     };
-    let body = body.map_err(|error| body_failure(error.is::<LengthLimitError>()))?;
-    let body = body.to_bytes();
+    let body = body.map_err(|error| body_failure(&error, no_deployment.retry_after))?;
     // The deployment may have changed while the body was read; the current one decides.
     let deployment = state.deployment.load_full().ok_or(no_deployment)?;
     let host = head.uri.host().or_else(|| {
@@ -140,11 +139,22 @@
     u64::try_from(length).unwrap_or(u64::MAX)
 }
 
-/// Builds the failure for a body that is too long or whose connection broke.
-fn body_failure(too_long: bool) -> intake::RequestFailure {
-    match too_long {
-        true => intake::RequestFailure::new(StatusCode::PAYLOAD_TOO_LARGE, "body-too-long"),
-        false => intake::RequestFailure::new(StatusCode::BAD_REQUEST, "body-broken"),
+/// Builds the failure for a body that was not read; `retry_after` is for a lack of memory.
+fn body_failure(
+    error: &bodies::BodyError<hyper::Error>,
+    retry_after: Option<Duration>,
+) -> intake::RequestFailure {
+    match error {
+        bodies::BodyError::TooLong(_) => {
+            intake::RequestFailure::new(StatusCode::PAYLOAD_TOO_LARGE, "body-too-long")
+        }
+        bodies::BodyError::Broken(_) => {
+            intake::RequestFailure::new(StatusCode::BAD_REQUEST, "body-broken")
+        }
+        bodies::BodyError::OutOfMemory => intake::RequestFailure {
+            retry_after,
+            ..intake::RequestFailure::new(StatusCode::SERVICE_UNAVAILABLE, "no-memory")
+        },
     }
 }
 
--- a/crates/waxwing-conduit/src/events.rs
+++ b/crates/waxwing-conduit/src/events.rs
@@ -3,7 +3,7 @@
 use bytes::{Bytes, BytesMut};
 
 /// Size limit of a buffered incomplete event; a longer one aborts the stream.
-pub const MAX_EVENT_BYTES: usize = 1024 * 1024;
+pub const MAX_EVENT_BYTES: usize = 128 * 1024;
 
 /// Buffers the bytes of a stream and returns complete events.
 #[derive(Debug, Default)]
--- a/crates/waxwing-conduit/src/intake.rs
+++ b/crates/waxwing-conduit/src/intake.rs
@@ -7,7 +7,6 @@
 };
 
 use bytes::Bytes;
-use http_body_util::{BodyExt as _, Limited};
 use hyper::{
     Request, Response, StatusCode, body,
     http::{self, HeaderMap, HeaderName, HeaderValue, header},
@@ -20,7 +19,8 @@
 use crate::{answers, checks, errors, forwarding, relay, state, suspects, upstream};
 
 /// Size limit of an answer that is not streamed; it is buffered whole before its head is forwarded.
-const MAX_ANSWER_BYTES: usize = 16 * 1024 * 1024;
+/// All of them share the memory of the entry's settings.
+const MAX_ANSWER_BYTES: usize = 8 * 1024 * 1024;
 
 /// A request is given up after this many attempts that failed before a byte was written. They cost
 /// endpoints nothing, but each uses up a part of the caller's time.
@@ -259,10 +259,9 @@
             ));
         }
         let (head, incoming) = usable.response.into_parts();
-        let limited = Limited::new(incoming, MAX_ANSWER_BYTES);
         let remaining = remaining_time(state, request);
         let collected = tokio::select! {
-            collected = limited.collect() => collected,
+            collected = state.answer_memory.read(incoming, MAX_ANSWER_BYTES) => collected,
             () = state.clock.sleep(remaining) => return Err(timeout_failure(&history)),
         };
         match collected {
@@ -280,7 +279,7 @@
                     let now = state.clock.now();
                     state.pool.release(connection, now).await;
                 });
-                let body = answers::AnswerBody::whole(body.to_bytes());
+                let body = answers::AnswerBody::whole(body);
                 return Ok(forwarding::caller_answer(head, body));
             }
             Err(error) => {
--- a/crates/waxwing-conduit/src/options.rs
+++ b/crates/waxwing-conduit/src/options.rs
@@ -5,6 +5,10 @@
 use smol_str::SmolStr;
 use waxwing_settings::view;
 
+/// Share of the memory that the bodies of one direction may take. A body needs half of its size once
+/// more while its buffer grows.
+const BODY_MEMORY_SHARE: f64 = 0.125;
+
 /// Settings of an entry, read at the start of the process.
 #[derive(Debug, Clone, serde::Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -44,6 +48,10 @@
     /// Time from the stop signal until the process is killed, in seconds.
     #[serde(default = "default_grace_seconds")]
     pub grace_seconds: f64,
+    /// Memory that the process may use, in megabytes. The buffers that callers and endpoints fill
+    /// are bounded by a part of it.
+    #[serde(default = "default_memory_megabytes")]
+    pub memory_megabytes: f64,
 }
 
 const fn default_retry_ratio() -> f64 {
@@ -62,7 +70,23 @@
     8.0
 }
 
+const fn default_memory_megabytes() -> f64 {
+    128.0
+}
+
 impl ConduitOptions {
+    /// Returns the bytes that the requests, and the bytes that the answers which are read whole, may
+    /// take at a time.
+    #[must_use]
+    #[expect(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        reason = "a negative or huge size is meaningless, so clamping loses nothing"
+    )]
+    pub fn body_bytes(&self) -> usize {
+        (self.memory_megabytes.max(0.0) * BODY_MEMORY_SHARE * 1024.0 * 1024.0) as usize
+    }
+
     /// Returns the time from the stop signal until the process is killed; zero if the setting is
     /// invalid.
     #[must_use]
--- a/crates/waxwing-conduit/src/relay.rs
+++ b/crates/waxwing-conduit/src/relay.rs
@@ -5,7 +5,7 @@
 
 use http_body_util::BodyExt as _;
 use hyper::{Response, body};
-use tokio::sync::mpsc;
+use tokio::sync::{self, mpsc};
 use waxwing_core::clock::Clock;
 use waxwing_fleet::{deployments, dialects};
 
@@ -14,13 +14,16 @@
 /// Number of chunks that are buffered for a slow caller; the events of a stream are small.
 const CHUNK_QUEUE_LENGTH: usize = 32;
 
+/// Bytes that are buffered for a slow caller, unless a single chunk is longer.
+const CHUNK_QUEUE_BYTES: u32 = 64 * 1024;
+
 /// Shortest time without data after which a stream is resumed at another endpoint.
 const MIN_STALL_TIMEOUT: Duration = Duration::from_millis(1_200);
 
 /// Stall timeout of a stream in units of the route's longest allowed pause between two events.
 const STALL_TIMEOUT_PAUSES: u32 = 3;
 
-type ChunkSender = mpsc::Sender<Result<bytes::Bytes, errors::RelayError>>;
+type ChunkSender = mpsc::Sender<Result<answers::QueuedChunk, errors::RelayError>>;
 
 /// The endpoint's answer that is being relayed, with its connection and slot.
 struct StreamSource<C: Clock, D> {
@@ -78,6 +81,8 @@
     request: Arc<intake::AcceptedRequest>,
     history: intake::AttemptHistory,
     chunks: ChunkSender,
+    /// The bytes that may still be buffered for the caller.
+    queue_room: Arc<sync::Semaphore>,
     splitter: events::EventSplitter,
     _active: state::ActiveRequest<C, D>,
 }
@@ -99,6 +104,7 @@
         request,
         history,
         chunks,
+        queue_room: Arc::new(sync::Semaphore::new(CHUNK_QUEUE_BYTES as usize)),
         splitter,
     };
     tokio::spawn(relay.run(source));
@@ -201,14 +207,30 @@
     async fn deliver(&self, events: bytes::Bytes) -> Delivery {
         let remaining = intake::remaining_time(&self.state, &self.request);
         tokio::select! {
-            sent = self.chunks.send(Ok(events)) => match sent {
-                Ok(()) => Delivery::Sent,
-                Err(_) => Delivery::Disconnected,
-            },
+            delivery = self.queue_chunk(events) => delivery,
+            () = self.chunks.closed() => Delivery::Disconnected,
             () = self.state.clock.sleep(remaining) => Delivery::TimedOut,
         }
     }
 
+    /// Queues events for the caller once there is room for them.
+    async fn queue_chunk(&self, events: bytes::Bytes) -> Delivery {
+        let length = u32::try_from(events.len()).unwrap_or(u32::MAX);
+        let length = length.min(CHUNK_QUEUE_BYTES);
+        let room = self.queue_room.clone().acquire_many_owned(length).await;
+        let Ok(permit) = room else {
+            return Delivery::Disconnected;
+        };
+        let chunk = answers::QueuedChunk {
+            bytes: events,
+            _permit: permit,
+        };
+        match self.chunks.send(Ok(chunk)).await {
+            Ok(()) => Delivery::Sent,
+            Err(_) => Delivery::Disconnected,
+        }
+    }
+
     /// Waits for the next chunk. Once the run has made no progress for its stall timeout, a slot at
     /// another endpoint is sought meanwhile; without one, the run is left as it is, since a slow
     /// stream is better than a broken one.
--- a/crates/waxwing-conduit/src/roles.rs
+++ b/crates/waxwing-conduit/src/roles.rs
@@ -14,7 +14,7 @@
 use waxwing_core::clock::Clock;
 use waxwing_fleet::{dialects, network};
 use waxwing_gate::{gate, options as gate_options};
-use waxwing_process::{listening, metrics as process_metrics};
+use waxwing_process::{bodies, listening, metrics as process_metrics};
 use waxwing_wire::messages;
 
 use crate::{errors, fleet, intake, metrics, options, sockets, state};
@@ -41,10 +41,6 @@
 /// while their load updates to each other are in transit.
 const QUOTA_SLACK_SHARE: f64 = 0.5;
 
-/// Size limit of a request head. It applies in place of the deployment's limit, which is not
-/// enforced and is expected to be lower.
-const MAX_HEAD_BYTES: usize = 64 * 1024;
-
 /// An entry whose sockets are bound but not yet served.
 pub struct BoundConduit<C> {
     options: options::ConduitOptions,
@@ -193,7 +189,7 @@
         let connection = http1::Builder::new()
             .timer(TokioTimer::new())
             .header_read_timeout(intake::KEEP_ALIVE_TIMEOUT + KEEP_ALIVE_MARGIN)
-            .max_buf_size(MAX_HEAD_BYTES)
+            .max_buf_size(bodies::MAX_HEAD_BYTES)
             .serve_connection(TokioIo::new(stream), service);
         let connection = graceful.watch(connection);
         tokio::spawn(async move {
--- a/crates/waxwing-conduit/src/state.rs
+++ b/crates/waxwing-conduit/src/state.rs
@@ -15,6 +15,7 @@
 use waxwing_core::clock::Clock;
 use waxwing_fleet::{deployments, dialects};
 use waxwing_gate::{gate, tickets};
+use waxwing_process::bodies;
 
 use crate::{metrics, options, starting, statements, stopping, upstream};
 
@@ -25,6 +26,10 @@
     pub(crate) dialect: D,
     pub(crate) deployment: ArcSwapOption<deployments::FleetDeployment>,
     pub(crate) pool: upstream::ConnectionPool,
+    /// Memory of the bodies of requests.
+    pub(crate) request_memory: bodies::MemoryBudget,
+    /// Memory of the answers that are read whole.
+    pub(crate) answer_memory: bodies::MemoryBudget,
     pub(crate) metrics: metrics::EntryMetrics,
     gate: Mutex<GateState>,
     /// Wakes the task that sends load updates to the other entries.
@@ -109,6 +114,8 @@
         metrics: metrics::EntryMetrics,
     ) -> Self {
         Self {
+            request_memory: bodies::MemoryBudget::new(options.body_bytes()),
+            answer_memory: bodies::MemoryBudget::new(options.body_bytes()),
             options,
             clock,
             dialect,
--- a/crates/waxwing-conduit/src/upstream.rs
+++ b/crates/waxwing-conduit/src/upstream.rs
@@ -14,6 +14,7 @@
 use smol_str::SmolStr;
 use tokio::net;
 use waxwing_core::clock::Clock;
+use waxwing_process::bodies;
 
 use crate::{errors, sockets};
 
@@ -169,7 +170,10 @@
         };
         let stream = connected.map_err(|_| errors::SendError::NotSent("connection refused"))?;
         sockets::prepare(&stream);
-        let established = http1::handshake(TokioIo::new(stream)).await;
+        let established = http1::Builder::new()
+            .max_buf_size(bodies::MAX_HEAD_BYTES)
+            .handshake(TokioIo::new(stream))
+            .await;
         let (sender, connection) =
             established.map_err(|_| errors::SendError::NotSent("connection ended"))?;
         tokio::spawn(async move {
--- /dev/null
+++ b/crates/waxwing-process/src/bodies.rs
@@ -0,0 +1,139 @@
+//! Reading of HTTP bodies into memory, within a limit for each body and a budget for all bodies of
+//! the process, so that peers that send bytes without end can't use up its memory.
+
+use std::{
+    pin::pin,
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+    },
+};
+
+use bytes::Bytes;
+use http_body_util::BodyExt as _;
+use hyper::body;
+
+/// Size up to which a body doesn't count towards the budget. Bodies of this size are always read, so
+/// that peers which use up the budget don't affect ordinary calls.
+pub const UNBUDGETED_BYTES: usize = 16 * 1024;
+
+/// Limit on the read buffer of an HTTP connection, and with it on the head of a message, in bytes.
+pub const MAX_HEAD_BYTES: usize = 64 * 1024;
+
+/// Why a body was not read.
+#[derive(Debug, thiserror::Error)]
+pub enum BodyError<E> {
+    /// The connection broke, or the body was malformed.
+    #[error("the body broke off: {0}")]
+    Broken(E),
+    /// The body is longer than its limit.
+    #[error("the body is longer than {0} bytes")]
+    TooLong(usize),
+    /// The bodies that are being read leave no memory for this one.
+    #[error("no memory is left for the body")]
+    OutOfMemory,
+}
+
+/// The memory that the bodies of a process may use together; clones share it.
+#[derive(Debug, Clone)]
+pub struct MemoryBudget {
+    used: Arc<AtomicUsize>,
+    limit: usize,
+}
+
+impl MemoryBudget {
+    /// Creates a budget of `limit` bytes.
+    #[must_use]
+    pub fn new(limit: usize) -> Self {
+        Self {
+            used: Arc::default(),
+            limit,
+        }
+    }
+
+    /// Returns the number of bytes that are in use.
+    #[must_use]
+    pub fn used(&self) -> usize {
+        self.used.load(Ordering::Relaxed)
+    }
+
+    fn take(&self, bytes: usize) -> bool {
+        let taken = self
+            .used
+            .fetch_update(Ordering::Relaxed, Ordering::Relaxed, |used| {
+                let total = used.checked_add(bytes)?;
+                (total <= self.limit).then_some(total)
+            });
+        taken.is_ok()
+    }
+
+    /// Reads a body of at most `max_bytes`. Its memory returns to the budget once all clones of the
+    /// returned bytes are dropped.
+    ///
+    /// # Errors
+    /// Fails if the body breaks off, is too long, or would exceed the budget.
+    pub async fn read<B>(&self, body: B, max_bytes: usize) -> Result<Bytes, BodyError<B::Error>>
+    where
+        B: body::Body<Data = Bytes>,
+    {
+        let mut body = pin!(body);
+        let mut buffer = BodyBuffer {
+            bytes: Vec::new(),
+            charged: 0,
+            budget: self.clone(),
+        };
+        while let Some(frame) = body.frame().await {
+            let frame = frame.map_err(BodyError::Broken)?;
+            let Ok(data) = frame.into_data() else {
+                continue;
+            };
+            if data.len() > max_bytes - buffer.bytes.len() {
+                return Err(BodyError::TooLong(max_bytes));
+            }
+            if !buffer.add(&data, max_bytes) {
+                return Err(BodyError::OutOfMemory);
+            }
+        }
+        Ok(Bytes::from_owner(buffer))
+    }
+}
+
+/// The bytes of a body, with their part of the budget.
+#[derive(Debug)]
+struct BodyBuffer {
+    bytes: Vec<u8>,
+    charged: usize,
+    budget: MemoryBudget,
+}
+
+impl BodyBuffer {
+    /// Adds bytes, unless the budget has no room for them.
+    fn add(&mut self, data: &[u8], max_bytes: usize) -> bool {
+        let length = self.bytes.len() + data.len();
+        if length > self.bytes.capacity() {
+            let capacity = length.max(self.bytes.capacity() * 2).min(max_bytes);
+            if capacity > UNBUDGETED_BYTES {
+                let growth = capacity - self.charged;
+                if !self.budget.take(growth) {
+                    return false;
+                }
+                self.charged = capacity;
+            }
+            self.bytes.reserve_exact(capacity - self.bytes.len());
+        }
+        self.bytes.extend_from_slice(data);
+        true
+    }
+}
+
+impl AsRef<[u8]> for BodyBuffer {
+    fn as_ref(&self) -> &[u8] {
+        &self.bytes
+    }
+}
+
+impl Drop for BodyBuffer {
+    fn drop(&mut self) {
+        self.budget.used.fetch_sub(self.charged, Ordering::Relaxed);
+    }
+}
--- a/crates/waxwing-process/src/lib.rs
+++ b/crates/waxwing-process/src/lib.rs
@@ -1,7 +1,8 @@
 //! Shared parts of all binaries: command-line arguments, exit codes, logs, signal handling,
-//! reloading of TLS keys, and export of metrics.
+//! reloading of TLS keys, export of metrics, and bounds on the memory of HTTP bodies.
 
 pub mod arguments;
+pub mod bodies;
 pub mod decisions;
 pub mod export;
 pub mod listening;
--- a/crates/waxwing-process/src/listening.rs
+++ b/crates/waxwing-process/src/listening.rs
@@ -10,6 +10,8 @@
 use tokio_util::sync::CancellationToken;
 use waxwing_core::clock::Clock;
 
+use crate::bodies;
+
 /// Delay after a failed accept, whose usual cause is a lack of file descriptors.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
@@ -46,6 +48,7 @@
             });
             let connection = http1::Builder::new()
                 .timer(TokioTimer::new())
+                .max_buf_size(bodies::MAX_HEAD_BYTES)
                 .serve_connection(TokioIo::new(stream), service);
             if let Err(error) = connection.await {
                 tracing::debug!(%error, "a connection failed");
--- /dev/null
+++ b/crates/waxwing-process/tests/bodies.rs
@@ -0,0 +1,44 @@
+//! Bounds on the memory of bodies that peers send.
+
+use std::convert::Infallible;
+
+use bytes::Bytes;
+use futures_util::stream;
+use http_body_util::{Full, StreamBody};
+use hyper::body::{Body, Frame};
+use waxwing_process::bodies::{BodyError, MemoryBudget, UNBUDGETED_BYTES};
+
+/// A body in chunks of a kilobyte.
+fn chunked(chunks: usize) -> impl Body<Data = Bytes, Error = Infallible> {
+    let chunk = || Ok(Frame::data(Bytes::from(vec![b'a'; 1_024])));
+    StreamBody::new(stream::iter((0..chunks).map(move |_| chunk())))
+}
+
+/// Guards against a process that runs out of memory while peers send bodies without end.
+#[tokio::test]
+async fn bodies_stay_within_their_limit_and_the_budget() {
+    let budget = MemoryBudget::new(200 * 1_024);
+    let first = budget.read(chunked(100), 1 << 20).await.unwrap();
+    assert_eq!(first.len(), 100 * 1_024);
+    assert!(budget.used() >= first.len());
+    let endless = budget.read(chunked(usize::MAX), 1 << 30).await;
+    assert!(matches!(endless, Err(BodyError::OutOfMemory)));
+    let long = budget.read(chunked(usize::MAX), 50 * 1_024).await;
+    assert!(matches!(long, Err(BodyError::TooLong(_))));
+    let copy = first.clone();
+    drop(first);
+    assert!(budget.used() >= copy.len());
+    drop(copy);
+    assert_eq!(budget.used(), 0);
+}
+
+/// Guards against ordinary calls that fail because others have used up the budget.
+#[tokio::test]
+async fn small_bodies_need_no_budget() {
+    let budget = MemoryBudget::new(0);
+    let bytes = Bytes::from(vec![b'b'; UNBUDGETED_BYTES]);
+    let read = budget.read(Full::new(bytes.clone()), 1 << 20).await;
+    assert_eq!(read.unwrap(), bytes);
+    let read = budget.read(Full::new(Bytes::new()), 0).await;
+    assert!(read.unwrap().is_empty());
+}
