Bound the memory and the time of the bodies that a control host reads

What callers saw: nothing yet; found on the way from the report of endpoints that send bytes without end. A control host that runs out of memory ends, and with it the calls of others.

Cause: each body was limited to 8 MiB, also that of a notice, and copied when complete; neither their sum nor the time for reading one was limited.

Change: bodies share a quarter of memory_megabytes, a new setting; those of notices are limited to 16 KiB, which need no share; a body must arrive within 10 s. 408, 413 and 503 tell the cases apart.

--- a/crates/waxwing-conduit/src/options.rs
+++ b/crates/waxwing-conduit/src/options.rs
@@ -3,6 +3,7 @@
 use std::{net::SocketAddr, time::Duration};
 
 use smol_str::SmolStr;
+use waxwing_process::bodies;
 use waxwing_settings::view;
 
 /// Share of the memory that the bodies of one direction may take. A body needs half of its size once
@@ -75,16 +76,10 @@
 }
 
 impl ConduitOptions {
-    /// Returns the bytes that the requests, and the bytes that the answers which are read whole, may
-    /// take at a time.
+    /// Returns a budget for the requests, or for the answers that are read whole.
     #[must_use]
-    #[expect(
-        clippy::cast_possible_truncation,
-        clippy::cast_sign_loss,
-        reason = "a negative or huge size is meaningless, so clamping loses nothing"
-    )]
-    pub fn body_bytes(&self) -> usize {
-        (self.memory_megabytes.max(0.0) * BODY_MEMORY_SHARE * 1024.0 * 1024.0) as usize
+    pub fn body_budget(&self) -> bodies::MemoryBudget {
+        bodies::MemoryBudget::of_memory(self.memory_megabytes, BODY_MEMORY_SHARE)
     }
 
     /// Returns the time from the stop signal until the process is killed; zero if the setting is
--- a/crates/waxwing-conduit/src/state.rs
+++ b/crates/waxwing-conduit/src/state.rs
@@ -114,8 +114,8 @@
         metrics: metrics::EntryMetrics,
     ) -> Self {
         Self {
-            request_memory: bodies::MemoryBudget::new(options.body_bytes()),
-            answer_memory: bodies::MemoryBudget::new(options.body_bytes()),
+            request_memory: options.body_budget(),
+            answer_memory: options.body_budget(),
             options,
             clock,
             dialect,
--- a/crates/waxwing-process/src/bodies.rs
+++ b/crates/waxwing-process/src/bodies.rs
@@ -42,6 +42,17 @@
 }
 
 impl MemoryBudget {
+    /// Creates a budget of a share of a process's memory in megabytes.
+    #[must_use]
+    #[expect(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        reason = "a negative or huge size is meaningless, so clamping loses nothing"
+    )]
+    pub fn of_memory(megabytes: f64, share: f64) -> Self {
+        Self::new((megabytes.max(0.0) * share * 1024.0 * 1024.0) as usize)
+    }
+
     /// Creates a budget of `limit` bytes.
     #[must_use]
     pub fn new(limit: usize) -> Self {
--- a/crates/waxwing-registrar/src/host.rs
+++ b/crates/waxwing-registrar/src/host.rs
@@ -12,6 +12,7 @@
 use tokio_util::sync::CancellationToken;
 use waxwing_core::clock::Clock;
 use waxwing_fleet::{network, registry};
+use waxwing_process::bodies;
 use waxwing_wire::messages;
 
 use crate::{departures, directory, errors, handles, history, metrics, options};
@@ -34,6 +35,8 @@
 pub(crate) struct RegistrarHost<C> {
     pub(crate) options: Arc<options::RegistrarOptions>,
     pub(crate) clock: C,
+    /// Memory of the bodies of calls.
+    pub(crate) body_memory: bodies::MemoryBudget,
     pub(crate) group: handles::GroupHandle,
     pub(crate) network: network::ProcessNetwork<C>,
     pub(crate) metrics: metrics::RegistrarMetrics,
@@ -59,6 +62,7 @@
         metrics: metrics::RegistrarMetrics,
     ) -> Self {
         Self {
+            body_memory: options.body_budget(),
             options: Arc::new(options),
             clock,
             group,
--- a/crates/waxwing-registrar/src/http.rs
+++ b/crates/waxwing-registrar/src/http.rs
@@ -1,9 +1,9 @@
 //! The HTTP interface of a control host for operators and endpoints.
 
-use std::net::SocketAddr;
+use std::{net::SocketAddr, time::Duration};
 
 use bytes::Bytes;
-use http_body_util::{BodyExt as _, Full, Limited};
+use http_body_util::Full;
 use hyper::{
     Request, Response, StatusCode, body,
     http::{HeaderValue, header},
@@ -12,12 +12,19 @@
 use tokio_util::sync::CancellationToken;
 use waxwing_core::clock::Clock;
 use waxwing_fleet::{deployments, dialects};
-use waxwing_process::listening;
+use waxwing_process::{bodies, listening};
 
 use crate::{documents, errors, host};
 
-/// The longest accepted body; a document with thousands of routes has a few megabytes.
-const MAX_BODY_BYTES: usize = 8 * 1024 * 1024;
+/// The longest accepted document; one with thousands of routes has a few megabytes.
+const MAX_DOCUMENT_BYTES: usize = 8 * 1024 * 1024;
+
+/// The longest accepted body of any other call. Notices of endpoints have some hundred bytes.
+const MAX_CALL_BYTES: usize = bodies::UNBUDGETED_BYTES;
+
+/// The longest time for reading the body of a call. The largest document takes a third of it on a
+/// link of 22 Mbit/s.
+const BODY_TIMEOUT: Duration = Duration::from_secs(10);
 
 type HttpResponse = Response<Full<Bytes>>;
 
@@ -43,14 +50,28 @@
 ) -> HttpResponse {
     let call = dialect.call(request.method(), request.uri().path());
     let path = request.uri().path().to_owned();
-    let body = match Limited::new(request.into_body(), MAX_BODY_BYTES)
-        .collect()
-        .await
-    {
-        Ok(body) => body.to_bytes(),
+    let max_bytes = match call {
+        dialects::ControlCall::PutDeployment => MAX_DOCUMENT_BYTES,
+        _ => MAX_CALL_BYTES,
+    };
+    let reading = host.body_memory.read(request.into_body(), max_bytes);
+    let body = tokio::select! {
+        body = reading => body,
+        () = host.clock.sleep(BODY_TIMEOUT) => {
+            tracing::info!(event = "call-refused", path, "the body didn't arrive in time");
+            return text_response(StatusCode::REQUEST_TIMEOUT, "the body didn't arrive in time");
+        }
+    };
+    let body = match body {
+        Ok(body) => body,
         Err(error) => {
             tracing::info!(event = "call-refused", path, %error);
-            return text_response(StatusCode::PAYLOAD_TOO_LARGE, "the body can't be read");
+            let status = match error {
+                bodies::BodyError::TooLong(_) => StatusCode::PAYLOAD_TOO_LARGE,
+                bodies::BodyError::OutOfMemory => StatusCode::SERVICE_UNAVAILABLE,
+                bodies::BodyError::Broken(_) => StatusCode::BAD_REQUEST,
+            };
+            return text_response(status, "the body can't be read");
         }
     };
     match call {
--- a/crates/waxwing-registrar/src/options.rs
+++ b/crates/waxwing-registrar/src/options.rs
@@ -3,6 +3,10 @@
 use std::{net::SocketAddr, path::PathBuf, time::Duration};
 
 use smol_str::SmolStr;
+use waxwing_process::bodies;
+
+/// Share of the memory that the bodies of calls may take.
+const BODY_MEMORY_SHARE: f64 = 0.25;
 
 /// The settings of a control host.
 #[derive(Debug, Clone, serde::Deserialize)]
@@ -34,6 +38,10 @@
     /// host after a second without an answer.
     #[serde(default = "default_call_millis")]
     pub call_millis: u64,
+    /// Memory that the process may use, in megabytes. The bodies of calls are bounded by a part of
+    /// it.
+    #[serde(default = "default_memory_megabytes")]
+    pub memory_megabytes: f64,
 }
 
 const fn default_tolerated_losses() -> u32 {
@@ -44,7 +52,17 @@
     900
 }
 
+const fn default_memory_megabytes() -> f64 {
+    128.0
+}
+
 impl RegistrarOptions {
+    /// Returns a budget for the bodies of calls.
+    #[must_use]
+    pub fn body_budget(&self) -> bodies::MemoryBudget {
+        bodies::MemoryBudget::of_memory(self.memory_megabytes, BODY_MEMORY_SHARE)
+    }
+
     /// Returns the longest time for which a call may wait for the replication group.
     #[must_use]
     pub const fn call_limit(&self) -> Duration {
