--- a/crates/waxwing-registrar/tests/durability/main.rs
+++ b/crates/waxwing-registrar/tests/durability/main.rs
@@ -51,6 +51,10 @@
     tolerated_disks: usize,
 }
 
+/// Time within which a change must be acknowledged while a quorum runs: the users' `ack_ms` on the
+/// smallest sites.
+const ACKNOWLEDGEMENT_LIMIT: Duration = Duration::from_millis(4_000);
+
 const THREE_HOSTS: FleetSize = FleetSize {
     hosts: 3,
     tolerated_disks: 1,
@@ -263,3 +267,46 @@
         assert_eq!(model.recover_and_check().err(), None, "seed {seed}");
     }
 }
+
+/// Sends reads and larger changes to every host.
+fn press(model: &mut ControlModel) {
+    for host in 0..model.size() {
+        if model.random.random_bool(0.2) {
+            model.put(host);
+        }
+        if model.random.random_bool(0.1) {
+            model.depart(host);
+        }
+    }
+}
+
+/// Guards against a group that acknowledges nothing after the disks of its hosts were full for some
+/// seconds each, one after another and never two at a time (report of other operators).
+#[test_case(THREE_HOSTS; "three hosts")]
+#[test_case(FIVE_HOSTS; "five hosts")]
+fn changes_are_acknowledged_after_disks_were_full_in_turn(fleet: FleetSize) {
+    for seed in 0..schedules(10) {
+        let mut model = ControlModel::new(seed, fleet.hosts, fleet.tolerated_disks);
+        model.run(millis(2_000), press);
+        for _ in 0..2 {
+            for host in 0..fleet.hosts {
+                let room = model.random.random_range(0..400);
+                model.fill_disk(host, Some(room));
+                let full = millis(model.random.random_range(500..6_000));
+                model.run(full, press);
+                model.fill_disk(host, None);
+                let pause = millis(model.random.random_range(0..800));
+                model.run(pause, press);
+            }
+        }
+        let before = model.counts;
+        model.run(ACKNOWLEDGEMENT_LIMIT, press);
+        let counts = model.counts;
+        assert!(
+            counts.acknowledged > before.acknowledged && counts.departures > before.departures,
+            "seed {seed}: nothing is acknowledged"
+        );
+        assert!(model.all_hosts_run(), "seed {seed}: a host is down");
+        assert_eq!(model.recover_and_check().err(), None, "seed {seed}");
+    }
+}
--- a/crates/waxwing-registrar/tests/durability/model/faults.rs
+++ b/crates/waxwing-registrar/tests/durability/model/faults.rs
@@ -78,6 +78,19 @@
         });
     }
 
+    /// Leaves this many bytes of room on a disk; `None` ends the lack of room.
+    pub(crate) fn fill_disk(&mut self, host: usize, free_bytes: Option<u64>) {
+        self.hosts[host].disk.set_faults(memory::DiskFaults {
+            free_bytes,
+            ..memory::DiskFaults::default()
+        });
+    }
+
+    /// Returns whether the processes of all hosts that were not taken away run.
+    pub(crate) fn all_hosts_run(&self) -> bool {
+        self.present().into_iter().all(|host| self.runs(host))
+    }
+
     /// Cuts `side` off from the other hosts, in one direction or both.
     pub(crate) fn cut(&mut self, side: &[usize], one_way: bool, mode: CutMode) {
         self.cut_mode = mode;
