Keep a live endpoint when an earlier life of it is told to have left

What callers would see: fewer endpoints than there are.

Cause: an entry removed the endpoint on any such notice, also when its registry knew a later life and called the notice stale.

Evidence and result: departure_of_an_earlier_life_removes_no_endpoint failed before and passes now.

--- a/crates/waxwing-gate/src/gate.rs
+++ b/crates/waxwing-gate/src/gate.rs
@@ -208,9 +208,10 @@
     pub fn observe_notice(&mut self, notice: messages::EndpointNotice, received: Instant) {
         let id = SmolStr::new(&notice.id);
         let Ok(address) = notice.address.parse() else {
-            // The final notice of an endpoint that was never seen before carries no address.
-            self.registry.observe(notice, received);
-            self.endpoints.remove(&id);
+            // A control host that doesn't know the endpoint tells of its departure without an address.
+            if self.registry.observe(notice, received) == registry::NoticeEffect::Changed {
+                self.endpoints.remove(&id);
+            }
             return;
         };
         match self.registry.observe(notice.clone(), received) {
--- a/crates/waxwing-gate/tests/gate.rs
+++ b/crates/waxwing-gate/tests/gate.rs
@@ -403,3 +403,26 @@
         "{late:?}"
     );
 }
+
+/// Guards against an endpoint that gets no requests because a control host that didn't know it told
+/// late of the departure of an earlier life, without an address.
+#[test]
+fn departure_of_an_earlier_life_removes_no_endpoint() {
+    let now = Instant::now();
+    let mut core = gate(now, &[]);
+    let restarted = messages::EndpointNotice {
+        born: 9,
+        ..notice("one", 1, 3)
+    };
+    core.observe_notice(restarted, now);
+    let departure = |born| messages::EndpointNotice {
+        id: "one".to_owned(),
+        born,
+        phase: messages::EndpointPhase::Gone.into(),
+        ..messages::EndpointNotice::default()
+    };
+    core.observe_notice(departure(5), now);
+    assert!(core.endpoint("one").is_some());
+    core.observe_notice(departure(9), now);
+    assert!(core.endpoint("one").is_none());
+}
