Confirm state only to processes that were linked before the read began

Found by reading on their paths; no test brings the order of events about, so it is only suspected.

Cause: a leader's read tells that it knew everything at the time at which the read began. Its result went to all that were linked when it ended, so an entry or control host that had started in between could be told that older state was current, if another host led by then.

Change: the entries and control hosts to inform are taken before the read begins. Those that link during it ask for the next one, as each new link does.

Result: tests/restarts, control_hosts and whole_path of the platform pass.

--- a/crates/waxwing-registrar/src/host.rs
+++ b/crates/waxwing-registrar/src/host.rs
@@ -271,15 +271,14 @@
         }
     }
 
-    /// Sends all departures to the control hosts that may lack some, after a quorum has confirmed
-    /// that this host knows them.
-    fn share_departures(&self) {
-        if self.uninformed().is_empty() && self.directory().is_complete() {
+    /// Sends all departures to control hosts that may lack some, after a quorum has confirmed that
+    /// this host knows them.
+    fn share_departures(&self, uninformed: HashSet<SocketAddr>) {
+        if uninformed.is_empty() && self.directory().is_complete() {
             return;
         }
         let departures = self.group.view.borrow().departures.to_list().departures;
         self.learn_departures(&departures, true);
-        let uninformed = std::mem::take(&mut *self.uninformed());
         for address in uninformed {
             let recorded = messages::RecordedDepartures {
                 departures: departures.clone(),
@@ -406,18 +405,23 @@
         }
     }
 
-    /// Announces a deployment to all entries.
-    fn announce(&self, confirmed: bool) {
+    fn linked_entries(&self) -> HashSet<SocketAddr> {
+        self.network.linked_addresses(messages::ProcessKind::Entry)
+    }
+
+    /// Announces a deployment to entries.
+    fn announce(&self, confirmed: bool, entries: &HashSet<SocketAddr>) {
         let announcement = self.history().announcement(confirmed);
-        let entries = self.network.linked_addresses(messages::ProcessKind::Entry);
         tracing::info!(
             event = "deployment-announced",
             version = announcement.version,
             confirmed,
             entries = entries.len()
         );
-        let body = messages::Body::DeploymentVersion(announcement);
-        self.network.broadcast(messages::ProcessKind::Entry, &body);
+        for entry in entries {
+            let body = messages::Body::DeploymentVersion(announcement);
+            self.network.send(*entry, body);
+        }
     }
 
     /// Announces each new deployment to the entries, and takes the departures that were committed.
@@ -439,7 +443,7 @@
             if document.version > announced {
                 announced = document.version;
                 self.history().record(&document);
-                self.announce(false);
+                self.announce(false, &self.linked_entries());
                 self.confirmation_wanted.notify_one();
             }
             if leads && !led {
@@ -468,6 +472,9 @@
             if !self.group.view.borrow().leads {
                 continue;
             }
+            // A read confirms nothing to a process that has started during it.
+            let entries = self.linked_entries();
+            let uninformed = std::mem::take(&mut *self.uninformed());
             let read = tokio::select! {
                 read = self.group.read() => read,
                 () = self.clock.sleep(self.options.call_limit()) => {
@@ -476,14 +483,17 @@
             };
             match read {
                 Ok(document) => {
-                    self.share_departures();
+                    self.share_departures(uninformed);
                     if document.version > 0 {
                         self.history().record(&document);
-                        self.announce(true);
+                        self.announce(true, &entries);
                     }
                 }
                 // While the host leads, it tries again until a quorum answers.
-                Err(_) => self.confirmation_wanted.notify_one(),
+                Err(_) => {
+                    self.uninformed().extend(uninformed);
+                    self.confirmation_wanted.notify_one();
+                }
             }
             self.clock.sleep(CONFIRMATION_INTERVAL).await;
         }
