Count the fixed allowance of retries as used up at the start of an entry

What callers would see: more repeats of requests at a service than the budget of all entries allows, after entries have been restarted while endpoints fail.

Cause: what an entry has taken from its allowance is in its memory only, and a restarted entry had the whole of it again within the same window.

Change: the allowance is available once the process has run for a window; retries in proportion to its own requests are allowed from the start.

--- a/crates/waxwing-gate/src/budgets.rs
+++ b/crates/waxwing-gate/src/budgets.rs
@@ -1,6 +1,9 @@
 //! Retry budget: how many retries the endpoints of a service may get in a sliding window. The
 //! budget is divided among all entries and each keeps to its share, so that it needs no messages
 //! and holds while entries can't reach each other.
+//!
+//! What a process used before its restart is unknown, so the fixed allowance counts as used up when
+//! it starts.
 
 use std::{
     collections::VecDeque,
@@ -13,6 +16,8 @@
 /// Requests and retries of one service in a sliding window.
 #[derive(Debug)]
 pub struct RetryBudget {
+    /// When the process started.
+    started: Instant,
     window: Duration,
     buckets: VecDeque<BudgetBucket>,
 }
@@ -26,10 +31,11 @@
 }
 
 impl RetryBudget {
-    /// Builds an empty budget over a window of this length.
+    /// Builds the budget of a process that started at `started`, over a window of this length.
     #[must_use]
-    pub const fn new(window: Duration) -> Self {
+    pub const fn new(started: Instant, window: Duration) -> Self {
         Self {
+            started,
             window,
             buckets: VecDeque::new(),
         }
@@ -64,9 +70,12 @@
     }
 
     /// Counts a retry and returns `true` if the budget allows it: up to `ratio` retries for each
-    /// request in the window, plus `extra`, the share of this entry in the fixed allowance.
+    /// request in the window, plus `extra`, the share of this entry in the fixed allowance, once the
+    /// process has run for a window.
     pub fn take_retry(&mut self, now: Instant, ratio: f64, extra: f64) -> bool {
         self.bucket(now);
+        let age = now.saturating_duration_since(self.started);
+        let extra = if age > self.window { extra } else { 0.0 };
         let requests: u32 = self.buckets.iter().map(|bucket| bucket.requests).sum();
         let retries: u32 = self.buckets.iter().map(|bucket| bucket.retries).sum();
         let allowed = f64::from(retries + 1) <= f64::from(requests) * ratio + extra;
--- a/crates/waxwing-gate/src/gate.rs
+++ b/crates/waxwing-gate/src/gate.rs
@@ -50,6 +50,8 @@
 #[derive(Debug)]
 pub struct GateCore {
     options: options::GateOptions,
+    /// When the process started.
+    started: Instant,
     registry: registry::EndpointRegistry,
     endpoints: HashMap<SmolStr, endpoints::EndpointView>,
     waiting: HashMap<tickets::TicketId, QueuedTicket>,
@@ -175,6 +177,7 @@
         Self {
             baselines: baselines::BaselineChoice::new(options.routing, options.routing_seed),
             options,
+            started,
             registry: registry::EndpointRegistry::default(),
             endpoints: HashMap::new(),
             waiting: HashMap::new(),
@@ -330,10 +333,10 @@
     }
 
     fn budget(&mut self, service: &SmolStr) -> &mut budgets::RetryBudget {
-        let window = self.options.budget_window;
+        let (started, window) = (self.started, self.options.budget_window);
         self.budgets
             .entry(service.clone())
-            .or_insert_with(|| budgets::RetryBudget::new(window))
+            .or_insert_with(|| budgets::RetryBudget::new(started, window))
     }
 
     /// Adds a request to the queue.
