--- a/crates/waxwing-fleet/src/registry.rs
+++ b/crates/waxwing-fleet/src/registry.rs
@@ -31,6 +31,9 @@
 /// with more doesn't come from an endpoint.
 pub const MAX_SLOTS: u32 = 1 << 16;
 
+/// The longest id of an endpoint, in bytes. Control hosts keep the ids of endpoints that have left.
+pub const MAX_ID_BYTES: usize = 256;
+
 /// The latest notice of an endpoint.
 #[derive(Debug, Clone)]
 pub struct RegistryRecord {
--- a/crates/waxwing-registrar/src/host.rs
+++ b/crates/waxwing-registrar/src/host.rs
@@ -167,9 +167,11 @@
                     sequence = notice.sequence,
                     born = notice.born
                 );
+                // That an endpoint leaves is true whatever else has left.
+                let told = is_complete || notice.phase() != messages::EndpointPhase::Ready;
                 let notices = vec![notice];
                 let body = messages::Body::EndpointNotices(messages::EndpointNotices { notices });
-                if is_complete {
+                if told {
                     self.network.broadcast(messages::ProcessKind::Entry, &body);
                 }
                 self.network
