List the events of departures for waxwingctl explain

Cause: listed_events_are_exactly_the_logged_ones failed; the new log events were on the page for operators only.

Result: the test passes.

--- a/crates/waxwing-core/src/events.rs
+++ b/crates/waxwing-core/src/events.rs
@@ -31,7 +31,7 @@
 }
 
 /// All events of the decision log, those of requests first.
-pub const LOG_EVENTS: [LogEvent; 60] = [
+pub const LOG_EVENTS: [LogEvent; 65] = [
     log_event(
         "request-started",
         "the gate gave the request a slot and the entry sent it",
@@ -183,6 +183,26 @@
     ),
     log_event("notice-stale", "a notice of an endpoint came late or twice"),
     log_event("notice-refused", "a notice named no endpoint"),
+    log_event(
+        "endpoint-forgotten",
+        "an endpoint sent no notice for a minute, or was gone for as long",
+    ),
+    log_event(
+        "departure-ignored",
+        "another control host told of the departure of an earlier life",
+    ),
+    log_event(
+        "departure-failed",
+        "the log took no departure at that moment",
+    ),
+    log_event(
+        "departure-not-recorded",
+        "no leader recorded a departure in time; the endpoint was answered 503",
+    ),
+    log_event(
+        "departures-known",
+        "the host knows which endpoints have left and tells entries of the others from now on",
+    ),
     log_event(
         "deployment-answered",
         "the operator's change was acknowledged, sent on or left open",
