--- a/crates/waxwing-conduit/src/checks.rs
+++ b/crates/waxwing-conduit/src/checks.rs
@@ -108,6 +108,12 @@
         .core
         .patience
         .observe(arrival, &route.name, caller_timeout);
+    let prefers_target =
+        state
+            .gate()
+            .core
+            .rollouts
+            .draw(arrival, &service, &route.name, rand::random());
     let profile = deployment.service(&service).and_then(|found| found.engine);
     Ok(intake::AcceptedRequest {
         event_tokens: profile.map_or(1, |profile| profile.event_tokens),
@@ -121,6 +127,7 @@
         arrival,
         deadline: arrival + time_limit,
         returned,
+        prefers_target,
         method: head.method,
         uri: head.uri,
         body,
--- a/crates/waxwing-conduit/src/fleet.rs
+++ b/crates/waxwing-conduit/src/fleet.rs
@@ -15,7 +15,7 @@
 use waxwing_gate::{fetches, pacing};
 use waxwing_wire::messages;
 
-use crate::{state, statements, suspects};
+use crate::{rollouts, state, statements, suspects};
 
 /// Time between two checks of queued requests for timeouts.
 const QUEUE_CHECK_INTERVAL: Duration = Duration::from_millis(20);
@@ -38,6 +38,8 @@
     pub(crate) seeds: watch::Receiver<Vec<SocketAddr>>,
     known: Arc<Mutex<KnownHosts>>,
     fetcher: Arc<Mutex<fetches::DeploymentFetcher>>,
+    /// To whom reports on roll-outs go.
+    pub(crate) reporter: Arc<Mutex<rollouts::RolloutReporter>>,
     /// Wakes the task that asks again for a deployment.
     fetch_changed: Arc<Notify>,
 }
@@ -51,6 +53,7 @@
             seeds: self.seeds.clone(),
             known: self.known.clone(),
             fetcher: self.fetcher.clone(),
+            reporter: self.reporter.clone(),
             fetch_changed: self.fetch_changed.clone(),
         }
     }
@@ -69,8 +72,10 @@
         seeds: watch::Receiver<Vec<SocketAddr>>,
     ) -> Self {
         let fetcher = fetches::DeploymentFetcher::new(state.options.link_address);
+        let reporter = rollouts::RolloutReporter::new(state.clock.now());
         Self {
             fetcher: Arc::new(Mutex::new(fetcher)),
+            reporter: Arc::new(Mutex::new(reporter)),
             fetch_changed: Arc::default(),
             state,
             control_dialect,
@@ -118,6 +123,7 @@
             messages::ProcessKind::Control => {
                 self.fetcher().forget(remote.address);
                 self.send_fetch();
+                self.forget_rollout_leader(remote.address);
             }
             _ => {}
         }
@@ -176,6 +182,7 @@
                 self.state.dispatch_decisions();
             }
             messages::Body::FleetHosts(hosts) => self.update_hosts(&hosts),
+            messages::Body::RolloutTerms(terms) => self.apply_rollout_terms(remote, &terms),
             messages::Body::LoadUpdate(update) => {
                 let mut gate = self.state.gate();
                 let blocked = gate.core.apply_update(now, remote.address, update);
--- a/crates/waxwing-conduit/src/intake.rs
+++ b/crates/waxwing-conduit/src/intake.rs
@@ -46,6 +46,8 @@
     pub(crate) deadline: Instant,
     /// Whether its caller was probably refused before and is now retrying.
     pub(crate) returned: bool,
+    /// Whether it belongs to the part of the requests that a version under roll-out gets.
+    pub(crate) prefers_target: bool,
     /// Tokens per event of a stream.
     pub(crate) event_tokens: u32,
     pub(crate) method: http::Method,
@@ -479,6 +481,7 @@
             status = head.status.as_u16(),
             load = ?facts.load
         );
+        run.record_refusal();
         if head.status == StatusCode::MISDIRECTED_REQUEST {
             run.record_connect_failure();
         }
@@ -644,8 +647,9 @@
         resumed: history.possible_runs > 0 || last_event.is_some(),
         excluded: history.excluded.clone(),
         may_go_back: !history.is_running,
+        prefers_target: request.prefers_target && history.delivered == 0,
     };
-    let started = state.wait_for_slot(ticket).await;
+    let started = state.wait_for_slot(ticket, &request.route.name).await;
     started.map_err(|refusal| {
         let mut failure = dispatch_failure(history, refusal.reason.as_str());
         if failure.status == StatusCode::SERVICE_UNAVAILABLE {
--- a/crates/waxwing-conduit/src/lib.rs
+++ b/crates/waxwing-conduit/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod options;
 mod relay;
 pub mod roles;
+mod rollouts;
 mod sockets;
 pub mod starting;
 mod state;
--- a/crates/waxwing-conduit/src/metrics.rs
+++ b/crates/waxwing-conduit/src/metrics.rs
@@ -20,6 +20,7 @@
     link_bytes: IntCounterVec,
     crashes: IntCounterVec,
     statements: IntCounterVec,
+    rollouts: IntCounterVec,
     latencies: HistogramVec,
 }
 
@@ -72,6 +73,11 @@
             "Changes of what endpoints state about the requests that they take.",
             "statement",
         )?;
+        let rollouts = counter(
+            "waxwing_entry_rollout_stages_total",
+            "Stages of roll-outs that the entry has entered.",
+            "state",
+        )?;
         let options = HistogramOpts::new(
             "waxwing_entry_latency_seconds",
             "Time waited for an endpoint, to the first event, and of the whole request.",
@@ -89,6 +95,7 @@
             link_bytes,
             crashes,
             statements,
+            rollouts,
             latencies,
         })
     }
@@ -125,6 +132,10 @@
         self.statements.with_label_values(&[statement]).inc();
     }
 
+    pub(crate) fn count_rollout(&self, state: &str) {
+        self.rollouts.with_label_values(&[state]).inc();
+    }
+
     /// Updates the bytes of messages from the counters of the links.
     pub(crate) fn record_link_bytes(&self, counters: &counters::CounterSet) {
         let directions = [
--- a/crates/waxwing-conduit/src/state.rs
+++ b/crates/waxwing-conduit/src/state.rs
@@ -14,7 +14,7 @@
 use tokio::sync::{Notify, oneshot};
 use waxwing_core::clock::Clock;
 use waxwing_fleet::{deployments, dialects};
-use waxwing_gate::{gate, tickets};
+use waxwing_gate::{gate, rollouts, tickets};
 use waxwing_process::bodies;
 
 use crate::{metrics, options, starting, statements, stopping, upstream};
@@ -98,9 +98,21 @@
     pub(crate) endpoint: SmolStr,
     pub(crate) address: std::net::SocketAddr,
     pub(crate) expected: Duration,
+    service: SmolStr,
+    route: SmolStr,
     size: tickets::WorkSize,
     /// Prompt tokens pending at the endpoint when the request was started.
     backlog: u64,
+    /// When the slot was taken.
+    started: Instant,
+    /// Whether the answer failed or broke off, or none came.
+    failed: AtomicBool,
+    /// Whether the endpoint was not reached or refused the request.
+    not_run: AtomicBool,
+    /// Whether the whole answer came.
+    finished: bool,
+    /// Whether it took several times as long as usual.
+    slow: bool,
     /// Time from the sending of the request to its first event; `None` before that event.
     first_event_time: Option<Duration>,
 }
@@ -229,8 +241,10 @@
     pub(crate) async fn wait_for_slot(
         self: &Arc<Self>,
         ticket: tickets::WaitingTicket,
+        route: &SmolStr,
     ) -> Result<StartedRun<C, D>, QueueRefusal> {
         let size = ticket.size;
+        let service = ticket.service.clone();
         let (sender, receiver) = oneshot::channel();
         let id = {
             let mut gate = self.gate();
@@ -258,8 +272,15 @@
                     endpoint,
                     address,
                     expected,
+                    service,
+                    route: route.clone(),
                     size,
                     backlog,
+                    started: self.clock.now(),
+                    failed: AtomicBool::new(false),
+                    not_run: AtomicBool::new(false),
+                    finished: false,
+                    slow: false,
                     first_event_time: None,
                 })
             }
@@ -338,6 +359,7 @@
         let now = self.state.clock.now();
         let mut gate = self.state.gate();
         let core = &mut gate.core;
+        self.slow |= core.is_slow_start(&self.service, self.backlog, elapsed);
         core.record_first_event(&self.endpoint, self.size, self.backlog, elapsed);
         core.record_success(now, &self.endpoint);
         if !shared_parts.is_empty() {
@@ -361,6 +383,10 @@
         run_time: Duration,
     ) {
         let mut gate = self.state.gate();
+        self.finished = true;
+        self.slow |= gate
+            .core
+            .is_slow_generation(&self.service, tokens, generation_time);
         gate.core
             .record_generation(&self.endpoint, tokens, generation_time, run_time);
     }
@@ -370,6 +396,8 @@
     pub(crate) fn record_answer(&mut self, elapsed: Duration, shared_parts: &[u64]) {
         let now = self.state.clock.now();
         let mut gate = self.state.gate();
+        self.finished = true;
+        self.slow |= gate.core.is_slow_call(&self.service, elapsed);
         gate.core.record_call(&self.endpoint, elapsed);
         gate.core.record_success(now, &self.endpoint);
         if !shared_parts.is_empty() {
@@ -402,8 +430,41 @@
         }
     }
 
+    /// Returns how the run ended; `None` if it tells nothing, because the endpoint didn't run it or
+    /// its caller left while it was on time.
+    fn outcome(&self, core: &gate::GateCore, now: Instant) -> Option<rollouts::RunOutcome> {
+        if self.not_run.load(Ordering::Relaxed) {
+            return None;
+        }
+        let failed = self.failed.load(Ordering::Relaxed);
+        if failed || self.finished {
+            return Some(rollouts::RunOutcome {
+                failed,
+                slow: self.slow,
+            });
+        }
+        let elapsed = now.saturating_duration_since(self.started);
+        let is_late = self.first_event_time.is_none()
+            && match self.size {
+                tickets::WorkSize::Call => core.is_slow_call(&self.service, elapsed),
+                tickets::WorkSize::Generation { .. } => {
+                    core.is_slow_start(&self.service, self.backlog, elapsed)
+                }
+            };
+        (self.slow || is_late).then_some(rollouts::RunOutcome {
+            failed: false,
+            slow: true,
+        })
+    }
+
+    /// Records that the endpoint has not run the request.
+    pub(crate) fn record_refusal(&self) {
+        self.not_run.store(true, Ordering::Relaxed);
+    }
+
     /// Records that the endpoint could not be reached.
     pub(crate) fn record_connect_failure(&self) {
+        self.record_refusal();
         let now = self.state.clock.now();
         self.state
             .gate()
@@ -413,6 +474,7 @@
 
     /// Records a failed answer or broken connection of the endpoint.
     pub(crate) fn record_failure(&self) {
+        self.failed.store(true, Ordering::Relaxed);
         let now = self.state.clock.now();
         self.state.gate().core.record_failure(now, &self.endpoint);
     }
@@ -421,7 +483,11 @@
 impl<C: Clock, D> Drop for StartedRun<C, D> {
     fn drop(&mut self) {
         let has_first_event = self.first_event_time.is_some();
+        let now = self.state.clock.now();
         let mut gate = self.state.gate();
+        if let Some(outcome) = self.outcome(&gate.core, now) {
+            gate.core.record_run(&self.endpoint, &self.route, outcome);
+        }
         gate.core.finish(&self.endpoint, self.size, has_first_event);
         drop(gate);
         self.state.dispatch_decisions();
--- a/crates/waxwing-core/src/events.rs
+++ b/crates/waxwing-core/src/events.rs
@@ -31,7 +31,7 @@
 }
 
 /// All events of the decision log, those of requests first.
-pub const LOG_EVENTS: [LogEvent; 65] = [
+pub const LOG_EVENTS: [LogEvent; 70] = [
     log_event(
         "request-started",
         "the gate gave the request a slot and the entry sent it",
@@ -191,10 +191,6 @@
         "departure-ignored",
         "another control host told of the departure of an earlier life",
     ),
-    log_event(
-        "departure-failed",
-        "the log took no departure at that moment",
-    ),
     log_event(
         "departure-not-recorded",
         "no leader recorded a departure in time; the endpoint was answered 503",
@@ -216,6 +212,30 @@
         "deployment-read",
         "a quorum confirmed that the leader's deployment is the newest, and it was read",
     ),
+    log_event(
+        "rollout-ordered",
+        "an operator's order of a roll-out was accepted, or repeats one",
+    ),
+    log_event(
+        "rollout-refused",
+        "an order of a roll-out was refused; the error says why",
+    ),
+    log_event(
+        "rollout-committed",
+        "the log holds an order or a step of a roll-out",
+    ),
+    log_event(
+        "rollout-step",
+        "the leader decided on a step of a roll-out; the reason is in it",
+    ),
+    log_event(
+        "rollout-step-failed",
+        "a step of a roll-out was not committed; the next decision repeats it",
+    ),
+    log_event(
+        "rollout-stage",
+        "the entry keeps to another stage of a roll-out from now on",
+    ),
     log_event("change-failed", "the log took no change at that moment"),
     log_event("call-refused", "the body of a call could not be read"),
     log_event(
--- a/crates/waxwing-fleet/src/dialects.rs
+++ b/crates/waxwing-fleet/src/dialects.rs
@@ -28,10 +28,39 @@
         /// The id of the endpoint.
         endpoint: SmolStr,
     },
+    /// An operator orders a roll-out.
+    StartRollout,
+    /// An operator asks for the state of a roll-out.
+    ShowRollout {
+        /// The service.
+        service: SmolStr,
+    },
     /// Any other method or path.
     Unknown,
 }
 
+/// An order to move a service to another version.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct RolloutRequest {
+    /// The service.
+    pub service: SmolStr,
+    /// The new version.
+    pub target: SmolStr,
+    /// The time from the order to its deadline.
+    pub period: Duration,
+}
+
+/// How far a roll-out has come.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RolloutState {
+    /// The new version is being tested or takes over.
+    Active,
+    /// The new version serves all requests.
+    Completed,
+    /// The new version gets no requests.
+    RolledBack,
+}
+
 /// Translates the calls of operators and endpoints to control hosts.
 pub trait ControlDialect: Clone + Send + Sync + 'static {
     /// Classifies a call by its method and path.
@@ -60,6 +89,15 @@
     /// `None` if it isn't given.
     fn deregistration(&self, body: &[u8]) -> Option<u64>;
 
+    /// Parses an order of a roll-out, without validating it.
+    ///
+    /// # Errors
+    /// Fails if the order is malformed.
+    fn rollout_order(&self, body: &[u8]) -> Result<RolloutRequest, errors::RolloutError>;
+
+    /// Returns the body that tells the state of a roll-out.
+    fn rollout_status(&self, target: &str, state: RolloutState) -> Bytes;
+
     /// Returns the URL of the same call at another control host.
     fn location(&self, host: SocketAddr, path: &str) -> String {
         format!("http://{host}{path}")
--- a/crates/waxwing-fleet/src/errors.rs
+++ b/crates/waxwing-fleet/src/errors.rs
@@ -87,3 +87,8 @@
         error: waxwing_wire::errors::LinkError,
     },
 }
+
+/// Why an order of a roll-out can't be parsed. Holds the reason.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+#[error("the order can't be read: {0}")]
+pub struct RolloutError(pub SmolStr);
--- a/crates/waxwing-fleet/src/registry.rs
+++ b/crates/waxwing-fleet/src/registry.rs
@@ -181,7 +181,8 @@
     let same = notice.phase == known.phase
         && notice.address == known.address
         && notice.service == known.service
-        && notice.slots == known.slots;
+        && notice.slots == known.slots
+        && notice.version == known.version;
     match same {
         true => NoticeEffect::Refreshed,
         false => NoticeEffect::Changed,
--- a/crates/waxwing-fleet/tests/registry.rs
+++ b/crates/waxwing-fleet/tests/registry.rs
@@ -17,6 +17,7 @@
         born,
         sequence,
         age_millis: 0,
+        version: String::new(),
     }
 }
 
--- a/crates/waxwing-gate/src/endpoints.rs
+++ b/crates/waxwing-gate/src/endpoints.rs
@@ -32,6 +32,8 @@
     pub id: SmolStr,
     /// Service to which the endpoint belongs.
     pub service: SmolStr,
+    /// Version of its software; empty if it was not reported.
+    pub version: SmolStr,
     /// Address to which requests are sent.
     pub address: SocketAddr,
     /// Data centre of the endpoint.
@@ -79,6 +81,7 @@
         Self {
             id: SmolStr::new(&notice.id),
             service: SmolStr::new(&notice.service),
+            version: SmolStr::new(&notice.version),
             address,
             data_centre: SmolStr::new(&notice.data_centre),
             born: notice.born,
--- a/crates/waxwing-gate/src/gate.rs
+++ b/crates/waxwing-gate/src/gate.rs
@@ -9,6 +9,7 @@
 mod dispatch;
 mod load_updates;
 mod statements;
+mod versions;
 
 pub use self::statements::LimitChange;
 
@@ -23,7 +24,8 @@
 use waxwing_wire::messages;
 
 use crate::{
-    baselines, budgets, crashes, endpoints, models, options, patience, quotas, shares, tickets,
+    baselines, budgets, crashes, endpoints, models, options, patience, quotas, rollouts, shares,
+    tickets,
 };
 
 /// Sort key of a ticket in the queue of its service; the smallest key is served first.
@@ -67,6 +69,8 @@
     pub crashes: crashes::CrashLedger,
     /// Quotas of client accounts.
     pub quotas: quotas::QuotaTable,
+    /// Roll-outs of new versions.
+    pub rollouts: rollouts::RolloutTable,
     peers: HashMap<SocketAddr, PeerState>,
     /// Entries without a connection that may still be running.
     lost_peers: HashMap<SocketAddr, LostPeer>,
@@ -189,6 +193,7 @@
             patience: patience::PatienceTable::default(),
             crashes: crashes::CrashLedger::default(),
             quotas: quotas::QuotaTable::new(started),
+            rollouts: rollouts::RolloutTable::default(),
             peers: HashMap::new(),
             lost_peers: HashMap::new(),
             recent: HashMap::new(),
@@ -252,6 +257,7 @@
             view.ready = ready;
             view.slots = notice.slots;
             view.service = SmolStr::new(&notice.service);
+            view.version = SmolStr::new(&notice.version);
             if notice.born > view.born {
                 view.restart(notice.born);
             }
--- a/crates/waxwing-gate/src/gate/dispatch.rs
+++ b/crates/waxwing-gate/src/gate/dispatch.rs
@@ -8,7 +8,7 @@
 use smol_str::SmolStr;
 
 use super::{DispatchRound, GateCore, QueueKey, QueuedTicket, ServiceCapacity};
-use crate::{endpoints, models, shares, tickets};
+use crate::{endpoints, models, rollouts, shares, tickets};
 
 /// Lower bound of the slots that are divided among entries, which keeps the expected wait finite
 /// where limits leave next to nothing.
@@ -104,7 +104,11 @@
         round: &mut DispatchRound,
     ) -> Option<(SmolStr, Duration)> {
         if let Some(baselines) = &self.baselines {
-            let views = self.candidates(now, ticket);
+            let sides = self
+                .rollouts
+                .sides(now, &ticket.service, ticket.prefers_target);
+            let side = sides.and_then(|sides| sides.first().copied());
+            let views = self.candidates(now, ticket, side);
             let view = baselines.choose(views, id)?;
             let model = self.model(&ticket.service);
             let expected = view.expected_first_event(ticket.size, model, &self.options);
@@ -159,6 +163,7 @@
         self.endpoints
             .values()
             .filter(move |view| view.service == *service && view.is_usable(now, &self.options))
+            .filter(move |view| self.rollouts.is_open(now, view))
     }
 
     fn refusal(
@@ -302,6 +307,7 @@
         &'a self,
         now: Instant,
         ticket: &'a tickets::WaitingTicket,
+        side: Option<rollouts::VersionSide>,
     ) -> impl Iterator<Item = &'a endpoints::EndpointView> {
         let is_excluded = |view: &endpoints::EndpointView| ticket.excluded.contains(&view.id);
         let goes_back = ticket.may_go_back
@@ -309,15 +315,36 @@
             && self.usable_endpoints(now, &ticket.service).all(is_excluded);
         self.usable_endpoints(now, &ticket.service)
             .filter(move |view| view.limit.available() > 0 && (goes_back || !is_excluded(view)))
+            .filter(move |view| side.is_none_or(|side| self.rollouts.includes(view, side)))
+    }
+
+    /// Returns the best endpoint of the version that a roll-out prefers for the request, or else of
+    /// another one that it may go to.
+    fn best_endpoint(
+        &self,
+        now: Instant,
+        ticket: &tickets::WaitingTicket,
+        peer_usage_known: bool,
+        entitlement: &shares::SlotEntitlement,
+    ) -> Option<(SmolStr, Duration)> {
+        let sides = self
+            .rollouts
+            .sides(now, &ticket.service, ticket.prefers_target);
+        let best = |side| self.best_endpoint_of(now, ticket, side, peer_usage_known, entitlement);
+        match sides {
+            None => best(None),
+            Some(sides) => sides.iter().find_map(|side| best(Some(*side))),
+        }
     }
 
     /// Returns the endpoint with a free slot and the best score. A request stays queued if it can
     /// meet its deadline only at endpoints that are full. For a part of its patience it also stays
     /// queued if only full endpoints can begin its answer in time.
-    fn best_endpoint(
+    fn best_endpoint_of(
         &self,
         now: Instant,
         ticket: &tickets::WaitingTicket,
+        side: Option<rollouts::VersionSide>,
         peer_usage_known: bool,
         entitlement: &shares::SlotEntitlement,
     ) -> Option<(SmolStr, Duration)> {
@@ -327,7 +354,7 @@
         let mut best: Option<EndpointCandidate<'_>> = None;
         let mut deadline_reachable = false;
         let mut objective_reachable = false;
-        for view in self.candidates(now, ticket) {
+        for view in self.candidates(now, ticket, side) {
             let time_to_first = view.expected_first_event(ticket.size, model, &self.options);
             let run = time_to_first + view.expected_generation(ticket.size, model);
             let meets_deadline = run.mul_f64(self.options.run_time_margin) <= left;
--- a/crates/waxwing-gate/src/lib.rs
+++ b/crates/waxwing-gate/src/lib.rs
@@ -15,5 +15,6 @@
 pub mod pacing;
 pub mod patience;
 pub mod quotas;
+pub mod rollouts;
 pub mod shares;
 pub mod tickets;
--- a/crates/waxwing-gate/src/tickets.rs
+++ b/crates/waxwing-gate/src/tickets.rs
@@ -75,6 +75,8 @@
     /// Whether it may go back to one of them after a pause if no other endpoint is usable. It must
     /// not while the endpoint may still be at work on it.
     pub may_go_back: bool,
+    /// Whether it belongs to the part of the requests that a version under roll-out gets.
+    pub prefers_target: bool,
 }
 
 /// Why a request was refused before it ran.
--- a/crates/waxwing-gate/tests/support/mod.rs
+++ b/crates/waxwing-gate/tests/support/mod.rs
@@ -34,6 +34,7 @@
         born: 1,
         sequence: 1,
         age_millis: 0,
+        version: "v1".to_owned(),
     }
 }
 
@@ -86,6 +87,7 @@
         resumed: false,
         excluded: Vec::new(),
         may_go_back: true,
+        prefers_target: false,
     }
 }
 
--- a/crates/waxwing-load/src/replay/entries.rs
+++ b/crates/waxwing-load/src/replay/entries.rs
@@ -111,6 +111,7 @@
         born: 1,
         sequence: 1,
         age_millis: 0,
+        version: String::new(),
     }
 }
 
@@ -284,6 +285,7 @@
             resumed: false,
             excluded,
             may_go_back: true,
+            prefers_target: false,
         };
         let id = self.core.enqueue(ticket);
         self.held.insert(id, (arrival, received));
--- a/crates/waxwing-registrar/src/directory.rs
+++ b/crates/waxwing-registrar/src/directory.rs
@@ -8,6 +8,7 @@
 
 use smol_str::SmolStr;
 use waxwing_fleet::registry;
+use waxwing_rollout::controller;
 use waxwing_wire::messages;
 
 use crate::departures;
@@ -21,6 +22,10 @@
 /// off for longer than a registry keeps deregistered endpoints learns of them so.
 const RECENT_DEPARTURES: usize = 256;
 
+/// Time without a notice after which an endpoint isn't counted as room for a new version. Notices
+/// that other control hosts receive are relayed within [`RELAY_INTERVAL`].
+const SERVING_SILENCE: Duration = Duration::from_secs(30);
+
 /// The endpoints that a control host knows, and the notices that it has yet to pass on.
 ///
 /// Before the host has learnt all departures that the replicated log holds, a notice may be a late
@@ -135,6 +140,25 @@
         self.registry.deregistration(id, stated_born, wall_millis)
     }
 
+    /// Returns the endpoints that accept requests as far as this host knows.
+    #[must_use]
+    pub fn serving(&self, now: Instant) -> Vec<controller::EndpointFacts> {
+        let records = self.registry.records().filter(|record| {
+            let silence = now.saturating_duration_since(record.received_at);
+            record.notice.phase() == messages::EndpointPhase::Ready
+                && silence < SERVING_SILENCE
+                && !self.has_left(&record.notice)
+        });
+        records
+            .map(|record| controller::EndpointFacts {
+                id: SmolStr::new(&record.notice.id),
+                service: SmolStr::new(&record.notice.service),
+                version: SmolStr::new(&record.notice.version),
+                slots: record.notice.slots,
+            })
+            .collect()
+    }
+
     /// Returns the notices of all endpoints, with their ages at `now`.
     #[must_use]
     pub fn all_notices(&self, now: Instant) -> messages::EndpointNotices {
--- a/crates/waxwing-registrar/src/group.rs
+++ b/crates/waxwing-registrar/src/group.rs
@@ -176,6 +176,9 @@
             GroupRequest::RecordDepartures { list, reply } => {
                 self.replica.record_departures(&list, reply);
             }
+            GroupRequest::ChangeRollout { change, reply } => {
+                self.replica.change_rollout(&change, reply);
+            }
             GroupRequest::Peer { from, payload } => self.receive(from, payload),
             GroupRequest::Join(join) => self.handle_join(&join),
         }
@@ -232,6 +235,8 @@
                 .collect(),
             document: self.replica.document().clone(),
             departures: self.replica.departures().clone(),
+            rollouts: self.replica.rollouts().clone(),
+            term: node.status().term,
         };
         self.channels.view.send_if_modified(|last_view| {
             let changed = *last_view != view;
--- a/crates/waxwing-registrar/src/handles.rs
+++ b/crates/waxwing-registrar/src/handles.rs
@@ -4,6 +4,7 @@
 
 use bytes::Bytes;
 use tokio::sync::{mpsc, oneshot, watch};
+use waxwing_rollout::ledger;
 use waxwing_wire::messages as wire;
 
 use crate::{departures, documents, errors, replica};
@@ -28,6 +29,11 @@
         list: departures::DepartureList,
         reply: oneshot::Sender<replica::CallOutcome>,
     },
+    /// Record a change of a roll-out; it is answered once it is committed.
+    ChangeRollout {
+        change: Box<ledger::RolloutChange>,
+        reply: oneshot::Sender<replica::CallOutcome>,
+    },
     /// Handle a consensus message from another member.
     Peer { from: SocketAddr, payload: Bytes },
     /// Handle the request of a host to join the group.
@@ -51,6 +57,10 @@
     pub(crate) document: documents::StoredDocument,
     /// The departures of endpoints that are committed.
     pub(crate) departures: Arc<departures::DepartureLedger>,
+    /// The roll-outs that are committed.
+    pub(crate) rollouts: Arc<ledger::RolloutLedger>,
+    /// The term of the log.
+    pub(crate) term: u64,
 }
 
 /// Sends requests to the group task and reads its published state; clones share both.
@@ -97,6 +107,21 @@
         outcome.map(|_| ())
     }
 
+    /// Records a change of a roll-out in the log.
+    pub(crate) async fn change_rollout(
+        &self,
+        change: ledger::RolloutChange,
+    ) -> Result<(), errors::GroupError> {
+        let (reply, receiver) = oneshot::channel();
+        let change = Box::new(change);
+        self.submit(GroupRequest::ChangeRollout { change, reply })
+            .await?;
+        let outcome = receiver
+            .await
+            .map_err(|_| errors::GroupError::Unavailable)?;
+        outcome.map(|_| ())
+    }
+
     async fn submit(&self, request: GroupRequest) -> Result<(), errors::GroupError> {
         let sent = self.requests.send(request).await;
         sent.map_err(|_| errors::GroupError::Unavailable)
--- a/crates/waxwing-registrar/src/host.rs
+++ b/crates/waxwing-registrar/src/host.rs
@@ -15,7 +15,7 @@
 use waxwing_process::bodies;
 use waxwing_wire::messages;
 
-use crate::{departures, directory, errors, handles, history, metrics, options};
+use crate::{departures, directory, errors, handles, history, metrics, options, rollouts};
 
 /// Time for which notices without a change are batched before they are sent to entries, which need
 /// them only to know that the endpoint is alive.
@@ -40,6 +40,7 @@
     pub(crate) group: handles::GroupHandle,
     pub(crate) network: network::ProcessNetwork<C>,
     pub(crate) metrics: metrics::RegistrarMetrics,
+    pub(crate) rollouts: rollouts::RolloutDesk,
     directory: Arc<Mutex<directory::EndpointDirectory>>,
     /// Wakes the calls that wait until a departure is committed.
     departures_changed: Arc<Notify>,
@@ -68,6 +69,7 @@
             group,
             network,
             metrics,
+            rollouts: rollouts::RolloutDesk::default(),
             directory: Arc::default(),
             departures_changed: Arc::default(),
             uninformed: Arc::default(),
@@ -77,7 +79,7 @@
         }
     }
 
-    fn directory(&self) -> MutexGuard<'_, directory::EndpointDirectory> {
+    pub(crate) fn directory(&self) -> MutexGuard<'_, directory::EndpointDirectory> {
         self.directory
             .lock()
             .expect("no thread panics while it holds the lock of the directory")
@@ -366,6 +368,9 @@
             messages::Body::RecordedDepartures(recorded) => {
                 return self.learn_departures(&recorded.departures, recorded.whole);
             }
+            messages::Body::RolloutReports(reports) => {
+                return self.observe_rollouts(remote.address, &reports);
+            }
             other => {
                 tracing::debug!(address = %remote.address, ?other, "unexpected message");
                 return;
@@ -407,7 +412,7 @@
         }
     }
 
-    fn linked_entries(&self) -> HashSet<SocketAddr> {
+    pub(crate) fn linked_entries(&self) -> HashSet<SocketAddr> {
         self.network.linked_addresses(messages::ProcessKind::Entry)
     }
 
@@ -486,6 +491,8 @@
             match read {
                 Ok(document) => {
                     self.share_departures(uninformed);
+                    // An entry serves once the deployment is confirmed, so it hears of roll-outs first.
+                    self.send_rollout_terms(&entries);
                     if document.version > 0 {
                         self.history().record(&document);
                         self.announce(true, &entries);
--- a/crates/waxwing-registrar/src/http.rs
+++ b/crates/waxwing-registrar/src/http.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::{
-    Request, Response, StatusCode, body,
+    Method, Request, Response, StatusCode, body,
     http::{HeaderValue, header},
 };
 use tokio::net;
@@ -13,8 +13,10 @@
 use waxwing_core::clock::Clock;
 use waxwing_fleet::{deployments, dialects};
 use waxwing_process::{bodies, listening};
+use waxwing_rollout::errors as rollout_errors;
+use waxwing_wire::messages;
 
-use crate::{documents, errors, host};
+use crate::{documents, errors, host, rollouts};
 
 /// The longest accepted document; one with thousands of routes has a few megabytes.
 const MAX_DOCUMENT_BYTES: usize = 8 * 1024 * 1024;
@@ -26,6 +28,9 @@
 /// link of 22 Mbit/s.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
 
+/// The path of roll-outs in the operators' own interface.
+const ROLLOUTS_PATH: &str = "/v1/rollouts";
+
 type HttpResponse = Response<Full<Bytes>>;
 
 /// Serves HTTP calls until `shutdown`.
@@ -48,8 +53,9 @@
     dialect: &D,
     request: Request<body::Incoming>,
 ) -> HttpResponse {
-    let call = dialect.call(request.method(), request.uri().path());
+    let method = request.method().clone();
     let path = request.uri().path().to_owned();
+    let call = dialect.call(&method, &path);
     let max_bytes = match call {
         dialects::ControlCall::PutDeployment => MAX_DOCUMENT_BYTES,
         _ => MAX_CALL_BYTES,
@@ -89,7 +95,87 @@
             let born = dialect.deregistration(&body);
             acknowledge(host.deregister(&endpoint, born).await)
         }
-        dialects::ControlCall::Unknown => text_response(StatusCode::NOT_FOUND, "no such call"),
+        dialects::ControlCall::StartRollout => {
+            let started = match dialect.rollout_order(&body) {
+                Ok(request) => host.start_rollout(dialect, &request).await,
+                Err(error) => Err(rollout_errors::OrderError::Unreadable(error.0).into()),
+            };
+            match started {
+                Ok(()) => json_response(StatusCode::OK, Bytes::from_static(b"{}")),
+                Err(rollouts::StartError::Refused(error)) => {
+                    tracing::info!(event = "rollout-refused", %error);
+                    text_response(refused_order_status(&error), &error.to_string())
+                }
+                Err(rollouts::StartError::Group(failure)) => {
+                    redirect(host, dialect, &path, failure)
+                }
+            }
+        }
+        dialects::ControlCall::ShowRollout { service } => match host.find_rollout(&service).await {
+            Ok(Some(record)) => {
+                let state = match record.phase() {
+                    messages::RolloutPhase::Active => dialects::RolloutState::Active,
+                    messages::RolloutPhase::Completed => dialects::RolloutState::Completed,
+                    messages::RolloutPhase::RolledBack => dialects::RolloutState::RolledBack,
+                };
+                let body = dialect.rollout_status(&record.order.target, state);
+                json_response(StatusCode::OK, body)
+            }
+            Ok(None) => text_response(StatusCode::NOT_FOUND, "the service has had no roll-out"),
+            Err(failure) => redirect(host, dialect, &path, failure),
+        },
+        dialects::ControlCall::Unknown => {
+            handle_own_call(host, dialect, &method, &path, &body).await
+        }
+    }
+}
+
+/// Returns the status of a refused order; it must not be sent again.
+const fn refused_order_status(error: &rollout_errors::OrderError) -> StatusCode {
+    match error.is_conflict() {
+        true => StatusCode::CONFLICT,
+        false => StatusCode::BAD_REQUEST,
+    }
+}
+
+/// Answers a call of the operators' own interface, which `waxwingctl` uses. A host that doesn't lead
+/// answers 503, upon which the tool asks the next one.
+async fn handle_own_call<C: Clock, D: dialects::ControlDialect>(
+    host: &host::RegistrarHost<C>,
+    dialect: &D,
+    method: &Method,
+    path: &str,
+    body: &[u8],
+) -> HttpResponse {
+    let error_response = |status, error: &dyn std::fmt::Display| {
+        let retry = status == StatusCode::SERVICE_UNAVAILABLE;
+        let body = serde_json::json!({ "error": error.to_string(), "retry": retry });
+        json_response(status, body.to_string().into())
+    };
+    match (method, path) {
+        (&Method::GET, ROLLOUTS_PATH) => match host.list_rollouts().await {
+            Ok(statuses) => {
+                let body = serde_json::json!({ "rollouts": statuses });
+                json_response(StatusCode::OK, body.to_string().into())
+            }
+            Err(error) => error_response(StatusCode::SERVICE_UNAVAILABLE, &error),
+        },
+        (&Method::POST, ROLLOUTS_PATH) => {
+            let order: rollouts::OrderRecord = match serde_json::from_slice(body) {
+                Ok(order) => order,
+                Err(error) => return error_response(StatusCode::BAD_REQUEST, &error),
+            };
+            match host.start_rollout(dialect, &order.into()).await {
+                Ok(()) => json_response(StatusCode::OK, Bytes::from_static(b"{}")),
+                Err(rollouts::StartError::Refused(error)) => {
+                    error_response(refused_order_status(&error), &error)
+                }
+                Err(rollouts::StartError::Group(error)) => {
+                    error_response(StatusCode::SERVICE_UNAVAILABLE, &error)
+                }
+            }
+        }
+        _ => text_response(StatusCode::NOT_FOUND, "no such call"),
     }
 }
 
--- a/crates/waxwing-registrar/src/lib.rs
+++ b/crates/waxwing-registrar/src/lib.rs
@@ -16,3 +16,4 @@
 pub mod repair;
 pub mod replica;
 pub mod roles;
+mod rollouts;
--- a/crates/waxwing-registrar/src/options.rs
+++ b/crates/waxwing-registrar/src/options.rs
@@ -4,6 +4,7 @@
 
 use smol_str::SmolStr;
 use waxwing_process::bodies;
+use waxwing_rollout::options as rollout_options;
 
 /// Share of the memory that the bodies of calls may take.
 const BODY_MEMORY_SHARE: f64 = 0.25;
@@ -42,6 +43,9 @@
     /// it.
     #[serde(default = "default_memory_megabytes")]
     pub memory_megabytes: f64,
+    /// What a version under roll-out that proves bad may cost callers.
+    #[serde(default)]
+    pub rollouts: rollout_options::RolloutOptions,
 }
 
 const fn default_tolerated_losses() -> u32 {
--- a/crates/waxwing-registrar/src/replica.rs
+++ b/crates/waxwing-registrar/src/replica.rs
@@ -1,6 +1,7 @@
-//! A control host's replica of the deployment document and of the departures of endpoints: what it
-//! answers to operators and endpoints, and which membership changes it proposes. It has no network, disk or clock, so that tests can explore
-//! orders of failures with the code that runs in production.
+//! A control host's replica of the deployment document, the departures of endpoints and the
+//! roll-outs: what it answers to operators and endpoints, and which membership changes it proposes.
+//! It has no network, disk or clock, so that tests can explore orders of failures with the code that
+//! runs in production.
 
 use std::{
     collections::{BTreeMap, HashMap},
@@ -14,6 +15,7 @@
 use waxwing_quorum::{
     errors as quorum_errors, members, messages, node, options as quorum_options, ready, units,
 };
+use waxwing_rollout::ledger;
 
 use crate::{departures, documents, errors, repair};
 
@@ -91,6 +93,7 @@
     node: node::QuorumNode,
     register: documents::DocumentRegister,
     departures: Arc<departures::DepartureLedger>,
+    rollouts: Arc<ledger::RolloutLedger>,
     snapshot_bytes: core_units::ByteCount,
     voter_bounds: repair::VoterBounds,
     proposals: BTreeMap<units::LogIndex, PendingProposal<T>>,
@@ -120,15 +123,16 @@
         recovered: ready::RecoveredState,
         seed: u64,
     ) -> Result<Self, errors::RegistrarError> {
-        let (register, departures) = match &recovered.snapshot {
-            Some(snapshot) => decode_snapshot(&snapshot.data)?,
-            None => Default::default(),
+        let state = match &recovered.snapshot {
+            Some(snapshot) => ReplicatedState::decode(&snapshot.data)?,
+            None => ReplicatedState::default(),
         };
         let node = node::QuorumNode::new(identity, options.node, recovered, seed, Duration::ZERO)?;
         Ok(Self {
             node,
-            register,
-            departures: Arc::new(departures),
+            register: state.register,
+            departures: Arc::new(state.departures),
+            rollouts: Arc::new(state.rollouts),
             snapshot_bytes: options.snapshot_bytes,
             voter_bounds: repair::VoterBounds::tolerating(options.tolerated_losses),
             proposals: BTreeMap::new(),
@@ -166,6 +170,12 @@
         &self.departures
     }
 
+    /// Returns the roll-outs that are committed as far as this replica knows.
+    #[must_use]
+    pub const fn rollouts(&self) -> &Arc<ledger::RolloutLedger> {
+        &self.rollouts
+    }
+
     /// Returns whether this host is the leader.
     #[must_use]
     pub const fn leads(&self) -> bool {
@@ -283,14 +293,25 @@
                 .push((ticket, Ok(self.register.current().clone())));
             return;
         }
-        match self.node.propose(list.encode_to_vec().into()) {
+        self.propose_command("departures", list.encode_to_vec(), ticket);
+    }
+
+    /// Starts to record a change of a roll-out. It is answered once it is committed; whether it has
+    /// taken effect is in [`Self::rollouts`] then.
+    pub fn change_rollout(&mut self, change: &ledger::RolloutChange, ticket: T) {
+        self.propose_command("rollout", change.encode_to_vec(), ticket);
+    }
+
+    /// Proposes an entry of the log; only the leader can.
+    fn propose_command(&mut self, kind: &str, command: Vec<u8>, ticket: T) {
+        match self.node.propose(command.into()) {
             Ok(proposal) => {
                 let term = proposal.term;
                 let pending = PendingProposal { term, ticket };
                 self.proposals.insert(proposal.index, pending);
             }
             Err(error) => {
-                tracing::info!(event = "departure-failed", %error);
+                tracing::info!(event = "change-failed", kind, %error);
                 self.fail(ticket);
             }
         }
@@ -317,20 +338,6 @@
         }
     }
 
-    fn propose(&mut self, document: &documents::StoredDocument, ticket: T) {
-        match self.node.propose(document.encode_to_vec().into()) {
-            Ok(proposal) => {
-                let term = proposal.term;
-                let pending = PendingProposal { term, ticket };
-                self.proposals.insert(proposal.index, pending);
-            }
-            Err(error) => {
-                tracing::info!(event = "change-failed", version = document.version, %error);
-                self.fail(ticket);
-            }
-        }
-    }
-
     fn fail(&mut self, ticket: T) {
         let failure = Err(errors::GroupError::Unavailable);
         self.outcomes.push((ticket, failure));
@@ -338,10 +345,11 @@
 
     /// Replaces the document by that of a snapshot from the leader.
     pub fn install(&mut self, snapshot: &ready::Snapshot) {
-        match decode_snapshot(&snapshot.data) {
-            Ok((register, departures)) => {
-                self.register = register;
-                self.departures = Arc::new(departures);
+        match ReplicatedState::decode(&snapshot.data) {
+            Ok(state) => {
+                self.register = state.register;
+                self.departures = Arc::new(state.departures);
+                self.rollouts = Arc::new(state.rollouts);
             }
             Err(error) => {
                 // Applying later entries to the older state would make this replica diverge.
@@ -385,6 +393,24 @@
                 return;
             }
         }
+        match ledger::RolloutChange::decode(&entry.payload[..]) {
+            Ok(change) if change.order.is_none() && change.step.is_none() => {}
+            Ok(change) => {
+                Arc::make_mut(&mut self.rollouts).apply(&change);
+                tracing::info!(
+                    event = "rollout-committed",
+                    ?change,
+                    revision = self.rollouts.revision(),
+                    index = entry.index,
+                    term = entry.term
+                );
+                return;
+            }
+            Err(error) => {
+                tracing::error!(%error, index = entry.index, "cannot decode a command");
+                return;
+            }
+        }
         match self.register.apply(&entry.payload) {
             Ok(true) => tracing::info!(
                 event = "deployment-committed",
@@ -405,8 +431,10 @@
         if status.log_bytes < self.snapshot_bytes.0.max(document_bytes) {
             return;
         }
-        let data = encode_snapshot(&self.register, &self.departures);
-        if let Err(error) = self.node.compact(status.applied_index, data) {
+        let mut data = self.register.to_snapshot().to_vec();
+        data.extend(self.departures.to_list().encode_to_vec());
+        data.extend(self.rollouts.to_snapshot());
+        if let Err(error) = self.node.compact(status.applied_index, data.into()) {
             tracing::warn!(%error, "cannot compact the log");
         }
     }
@@ -438,7 +466,9 @@
                 PendingCall::Put(document, ticket) if document.version <= current.version => {
                     self.outcomes.push((ticket, Ok(current)));
                 }
-                PendingCall::Put(document, ticket) => self.propose(&document, ticket),
+                PendingCall::Put(document, ticket) => {
+                    self.propose_command("document", document.encode_to_vec(), ticket);
+                }
             }
         }
         for token in failed {
@@ -479,26 +509,25 @@
     }
 }
 
-/// Encodes the state of the log. The fields of the document and of the departures have different
-/// numbers, so that either one can be read without the other.
-fn encode_snapshot(
-    register: &documents::DocumentRegister,
-    departures: &departures::DepartureLedger,
-) -> Bytes {
-    let mut data = register.to_snapshot().to_vec();
-    data.extend(departures.to_list().encode_to_vec());
-    data.into()
+/// The state that the log replicates, as snapshots store it. The fields of its parts have different
+/// numbers, so that each can be read without the others.
+#[derive(Default)]
+struct ReplicatedState {
+    register: documents::DocumentRegister,
+    departures: departures::DepartureLedger,
+    rollouts: ledger::RolloutLedger,
 }
 
-fn decode_snapshot(
-    data: &[u8],
-) -> Result<(documents::DocumentRegister, departures::DepartureLedger), prost::DecodeError> {
-    let mut departures = departures::DepartureLedger::default();
-    departures.extend(&departures::DepartureList::decode(data)?);
-    Ok((
-        documents::DocumentRegister::from_snapshot(data)?,
-        departures,
-    ))
+impl ReplicatedState {
+    fn decode(data: &[u8]) -> Result<Self, prost::DecodeError> {
+        let mut departures = departures::DepartureLedger::default();
+        departures.extend(&departures::DepartureList::decode(data)?);
+        Ok(Self {
+            register: documents::DocumentRegister::from_snapshot(data)?,
+            departures,
+            rollouts: ledger::RolloutLedger::from_snapshot(data)?,
+        })
+    }
 }
 
 /// Returns the first snapshot of a new group with these voters and no document. Every founding
--- a/crates/waxwing-registrar/src/roles.rs
+++ b/crates/waxwing-registrar/src/roles.rs
@@ -87,6 +87,7 @@
         tokio::spawn(host.clone().announce_deployments(stop_tasks.clone()));
         tokio::spawn(host.clone().confirm_deployments(stop_tasks.clone()));
         tokio::spawn(host.clone().run_updates(stop_tasks.clone()));
+        tokio::spawn(host.clone().run_rollouts(stop_tasks.clone()));
         tokio::spawn(http::serve(
             self.listener,
             host,
--- a/crates/waxwing-registrar/tests/directory.rs
+++ b/crates/waxwing-registrar/tests/directory.rs
@@ -29,6 +29,7 @@
         born,
         sequence,
         age_millis: 0,
+        version: String::new(),
     }
 }
 
--- a/crates/waxwing-registrar/tests/durability/main.rs
+++ b/crates/waxwing-registrar/tests/durability/main.rs
@@ -32,6 +32,7 @@
         0..=2 => model.put(host),
         3 => model.resend(host),
         4 => model.depart(host),
+        5 => model.order(host),
         _ => {}
     }
 }
@@ -170,6 +171,7 @@
                 total.acknowledged += counts.acknowledged;
                 total.reads += counts.reads;
                 total.departures += counts.departures;
+                total.orders += counts.orders;
                 total.leaders += counts.leaders;
                 total.wipes += counts.wipes;
                 total.suspensions += counts.suspensions;
@@ -185,11 +187,11 @@
         failures.join("\n")
     );
     assert!(total.reads > 0 && total.acknowledged > 0 && total.wipes > 0);
-    assert!(total.departures > 0);
+    assert!(total.departures > 0 && total.orders > 0);
 }
 
-/// Guards against an older version that is read, and a confirmed one or an acknowledged departure of
-/// an endpoint that is lost, after any order of faults.
+/// Guards against an older version that is read, and a confirmed one, an acknowledged departure of an
+/// endpoint or an acknowledged order of a roll-out that is lost, after any order of faults.
 #[test_case(THREE_HOSTS, FaultMix::WithoutSuspension; "three hosts without suspension")]
 #[test_case(THREE_HOSTS, FaultMix::Everything; "three hosts")]
 #[test_case(FIVE_HOSTS, FaultMix::Everything; "five hosts")]
--- a/crates/waxwing-registrar/tests/durability/model.rs
+++ b/crates/waxwing-registrar/tests/durability/model.rs
@@ -80,6 +80,8 @@
     Put(u64),
     /// To record that this endpoint has left.
     Depart(u64),
+    /// To start the roll-out of the service with this number.
+    Order(u64),
 }
 
 /// A call that is not answered yet.
@@ -89,6 +91,8 @@
     floor: u64,
     /// The number of departures that had been acknowledged then.
     departed: usize,
+    /// The number of orders of roll-outs that had been acknowledged then.
+    ordered: usize,
 }
 
 /// Counts of what a run has exercised.
@@ -97,6 +101,7 @@
     pub(crate) acknowledged: u64,
     pub(crate) reads: u64,
     pub(crate) departures: u64,
+    pub(crate) orders: u64,
     pub(crate) leaders: u64,
     pub(crate) wipes: u64,
     pub(crate) suspensions: u64,
@@ -121,6 +126,9 @@
     last_endpoint: u64,
     /// The endpoints whose departure was acknowledged.
     departed: Vec<u64>,
+    last_service: u64,
+    /// The services whose roll-out was acknowledged.
+    ordered: Vec<u64>,
     /// The newest version that was acknowledged or read.
     newest: u64,
     /// The disks that may be lost at a time.
@@ -178,6 +186,8 @@
             last_version: 0,
             last_endpoint: 0,
             departed: Vec::new(),
+            last_service: 0,
+            ordered: Vec::new(),
             newest: 0,
             calm_since: Duration::ZERO,
             tolerated_disks,
--- a/crates/waxwing-registrar/tests/durability/model/calls.rs
+++ b/crates/waxwing-registrar/tests/durability/model/calls.rs
@@ -4,6 +4,7 @@
 
 use rand::RngExt as _;
 use waxwing_registrar::{departures, documents, replica};
+use waxwing_rollout::ledger;
 use waxwing_store::memory;
 use waxwing_wire::messages::EndpointDeparture;
 
@@ -16,6 +17,7 @@
             kind,
             floor: self.newest,
             departed: self.departed.len(),
+            ordered: self.ordered.len(),
         };
         self.calls.insert(self.last_ticket, call);
         self.last_ticket
@@ -41,6 +43,45 @@
         self.drive(host);
     }
 
+    /// An operator orders the roll-out of another service at a host.
+    pub(crate) fn order(&mut self, host: usize) {
+        if !self.runs(host) {
+            return;
+        }
+        self.last_service += 1;
+        let service = self.last_service;
+        let ticket = self.open_call(CallKind::Order(service));
+        let change = ledger::RolloutChange {
+            order: Some(ledger::RolloutOrder {
+                service: service.to_string(),
+                target: "next".to_owned(),
+                period_millis: 12_000,
+                ordered_millis: service,
+            }),
+            step: None,
+        };
+        if let Some(process) = &mut self.hosts[host].process {
+            process.replica.change_rollout(&change, ticket);
+        }
+        self.drive(host);
+    }
+
+    /// Checks that a host which has just answered a read knows the roll-outs that had been
+    /// acknowledged when the read was sent.
+    fn check_rollouts(&mut self, host: usize, acknowledged: usize) {
+        let Some(process) = &self.hosts[host].process else {
+            return;
+        };
+        let ledger = process.replica.rollouts();
+        let lost = self.ordered[..acknowledged]
+            .iter()
+            .find(|service| ledger.record(&service.to_string()).is_none());
+        if let Some(lost) = lost {
+            let text = format!("host {host} has lost the roll-out of service {lost}");
+            self.report(text);
+        }
+    }
+
     /// Checks that a host which has just answered a read knows the departures that had been
     /// acknowledged when the read was sent.
     fn check_departures(&mut self, host: usize, acknowledged: usize) {
@@ -119,6 +160,10 @@
                 self.counts.departures += 1;
                 self.departed.push(endpoint);
             }
+            CallKind::Order(service) => {
+                self.counts.orders += 1;
+                self.ordered.push(service);
+            }
             CallKind::Put(stored) => {
                 self.counts.acknowledged += 1;
                 if version < stored {
@@ -131,6 +176,7 @@
             CallKind::Read => {
                 self.counts.reads += 1;
                 self.check_departures(host, call.departed);
+                self.check_rollouts(host, call.ordered);
                 let floor = call.floor;
                 if version < floor {
                     self.report(format!(
--- a/crates/waxwing-wire/src/messages.rs
+++ b/crates/waxwing-wire/src/messages.rs
@@ -11,6 +11,7 @@
 mod members;
 mod orders;
 mod requests;
+mod rollouts;
 mod settings;
 
 use prost::{Message, Oneof};
@@ -35,6 +36,10 @@
     Decline, Grant, Handover, HandoverAck, HeaderField, Offer, OfferRefused, Settle, Settled,
     SettledState, Withdraw,
 };
+pub use self::rollouts::{
+    RolloutPhase, RolloutReport, RolloutReports, RolloutStage, RolloutTerm, RolloutTerms,
+    RouteRequests, RouteShare, VersionOutcome,
+};
 pub use self::settings::{SettingsConfirmed, SettingsDelta, SettingsSnapshot, WatchSettings};
 
 /// The version of the protocol. Links between processes of different versions are refused.
@@ -56,7 +61,7 @@
     /// The message.
     #[prost(
         oneof = "Body",
-        tags = "3,4,5,10,11,12,13,14,15,16,17,18,19,20,21,22,23,24,30,31,32,33,34,35,36,37,38,39,40,41,42,43,44,45,46,47,50,51,52,53,54,60,62,63,64,65,66,67,68,69"
+        tags = "3,4,5,10,11,12,13,14,15,16,17,18,19,20,21,22,23,24,30,31,32,33,34,35,36,37,38,39,40,41,42,43,44,45,46,47,50,51,52,53,54,60,62,63,64,65,66,67,68,69,70,71"
     )]
     pub body: Option<Body>,
 }
@@ -214,6 +219,12 @@
     /// Control to control: departures that the log holds.
     #[prost(message, tag = "69")]
     RecordedDepartures(RecordedDepartures),
+    /// Control to entry: what the entry may send to new versions of services.
+    #[prost(message, tag = "70")]
+    RolloutTerms(RolloutTerms),
+    /// Entry to control: what the entry has seen of them.
+    #[prost(message, tag = "71")]
+    RolloutReports(RolloutReports),
 }
 
 impl Body {
--- a/crates/waxwing-wire/src/messages/fleet.rs
+++ b/crates/waxwing-wire/src/messages/fleet.rs
@@ -107,6 +107,9 @@
     /// Milliseconds since the sender received the notice.
     #[prost(uint64, tag = "10")]
     pub age_millis: u64,
+    /// The version of the endpoint's software; empty if it was not reported.
+    #[prost(string, tag = "11")]
+    pub version: String,
 }
 
 /// Whether an endpoint accepts work.
--- a/crates/waxwingctl/src/arguments.rs
+++ b/crates/waxwingctl/src/arguments.rs
@@ -70,6 +70,9 @@
     /// Manage the members of the control group.
     #[command(subcommand)]
     Member(MemberCommand),
+    /// Move services to other versions, in a fleet without agents.
+    #[command(subcommand)]
+    Rollout(RolloutCommand),
     /// Show the timeline of a request from the decision logs of the processes.
     Explain {
         /// The id of the request.
@@ -319,3 +322,25 @@
         name: ids::ProcessName,
     },
 }
+
+/// Commands for roll-outs. They need the addresses of control hosts of a fleet without agents.
+#[derive(Debug, Subcommand)]
+pub enum RolloutCommand {
+    /// Move a service to a version whose endpoints run, or start, beside the others.
+    Start {
+        /// The service.
+        service: String,
+        /// The version, as its endpoints tell it.
+        target: String,
+        /// Seconds from now until the version must have taken over.
+        #[arg(long)]
+        period: f64,
+    },
+    /// Show the last roll-out of a service with the evidence so far.
+    Show {
+        /// The service.
+        service: String,
+    },
+    /// List the last roll-out of each service.
+    List,
+}
--- a/crates/waxwingctl/src/calls.rs
+++ b/crates/waxwingctl/src/calls.rs
@@ -12,7 +12,7 @@
 use waxwing_core::{clock::Clock, ids};
 use waxwing_settings::operations;
 
-use crate::arguments;
+use crate::{arguments, rollouts};
 
 /// Time limit of one attempt; longer than a control host waits for a quorum.
 const ATTEMPT_LIMIT: Duration = Duration::from_secs(5);
@@ -134,6 +134,23 @@
         self.post("/v1/members", request).await
     }
 
+    /// Orders a roll-out.
+    ///
+    /// # Errors
+    /// Fails if the order is refused or no control host answers; the same order may be sent again.
+    pub async fn start_rollout(&self, order: &rollouts::RolloutOrder) -> anyhow::Result<()> {
+        let _: serde_json::Value = self.post("/v1/rollouts", order).await?;
+        Ok(())
+    }
+
+    /// Reads the last roll-out of each service.
+    ///
+    /// # Errors
+    /// Fails if no control host answers.
+    pub async fn list_rollouts(&self) -> anyhow::Result<rollouts::RolloutList> {
+        self.get("/v1/rollouts").await
+    }
+
     /// Waits until every process with a live lease runs at least `version`; returns those that don't
     /// after `limit`.
     ///
--- a/crates/waxwingctl/src/commands.rs
+++ b/crates/waxwingctl/src/commands.rs
@@ -1,6 +1,9 @@
 //! Runs the commands of the tool.
 
-use std::path::{Path, PathBuf};
+use std::{
+    path::{Path, PathBuf},
+    time::Duration,
+};
 
 use anyhow::Context as _;
 use serde::Serialize;
@@ -8,7 +11,7 @@
 use waxwing_core::{clock::Clock, ids};
 use waxwing_settings::{files, operations, patches};
 
-use crate::{arguments, calls, changes, explain, output};
+use crate::{arguments, calls, changes, explain, output, rollouts};
 
 /// The exit code for a change that was not accepted.
 pub const NOT_ACCEPTED: u8 = 3;
@@ -16,7 +19,8 @@
 /// The exit code of `--wait` if some processes still run an older version at its time limit.
 pub const STILL_LAGGING: u8 = 4;
 
-/// The exit code of `explain` for a request that the logs don't contain.
+/// The exit code of `explain` for a request that the logs don't contain, and of `rollout show` for a
+/// service without a roll-out.
 pub const NOT_FOUND: u8 = 5;
 
 /// Prints the timeline of a request and returns the exit code; no control host is needed.
@@ -98,10 +102,44 @@
             arguments::ToolCommand::Undrain(drain) => self.drain(drain, false).await,
             arguments::ToolCommand::Status => self.show_status().await,
             arguments::ToolCommand::Member(command) => self.change_member(command).await,
+            arguments::ToolCommand::Rollout(command) => self.run_rollout(command).await,
             arguments::ToolCommand::Explain { id, files } => explain(id, files, self.json),
         }
     }
 
+    async fn run_rollout(&self, command: &arguments::RolloutCommand) -> anyhow::Result<u8> {
+        match command {
+            arguments::RolloutCommand::Start {
+                service,
+                target,
+                period,
+            } => {
+                let period = Duration::try_from_secs_f64(*period).context("--period")?;
+                let order = rollouts::RolloutOrder::new(service, target, period);
+                self.caller.start_rollout(&order).await?;
+                println!("accepted; `waxwingctl rollout show {service}` tells how it goes");
+                Ok(0)
+            }
+            arguments::RolloutCommand::Show { service } => {
+                let mut answer = self.caller.list_rollouts().await?;
+                answer
+                    .rollouts
+                    .retain(|rollout| rollout.service == *service);
+                let Some(rollout) = answer.rollouts.first() else {
+                    println!("service {service} has had no roll-out");
+                    return Ok(NOT_FOUND);
+                };
+                self.print(rollout, || rollouts::describe(rollout))?;
+                Ok(0)
+            }
+            arguments::RolloutCommand::List => {
+                let answer = self.caller.list_rollouts().await?;
+                self.print(&answer, || rollouts::table(&answer.rollouts).to_string())?;
+                Ok(0)
+            }
+        }
+    }
+
     async fn run_settings(&self, command: &arguments::SettingsCommand) -> anyhow::Result<u8> {
         match command {
             arguments::SettingsCommand::Get { path } => {
--- a/crates/waxwingctl/src/lib.rs
+++ b/crates/waxwingctl/src/lib.rs
@@ -8,3 +8,4 @@
 pub mod commands;
 pub mod explain;
 pub mod output;
+pub mod rollouts;
--- a/crates/waxwingctl/src/main.rs
+++ b/crates/waxwingctl/src/main.rs
@@ -33,7 +33,15 @@
     if let arguments::ToolCommand::Explain { id, files } = &arguments.command {
         return commands::explain(id, files, arguments.json);
     }
-    let caller = calls::ControlCaller::from_arguments(&arguments.connection, clock::SystemClock)?;
+    let connection = &arguments.connection;
+    let caller = match &arguments.command {
+        // Control hosts of a fleet without agents know no operators and take no token.
+        arguments::ToolCommand::Rollout(_) => {
+            let hosts = connection.control.clone();
+            calls::ControlCaller::new(hosts, String::new(), clock::SystemClock)
+        }
+        _ => calls::ControlCaller::from_arguments(connection, clock::SystemClock)?,
+    };
     let runner = commands::CommandRunner::new(caller, arguments.json);
     runner.run(&arguments.command).await
 }
