--- a/crates/waxwing-conduit/src/intake.rs
+++ b/crates/waxwing-conduit/src/intake.rs
@@ -274,7 +274,7 @@
                 if !head.status.is_server_error() {
                     usable.run.record_answer(took, &request.shared_parts);
                 }
-                log_answer(state, request, &history, &usable.run, head.status);
+                log_answer(state, request, &history, &usable.run, head.status, None);
                 let connection = usable.connection;
                 let state = state.clone();
                 tokio::spawn(async move {
@@ -308,6 +308,7 @@
     history: &AttemptHistory,
     run: &state::StartedRun<C, D>,
     status: StatusCode,
+    longest_pause: Option<Duration>,
 ) {
     let took = state.clock.now().saturating_duration_since(request.arrival);
     state.metrics.count_answer(status.as_u16());
@@ -321,6 +322,7 @@
         status = status.as_u16(),
         sends = history.delivered,
         first_event_ms = run.first_event_time().map(|first| first.as_millis()),
+        longest_pause_ms = longest_pause.map(|pause| pause.as_millis()),
         took_ms = took.as_millis()
     );
 }
--- a/crates/waxwing-conduit/src/relay.rs
+++ b/crates/waxwing-conduit/src/relay.rs
@@ -84,6 +84,9 @@
     /// The bytes that may still be buffered for the caller.
     queue_room: Arc<sync::Semaphore>,
     splitter: events::EventSplitter,
+    /// When the last events arrived, and the longest time between two arrivals.
+    last_arrival: Option<std::time::Instant>,
+    longest_pause: Duration,
     _active: state::ActiveRequest<C, D>,
 }
 
@@ -106,6 +109,8 @@
         chunks,
         queue_room: Arc::new(sync::Semaphore::new(CHUNK_QUEUE_BYTES as usize)),
         splitter,
+        last_arrival: None,
+        longest_pause: Duration::ZERO,
     };
     tokio::spawn(relay.run(source));
     forwarding::caller_answer(head, answers::AnswerBody::Chunks(receiver))
@@ -126,8 +131,12 @@
                     if complete.is_empty() {
                         continue;
                     }
+                    let now = self.state.clock.now();
+                    if let Some(last) = self.last_arrival.replace(now) {
+                        let pause = now.saturating_duration_since(last);
+                        self.longest_pause = self.longest_pause.max(pause);
+                    }
                     if source.first.is_none() {
-                        let now = self.state.clock.now();
                         source.first = Some((now, self.splitter.last_id()));
                         let took = now.saturating_duration_since(source.sent);
                         let parts = &self.request.shared_parts;
@@ -149,7 +158,8 @@
                     self.state.metrics.count_stream("whole");
                     let (state, request) = (&self.state, &self.request);
                     let status = hyper::StatusCode::OK;
-                    intake::log_answer(state, request, &self.history, &source.run, status);
+                    let pause = Some(self.longest_pause);
+                    intake::log_answer(state, request, &self.history, &source.run, status, pause);
                     drop(source.run);
                     self.state.pool.release(source.connection, now).await;
                     return;
