Ask the budget for no more than a body needs

What callers saw: 503 no-memory for a body that fits, while other bodies take most of the memory.

Cause: the buffer of a body that comes in several chunks grows by doubling, and the doubled capacity was asked of the budget; a body of 20 KB needed up to 32 KB.

Change: the buffer never grows beyond the length that the head of the message tells, and where there is no room for the doubled capacity, it asks for what the bytes at hand need.

Result: body_that_just_fits_is_read failed before (OutOfMemory) and passes.

--- a/crates/waxwing-process/src/bodies.rs
+++ b/crates/waxwing-process/src/bodies.rs
@@ -87,6 +87,10 @@
     where
         B: body::Body<Data = Bytes>,
     {
+        let expected = body.size_hint().exact();
+        let expected = expected.map_or(usize::MAX, |bytes| {
+            usize::try_from(bytes).unwrap_or(usize::MAX)
+        });
         let mut body = pin!(body);
         let mut buffer = BodyBuffer {
             bytes: Vec::new(),
@@ -101,7 +105,7 @@
             if data.len() > max_bytes - buffer.bytes.len() {
                 return Err(BodyError::TooLong(max_bytes));
             }
-            if !buffer.add(&data, max_bytes) {
+            if !buffer.add(&data, max_bytes.min(expected)) {
                 return Err(BodyError::OutOfMemory);
             }
         }
@@ -118,23 +122,36 @@
 }
 
 impl BodyBuffer {
-    /// Adds bytes, unless the budget has no room for them.
+    /// Adds bytes, unless the budget has no room for them; `max_bytes` is the length that the body
+    /// can have. The buffer grows by doubling, or by what is needed where there is no room for that.
     fn add(&mut self, data: &[u8], max_bytes: usize) -> bool {
         let length = self.bytes.len() + data.len();
         if length > self.bytes.capacity() {
-            let capacity = length.max(self.bytes.capacity() * 2).min(max_bytes);
-            if capacity > UNBUDGETED_BYTES {
-                let growth = capacity - self.charged;
-                if !self.budget.take(growth) {
-                    return false;
-                }
-                self.charged = capacity;
-            }
+            let doubled = (self.bytes.capacity() * 2).min(max_bytes);
+            let preferred = length.max(doubled);
+            let Some(capacity) = [preferred, length]
+                .into_iter()
+                .find(|capacity| self.charge(*capacity))
+            else {
+                return false;
+            };
             self.bytes.reserve_exact(capacity - self.bytes.len());
         }
         self.bytes.extend_from_slice(data);
         true
     }
+
+    /// Takes a capacity from the budget in place of the present one; returns whether there is room.
+    fn charge(&mut self, capacity: usize) -> bool {
+        if capacity <= UNBUDGETED_BYTES {
+            return true;
+        }
+        let charged = self.budget.take(capacity - self.charged);
+        if charged {
+            self.charged = capacity;
+        }
+        charged
+    }
 }
 
 impl AsRef<[u8]> for BodyBuffer {
--- a/crates/waxwing-process/tests/bodies.rs
+++ b/crates/waxwing-process/tests/bodies.rs
@@ -42,3 +42,14 @@
     let read = budget.read(Full::new(Bytes::new()), 0).await;
     assert!(read.unwrap().is_empty());
 }
+
+/// Guards against a budget that refuses a body which fits: the buffer asked for twice the length of a
+/// body that came in more than one chunk.
+#[tokio::test]
+async fn body_that_just_fits_is_read() {
+    let length = 20 * 1_024;
+    let budget = MemoryBudget::new(length);
+    let read = budget.read(chunked(20), 1 << 20).await.unwrap();
+    assert_eq!(read.len(), length);
+    assert_eq!(budget.used(), length);
+}
