Limit the memory of all small bodies together

What could happen: bodies up to 16 KiB were always read.

Cause: small bodies were left out of the budget, so that peers which use up the budget of large ones don't affect ordinary calls.

Change: small bodies have a budget of their own, as large as that of the others and 1 MiB at least. It holds some thousand ordinary calls even in the smallest process, and neither kind can use up the memory of the other.

--- a/crates/waxwing-process/src/bodies.rs
+++ b/crates/waxwing-process/src/bodies.rs
@@ -13,10 +13,13 @@
 use http_body_util::BodyExt as _;
 use hyper::body;
 
-/// Size up to which a body doesn't count towards the budget. Bodies of this size are always read, so
-/// that peers which use up the budget don't affect ordinary calls.
+/// Size up to which a body counts as small. Small bodies have a limit of their own, so that peers
+/// which use up the budget of larger ones don't affect ordinary calls.
 pub const UNBUDGETED_BYTES: usize = 16 * 1024;
 
+/// The least memory for all small bodies together: some thousand ordinary calls.
+const MIN_SMALL_BYTES: usize = 1024 * 1024;
+
 /// Limit on the read buffer of an HTTP connection, and with it on the head of a message, in bytes.
 pub const MAX_HEAD_BYTES: usize = 64 * 1024;
 
@@ -34,11 +37,42 @@
     OutOfMemory,
 }
 
-/// The memory that the bodies of a process may use together; clones share it.
+/// Bytes in use, of a limit.
+#[derive(Debug)]
+struct BytePool {
+    used: AtomicUsize,
+    limit: usize,
+}
+
+impl BytePool {
+    const fn new(limit: usize) -> Self {
+        Self {
+            used: AtomicUsize::new(0),
+            limit,
+        }
+    }
+
+    fn take(&self, bytes: usize) -> bool {
+        let taken = self
+            .used
+            .fetch_update(Ordering::Relaxed, Ordering::Relaxed, |used| {
+                let total = used.checked_add(bytes)?;
+                (total <= self.limit).then_some(total)
+            });
+        taken.is_ok()
+    }
+
+    fn put_back(&self, bytes: usize) {
+        self.used.fetch_sub(bytes, Ordering::Relaxed);
+    }
+}
+
+/// The memory that the bodies of a process may use together; clones share it. Small bodies have as
+/// much memory of their own as larger ones.
 #[derive(Debug, Clone)]
 pub struct MemoryBudget {
-    used: Arc<AtomicUsize>,
-    limit: usize,
+    large: Arc<BytePool>,
+    small: Arc<BytePool>,
 }
 
 impl MemoryBudget {
@@ -53,29 +87,32 @@
         Self::new((megabytes.max(0.0) * share * 1024.0 * 1024.0) as usize)
     }
 
-    /// Creates a budget of `limit` bytes.
+    /// Creates a budget of `limit` bytes for large bodies, and as much for small ones.
     #[must_use]
     pub fn new(limit: usize) -> Self {
         Self {
-            used: Arc::default(),
-            limit,
+            large: Arc::new(BytePool::new(limit)),
+            small: Arc::new(BytePool::new(limit.max(MIN_SMALL_BYTES))),
         }
     }
 
-    /// Returns the number of bytes that are in use.
+    /// Returns the number of bytes that are in use by large bodies.
     #[must_use]
     pub fn used(&self) -> usize {
-        self.used.load(Ordering::Relaxed)
+        self.large.used.load(Ordering::Relaxed)
     }
 
-    fn take(&self, bytes: usize) -> bool {
-        let taken = self
-            .used
-            .fetch_update(Ordering::Relaxed, Ordering::Relaxed, |used| {
-                let total = used.checked_add(bytes)?;
-                (total <= self.limit).then_some(total)
-            });
-        taken.is_ok()
+    /// Returns the number of bytes that are in use by small bodies.
+    #[must_use]
+    pub fn used_by_small(&self) -> usize {
+        self.small.used.load(Ordering::Relaxed)
+    }
+
+    fn pool(&self, capacity: usize) -> &BytePool {
+        match capacity > UNBUDGETED_BYTES {
+            true => &self.large,
+            false => &self.small,
+        }
     }
 
     /// Reads a body of at most `max_bytes`. Its memory returns to the budget once all clones of the
@@ -143,10 +180,18 @@
 
     /// Takes a capacity from the budget in place of the present one; returns whether there is room.
     fn charge(&mut self, capacity: usize) -> bool {
-        if capacity <= UNBUDGETED_BYTES {
-            return true;
-        }
-        let charged = self.budget.take(capacity - self.charged);
+        let budget = self.budget.clone();
+        let (before, after) = (budget.pool(self.charged), budget.pool(capacity));
+        let charged = match std::ptr::eq(before, after) {
+            true => after.take(capacity - self.charged),
+            false => {
+                let taken = after.take(capacity);
+                if taken {
+                    before.put_back(self.charged);
+                }
+                taken
+            }
+        };
         if charged {
             self.charged = capacity;
         }
@@ -162,6 +207,6 @@
 
 impl Drop for BodyBuffer {
     fn drop(&mut self) {
-        self.budget.used.fetch_sub(self.charged, Ordering::Relaxed);
+        self.budget.pool(self.charged).put_back(self.charged);
     }
 }
--- a/crates/waxwing-process/tests/bodies.rs
+++ b/crates/waxwing-process/tests/bodies.rs
@@ -53,3 +53,21 @@
     assert_eq!(read.len(), length);
     assert_eq!(budget.used(), length);
 }
+
+/// Guards against a process that runs out of memory under many bodies that are each too small for the
+/// budget.
+#[tokio::test]
+async fn small_bodies_have_a_limit_together() {
+    let budget = MemoryBudget::new(0);
+    let body = || Full::new(Bytes::from(vec![b'b'; UNBUDGETED_BYTES]));
+    let mut held = Vec::new();
+    for _ in 0..64 {
+        held.push(budget.read(body(), 1 << 20).await.unwrap());
+    }
+    let refused = budget.read(body(), 1 << 20).await;
+    assert!(matches!(refused, Err(BodyError::OutOfMemory)));
+    held.pop();
+    assert!(budget.read(body(), 1 << 20).await.is_ok());
+    drop(held);
+    assert_eq!(budget.used_by_small(), 0);
+}
