Go on to record a departure that was told while there was no leader

What callers could see: requests at an endpoint that had left. An endpoint that tells its departure while the control hosts have no leader gets 503 after 0.9 s, and ends some seconds later whether or not it was acknowledged.

Cause: the attempt to record a departure ended with the call.

The code that records departures has a module of its own.

--- a/crates/waxwing-registrar/src/host.rs
+++ b/crates/waxwing-registrar/src/host.rs
@@ -27,9 +27,6 @@
 /// Shortest time between two confirmations of the newest deployment, which are sent to all entries.
 const CONFIRMATION_INTERVAL: Duration = Duration::from_millis(50);
 
-/// Time after which the leader is asked again to record a departure.
-const DEPARTURE_RETRY_INTERVAL: Duration = Duration::from_millis(200);
-
 /// The state that the tasks of a control host share; clones refer to the same state.
 #[derive(Debug, Clone)]
 pub(crate) struct RegistrarHost<C> {
@@ -40,12 +37,14 @@
     pub(crate) group: handles::GroupHandle,
     pub(crate) network: network::ProcessNetwork<C>,
     pub(crate) metrics: metrics::RegistrarMetrics,
-    pub(crate) rollouts: rollouts::RolloutDesk,
+    pub(crate) rollouts: rollouts::RolloutHandle,
     directory: Arc<Mutex<directory::EndpointDirectory>>,
     /// Wakes the calls that wait until a departure is committed.
-    departures_changed: Arc<Notify>,
+    pub(crate) departures_changed: Arc<Notify>,
     /// Control hosts to which the departures are sent once a quorum has confirmed them.
     uninformed: Arc<Mutex<HashSet<SocketAddr>>>,
+    /// Departures that were not acknowledged in time and are still tried.
+    late_departures: Arc<Mutex<HashSet<messages::EndpointDeparture>>>,
     history: Arc<Mutex<history::DeploymentHistory>>,
     /// Wakes the task that confirms the newest deployment, since an entry waits for it.
     confirmation_wanted: Arc<Notify>,
@@ -69,10 +68,11 @@
             group,
             network,
             metrics,
-            rollouts: rollouts::RolloutDesk::default(),
+            rollouts: rollouts::RolloutHandle::default(),
             directory: Arc::default(),
             departures_changed: Arc::default(),
             uninformed: Arc::default(),
+            late_departures: Arc::default(),
             history: Arc::default(),
             confirmation_wanted: Arc::default(),
             seeds,
@@ -91,6 +91,12 @@
             .expect("no thread panics while it holds the lock of the history")
     }
 
+    pub(crate) fn late_departures(&self) -> MutexGuard<'_, HashSet<messages::EndpointDeparture>> {
+        self.late_departures
+            .lock()
+            .expect("no thread panics while it holds the lock of the late departures")
+    }
+
     fn uninformed(&self) -> MutexGuard<'_, HashSet<SocketAddr>> {
         self.uninformed
             .lock()
@@ -182,117 +188,6 @@
         }
     }
 
-    /// Waits until a departure is committed. A host that doesn't lead asks the others, of which the
-    /// leader answers, so that it needs neither its own disk nor to know who leads.
-    async fn record_departure(
-        &self,
-        departure: messages::EndpointDeparture,
-    ) -> Result<(), errors::GroupError> {
-        let deadline = self.clock.now() + self.options.call_limit();
-        let departures = vec![departure.clone()];
-        let request = messages::Body::RecordDepartures(messages::RecordDepartures { departures });
-        loop {
-            let changed = self.departures_changed.notified();
-            tokio::pin!(changed);
-            // Registered before the check, so that a change in between is not missed.
-            changed.as_mut().enable();
-            if self.directory().is_recorded(&departure) {
-                return Ok(());
-            }
-            let remaining = deadline.saturating_duration_since(self.clock.now());
-            if remaining.is_zero() {
-                let (endpoint, born) = (&departure.id, departure.born);
-                tracing::info!(event = "departure-not-recorded", endpoint, born);
-                return Err(errors::GroupError::Unavailable);
-            }
-            if self.group.view.borrow().leads {
-                self.spawn_recording(vec![departure.clone()], None);
-            } else {
-                self.network
-                    .broadcast(messages::ProcessKind::Control, &request);
-            }
-            tokio::select! {
-                () = changed => {}
-                () = self.clock.sleep(remaining.min(DEPARTURE_RETRY_INTERVAL)) => {}
-            }
-        }
-    }
-
-    /// Records departures in the log if this host leads, and then tells the host that asked for it.
-    fn spawn_recording(
-        &self,
-        departures: Vec<messages::EndpointDeparture>,
-        asked_by: Option<SocketAddr>,
-    ) {
-        if !self.group.view.borrow().leads {
-            return;
-        }
-        let host = self.clone();
-        tokio::spawn(async move {
-            let list = departures::DepartureList { departures };
-            let recorded = tokio::select! {
-                recorded = host.group.record_departures(list.clone()) => recorded,
-                () = host.clock.sleep(host.options.call_limit()) => {
-                    Err(errors::GroupError::Unavailable)
-                }
-            };
-            if recorded.is_err() {
-                return;
-            }
-            host.learn_departures(&list.departures, false);
-            if let Some(asked_by) = asked_by {
-                let recorded = messages::RecordedDepartures {
-                    departures: list.departures,
-                    whole: false,
-                };
-                host.network
-                    .send(asked_by, messages::Body::RecordedDepartures(recorded));
-            }
-        });
-    }
-
-    /// Takes committed departures. `whole` tells that the log held no others when a quorum was last
-    /// asked; entries are told of the endpoints from then on.
-    fn learn_departures(&self, departures: &[messages::EndpointDeparture], whole: bool) {
-        let (notices, completed) = {
-            let mut directory = self.directory();
-            let was_complete = directory.is_complete();
-            let changed = directory.learn(departures, whole);
-            let completed = !was_complete && directory.is_complete();
-            let notices = match completed {
-                true => directory.notices_for_entry(self.clock.now()),
-                false => changed,
-            };
-            (notices, completed)
-        };
-        self.departures_changed.notify_waiters();
-        if completed {
-            tracing::info!(event = "departures-known", departures = departures.len());
-        }
-        if !notices.notices.is_empty() {
-            let body = messages::Body::EndpointNotices(notices);
-            self.network.broadcast(messages::ProcessKind::Entry, &body);
-        }
-    }
-
-    /// Sends all departures to control hosts that may lack some, after a quorum has confirmed that
-    /// this host knows them.
-    fn share_departures(&self, uninformed: HashSet<SocketAddr>) {
-        if uninformed.is_empty() && self.directory().is_complete() {
-            return;
-        }
-        let departures = self.group.view.borrow().departures.to_list().departures;
-        self.learn_departures(&departures, true);
-        for address in uninformed {
-            let recorded = messages::RecordedDepartures {
-                departures: departures.clone(),
-                whole: true,
-            };
-            self.network
-                .send(address, messages::Body::RecordedDepartures(recorded));
-        }
-    }
-
     fn fleet_hosts(&self) -> messages::FleetHosts {
         let members = self.group.view.borrow().members.clone();
         let mut control: HashSet<_> = members.into_iter().collect();
--- a/crates/waxwing-registrar/src/lib.rs
+++ b/crates/waxwing-registrar/src/lib.rs
@@ -13,6 +13,7 @@
 mod http;
 pub mod metrics;
 pub mod options;
+mod recording;
 pub mod repair;
 pub mod replica;
 pub mod roles;
--- a/crates/waxwing-registrar/src/rollouts.rs
+++ b/crates/waxwing-registrar/src/rollouts.rs
@@ -20,16 +20,16 @@
 /// gets few requests within it.
 const DECISION_INTERVAL: Duration = Duration::from_millis(200);
 
-/// The leader's part in roll-outs; clones share it.
+/// The state of roll-outs that a leader keeps in memory; clones share it.
 #[derive(Debug, Clone, Default)]
-pub(crate) struct RolloutDesk {
-    state: Arc<Mutex<DeskState>>,
+pub(crate) struct RolloutHandle {
+    state: Arc<Mutex<RolloutState>>,
     /// Wakes the task that decides, since the log has changed.
     changed: Arc<Notify>,
 }
 
 #[derive(Debug, Default)]
-struct DeskState {
+struct RolloutState {
     controller: controller::RolloutController,
     /// The term in which this host leads; `None` if it doesn't.
     term: Option<u64>,
@@ -43,8 +43,8 @@
     terms: Option<(u64, Vec<messages::RolloutTerm>)>,
 }
 
-impl RolloutDesk {
-    fn state(&self) -> MutexGuard<'_, DeskState> {
+impl RolloutHandle {
+    fn state(&self) -> MutexGuard<'_, RolloutState> {
         self.state
             .lock()
             .expect("no thread panics while it holds the lock of the roll-outs")
@@ -279,9 +279,9 @@
         let mut state = self.rollouts.state();
         let leading = leads.then_some(term);
         if state.term != leading {
-            *state = DeskState {
+            *state = RolloutState {
                 term: leading,
-                ..DeskState::default()
+                ..RolloutState::default()
             };
         }
         leads && (ledger.has_active() || ledger.revision() != state.sent_revision)
--- a/crates/waxwing-wire/src/messages/fleet.rs
+++ b/crates/waxwing-wire/src/messages/fleet.rs
@@ -133,7 +133,7 @@
 }
 
 /// The departure of an endpoint: it drains or has deregistered.
-#[derive(Clone, PartialEq, Eq, Message)]
+#[derive(Clone, PartialEq, Eq, Hash, Message)]
 pub struct EndpointDeparture {
     /// The id of the endpoint.
     #[prost(string, tag = "1")]
