Let the version before serve while no endpoint of the new one is usable

What callers would see: 503 no-endpoint for all requests of a service in the last stage of a roll-out, if the endpoints of the new version are lost together. Found by reading the change: control hosts count endpoints that crash silently for 30 s, and entries kept to the new version for as long.

Change: in that stage an entry uses the other versions while no endpoint of the new one is usable; the roll-out isn't completed meanwhile, since the entry reports requests in flight there.

--- a/crates/waxwing-gate/src/gate/dispatch.rs
+++ b/crates/waxwing-gate/src/gate/dispatch.rs
@@ -333,10 +333,20 @@
         let best = |side| self.best_endpoint_of(now, ticket, side, peer_usage_known, entitlement);
         match sides {
             None => best(None),
+            Some([rollouts::VersionSide::Target])
+                if !self.has_usable(now, &ticket.service, rollouts::VersionSide::Target) =>
+            {
+                best(Some(rollouts::VersionSide::Others))
+            }
             Some(sides) => sides.iter().find_map(|side| best(Some(*side))),
         }
     }
 
+    fn has_usable(&self, now: Instant, service: &SmolStr, side: rollouts::VersionSide) -> bool {
+        let mut usable = self.usable_endpoints(now, service);
+        usable.any(|view| self.rollouts.includes(view, side))
+    }
+
     /// Returns the endpoint with a free slot and the best score. A request stays queued if it can
     /// meet its deadline only at endpoints that are full. For a part of its patience it also stays
     /// queued if only full endpoints can begin its answer in time.
--- a/crates/waxwing-gate/src/rollouts.rs
+++ b/crates/waxwing-gate/src/rollouts.rs
@@ -274,6 +274,8 @@
         };
         match rule.phase {
             RulePhase::Completed => !rule.replaced.contains(&view.version),
+            // The others serve while no endpoint of the new version can.
+            RulePhase::Active(messages::RolloutStage::Drain) => true,
             _ => {
                 let sides = rule.sides(now, true);
                 sides.iter().any(|side| rule.includes(view, *side))
