--- a/crates/waxwing-gate/src/gate/load_updates.rs
+++ b/crates/waxwing-gate/src/gate/load_updates.rs
@@ -43,6 +43,12 @@
     }
 
     fn apply_load(&mut self, now: Instant, peer: SocketAddr, update: messages::LoadUpdate) {
+        if update.whole {
+            // A snapshot leaves out endpoints that the peer doesn't use.
+            for view in self.endpoints.values_mut() {
+                view.set_peer_use(peer, None);
+            }
+        }
         for used in update.endpoints {
             if let Some(limit) = used.limit {
                 self.apply_limit(now, &SmolStr::new(&used.id), limit);
@@ -143,7 +149,7 @@
     pub fn take_update(&mut self, now: Instant, snapshot: bool) -> messages::LoadUpdate {
         // A snapshot goes to one peer only, so the changes stay pending for the others.
         let ids: Vec<_> = match snapshot {
-            true => self.endpoints.keys().cloned().collect(),
+            true => self.stated_endpoints(now),
             false => {
                 // The other entries learn of the released slots with this update.
                 self.released.clear();
@@ -185,6 +191,18 @@
         }
     }
 
+    /// Returns the endpoints of which a snapshot tells something. After a restart all entries exchange
+    /// snapshots, so that one of all endpoints would fill their links for seconds.
+    fn stated_endpoints(&self, now: Instant) -> Vec<SmolStr> {
+        let stated = self.endpoints.values().filter(|view| {
+            let has_use = view.own != endpoints::EndpointUse::default();
+            let has_statement =
+                view.limit.statement().is_some() || view.pace.current_own(now).is_some();
+            has_use || has_statement
+        });
+        stated.map(|view| view.id.clone()).collect()
+    }
+
     fn own_demands(&self, now: Instant) -> Vec<messages::ServiceDemand> {
         let demands = self.recent.iter().map(|(service, recent)| {
             let queue = self.queues.get(service);
--- a/crates/waxwing-gate/src/gate/paces.rs
+++ b/crates/waxwing-gate/src/gate/paces.rs
@@ -17,7 +17,7 @@
         if let Some(view) = self.endpoints.get_mut(endpoint) {
             let model = self.models.entry(view.service.clone()).or_default();
             if view.pace.observe(sample, &mut model.pace) {
-                view.pace.mark_untold();
+                view.pace.mark_own();
             }
         }
     }
@@ -43,8 +43,8 @@
         }
     }
 
-    /// Returns what a load update tells of an endpoint's pace: the newest statement in a snapshot,
-    /// and else only one that this entry received and has not told yet.
+    /// Returns what a load update tells of an endpoint's pace: what this entry received with an answer
+    /// and has not told yet, or still holds in a snapshot.
     pub(super) fn take_pace_message(
         &mut self,
         now: Instant,
@@ -53,7 +53,7 @@
     ) -> Option<messages::PaceStatement> {
         let view = self.endpoints.get_mut(endpoint)?;
         let sample = match snapshot {
-            true => view.pace.newest(),
+            true => view.pace.current_own(now),
             false => view.pace.take_untold(),
         }?;
         let age = now.saturating_duration_since(sample.at);
--- a/crates/waxwing-gate/src/pace.rs
+++ b/crates/waxwing-gate/src/pace.rs
@@ -24,6 +24,10 @@
 /// milliseconds; older statements say what the level says.
 const AGE_BOUNDS_MILLIS: [u64; 8] = [25, 50, 100, 200, 400, 800, 1_600, 3_200];
 
+/// Age from which on a statement isn't told to an entry whose link has just opened. Before it is
+/// measured, a seventh of a deviation is expected to last longer.
+const CURRENT_AGE: Duration = Duration::from_millis(800);
+
 /// Part of a deviation that is expected at these ages before it is measured: it halves in 200 ms.
 const INITIAL_PERSISTENCE: [f64; AGE_BOUNDS_MILLIS.len()] =
     [0.96, 0.88, 0.77, 0.6, 0.35, 0.13, 0.02, 0.0];
@@ -55,8 +59,9 @@
     level: f64,
     /// Number of statements that the mean covers, up to [`LEVEL_SAMPLES`].
     samples: u32,
-    /// Whether the newest statement came with an answer to this entry and other entries have not
-    /// been told.
+    /// Whether the newest statement came with an answer to this entry.
+    is_own: bool,
+    /// Whether it did so and other entries have not been told.
     is_untold: bool,
 }
 
@@ -86,15 +91,27 @@
         self.samples = (self.samples + 1).min(LEVEL_SAMPLES);
         self.level += (ratio - self.level) / f64::from(self.samples);
         self.newest = Some(sample);
+        self.is_own = false;
         self.is_untold = false;
         true
     }
 
-    /// Marks the newest statement as one that other entries have to be told.
-    pub const fn mark_untold(&mut self) {
+    /// Marks the newest statement as one that came with an answer to this entry, so that the other
+    /// entries have to be told.
+    pub const fn mark_own(&mut self) {
+        self.is_own = true;
         self.is_untold = true;
     }
 
+    /// Returns the newest statement if it came with an answer to this entry and still says something
+    /// at `now`.
+    #[must_use]
+    pub fn current_own(&self, now: Instant) -> Option<PaceSample> {
+        let newest = self.newest.filter(|_| self.is_own)?;
+        let age = now.saturating_duration_since(newest.at);
+        (age < CURRENT_AGE).then_some(newest)
+    }
+
     /// Returns the newest statement if other entries have to be told of it, and marks it as told.
     pub fn take_untold(&mut self) -> Option<PaceSample> {
         let is_untold = std::mem::take(&mut self.is_untold);
--- a/crates/waxwing-gate/tests/pace.rs
+++ b/crates/waxwing-gate/tests/pace.rs
@@ -155,11 +155,15 @@
     let now = Instant::now();
     let mut core = support::gate(now, &[("one", 1, 4)]);
     let mut update = core.take_update(now, true);
-    update.endpoints[0].pace = Some(waxwing_wire::messages::PaceStatement {
-        percent,
-        age_millis: 0,
-        born,
-    });
+    update.endpoints = vec![waxwing_wire::messages::EndpointUse {
+        id: "one".to_owned(),
+        pace: Some(waxwing_wire::messages::PaceStatement {
+            percent,
+            age_millis: 0,
+            born,
+        }),
+        ..waxwing_wire::messages::EndpointUse::default()
+    }];
     core.apply_update(now, support::address(9), update);
     assert_eq!(core.endpoint("one").unwrap().pace.newest(), None);
 }
@@ -196,17 +200,19 @@
     let mut core = support::gate(now, &endpoints);
     for (id, percent) in paces {
         core.record_load(now, &SmolStr::new(id), load(*percent));
-        let used = waxwing_wire::messages::EndpointUse {
+    }
+    let used = paces
+        .iter()
+        .map(|(id, _)| waxwing_wire::messages::EndpointUse {
             id: (*id).to_owned(),
             running: 1,
             pending_prefill: 0,
             limit: None,
             pace: None,
-        };
-        let mut update = core.take_update(now, true);
-        update.endpoints = vec![used];
-        core.apply_update(now, support::address(90), update);
-    }
+        });
+    let mut update = core.take_update(now, true);
+    update.endpoints = used.collect();
+    core.apply_update(now, support::address(90), update);
     core
 }
 
