Tell entries digests of the endpoints instead of all notices

Cause: each of five control hosts sent all notices, some 2 MB in all, to an entry whose link opened, and passed each notice without a change on to each entry in full. Links of 10 Mbit/s were full until they counted as lost, and were filled again when they opened. Ruled out: processor time, the election, the deployment (there 40 ms after the start of an entry).

Change: control hosts tell a digest for each of 64 groups of endpoints; the entry asks one host at a time for the groups that differ, and gets them compressed.

--- a/crates/waxwing-conduit/src/fleet.rs
+++ b/crates/waxwing-conduit/src/fleet.rs
@@ -12,7 +12,7 @@
 use tokio_util::sync::CancellationToken;
 use waxwing_core::clock::Clock;
 use waxwing_fleet::{deployments, dialects, network};
-use waxwing_gate::{fetches, pacing};
+use waxwing_gate::{directories, fetches, pacing};
 use waxwing_wire::messages;
 
 use crate::{rollouts, state, statements, suspects};
@@ -42,9 +42,10 @@
     pub(crate) seeds: watch::Receiver<Vec<SocketAddr>>,
     known: Arc<Mutex<KnownHosts>>,
     fetcher: Arc<Mutex<fetches::DeploymentFetcher>>,
+    pub(crate) directories: Arc<Mutex<directories::DirectoryFetcher>>,
     /// To whom reports on roll-outs go.
     pub(crate) reporter: Arc<Mutex<rollouts::RolloutReporter>>,
-    /// Wakes the task that asks again for a deployment.
+    /// Wakes the task that asks again for a deployment or for notices.
     fetch_changed: Arc<Notify>,
 }
 
@@ -57,6 +58,7 @@
             seeds: self.seeds.clone(),
             known: self.known.clone(),
             fetcher: self.fetcher.clone(),
+            directories: self.directories.clone(),
             reporter: self.reporter.clone(),
             fetch_changed: self.fetch_changed.clone(),
         }
@@ -76,8 +78,10 @@
         seeds: watch::Receiver<Vec<SocketAddr>>,
     ) -> Self {
         let fetcher = fetches::DeploymentFetcher::new(state.options.link_address);
+        let directories = directories::DirectoryFetcher::new(state.options.link_address);
         let reporter = rollouts::RolloutReporter::new(state.clock.now());
         Self {
+            directories: Arc::new(Mutex::new(directories)),
             fetcher: Arc::new(Mutex::new(fetcher)),
             reporter: Arc::new(Mutex::new(reporter)),
             fetch_changed: Arc::default(),
@@ -127,6 +131,8 @@
             messages::ProcessKind::Control => {
                 self.fetcher().forget(remote.address);
                 self.send_fetch();
+                self.directories().forget(remote.address);
+                self.send_directory_fetch();
                 self.forget_rollout_leader(remote.address);
             }
             _ => {}
@@ -146,13 +152,22 @@
             let body = messages::Body::FetchDeployment(order.fetch);
             self.network.send(order.control, body);
         }
+        self.wake_fetches();
+    }
+
+    pub(crate) fn wake_fetches(&self) {
         self.fetch_changed.notify_one();
     }
 
-    /// Asks another control host for a deployment when one doesn't send it in time.
+    /// Asks another control host for a deployment or for notices when one doesn't send them in time.
     pub(crate) async fn run_fetches(self, shutdown: CancellationToken) {
         loop {
-            let check = self.fetcher().next_check(self.state.clock.now());
+            let now = self.state.clock.now();
+            let checks = [
+                self.fetcher().next_check(now),
+                self.directories().next_check(now),
+            ];
+            let check = checks.into_iter().flatten().min();
             let changed = self.fetch_changed.notified();
             tokio::select! {
                 () = shutdown.cancelled() => return,
@@ -160,6 +175,7 @@
                 () = self.state.clock.sleep(check.unwrap_or(MAINTENANCE_INTERVAL)) => {}
             }
             self.send_fetch();
+            self.send_directory_fetch();
         }
     }
 
@@ -175,15 +191,11 @@
                 self.handle_chunk(remote, chunk);
                 self.send_fetch();
             }
-            messages::Body::EndpointNotices(notices) => {
-                let mut gate = self.state.gate();
-                for notice in notices.notices {
-                    let age = Duration::from_millis(notice.age_millis);
-                    let received_at = now.checked_sub(age).unwrap_or(now);
-                    gate.core.observe_notice(notice, received_at);
-                }
-                drop(gate);
-                self.state.dispatch_decisions();
+            messages::Body::EndpointNotices(notices) => self.apply_notices(notices),
+            messages::Body::DirectorySummary(summary) => self.compare_directory(remote, summary),
+            messages::Body::NoticeGroups(groups) => self.apply_notice_groups(remote, &groups),
+            messages::Body::EndpointRefreshes(refreshes) => {
+                self.apply_refreshes(remote.address, &refreshes);
             }
             messages::Body::FleetHosts(hosts) => self.update_hosts(&hosts),
             messages::Body::RolloutTerms(terms) => self.apply_rollout_terms(remote, &terms),
--- a/crates/waxwing-conduit/src/lib.rs
+++ b/crates/waxwing-conduit/src/lib.rs
@@ -4,6 +4,7 @@
 
 mod answers;
 mod checks;
+mod directories;
 pub mod errors;
 pub mod events;
 mod fleet;
--- a/crates/waxwing-conduit/src/metrics.rs
+++ b/crates/waxwing-conduit/src/metrics.rs
@@ -17,6 +17,7 @@
     sends: IntCounterVec,
     streams: IntCounterVec,
     fetches: IntCounterVec,
+    notice_fetches: IntCounterVec,
     link_bytes: IntCounterVec,
     crashes: IntCounterVec,
     statements: IntCounterVec,
@@ -59,6 +60,11 @@
             "Deployments fetched from control hosts, by what was received.",
             "outcome",
         )?;
+        let notice_fetches = counter(
+            "waxwing_entry_notice_fetches_total",
+            "Notices of endpoints fetched from control hosts, by what was received.",
+            "outcome",
+        )?;
         let link_bytes = counter(
             "waxwing_entry_link_bytes_total",
             "Bytes of messages exchanged with control hosts and other entries, by direction.",
@@ -98,6 +104,7 @@
             sends,
             streams,
             fetches,
+            notice_fetches,
             link_bytes,
             crashes,
             statements,
@@ -132,6 +139,10 @@
         self.fetches.with_label_values(&[outcome]).inc();
     }
 
+    pub(crate) fn count_notice_fetch(&self, outcome: &str) {
+        self.notice_fetches.with_label_values(&[outcome]).inc();
+    }
+
     pub(crate) fn count_crash_evidence(&self) {
         self.crashes.with_label_values(&["evidence"]).inc();
     }
--- a/crates/waxwing-core/src/events.rs
+++ b/crates/waxwing-core/src/events.rs
@@ -31,7 +31,7 @@
 }
 
 /// All events of the decision log, those of requests first.
-pub const LOG_EVENTS: [LogEvent; 70] = [
+pub const LOG_EVENTS: [LogEvent; 73] = [
     log_event(
         "request-started",
         "the gate gave the request a slot and the entry sent it",
@@ -141,6 +141,18 @@
         "the control host doesn't hold the version that an entry asks for",
     ),
     log_event("deployment-in-force", "the entry took a newer deployment"),
+    log_event(
+        "notices-received",
+        "the entry got the notices of endpoints that it had asked a control host for",
+    ),
+    log_event(
+        "notices-damaged",
+        "the notices that an entry had asked for can't be read; other hosts are asked",
+    ),
+    log_event(
+        "directory-unreadable",
+        "a control host of another release told what it knows of the endpoints",
+    ),
     log_event(
         "link-timed-out",
         "a link is given up; `partial_bytes` arrived of a message that is not complete",
--- a/crates/waxwing-fleet/src/lib.rs
+++ b/crates/waxwing-fleet/src/lib.rs
@@ -10,3 +10,4 @@
 pub mod network;
 pub mod patches;
 pub mod registry;
+pub mod summaries;
--- a/crates/waxwing-fleet/src/registry.rs
+++ b/crates/waxwing-fleet/src/registry.rs
@@ -9,6 +9,8 @@
 use smol_str::SmolStr;
 use waxwing_wire::messages;
 
+use crate::summaries;
+
 /// Time for which the record of a deregistered endpoint is kept, so that a notice that was delayed
 /// by a network partition doesn't register it again. The platform's partitions last seconds.
 const GONE_RETENTION: Duration = Duration::from_secs(60);
@@ -53,6 +55,9 @@
     records: HashMap<SmolStr, RegistryRecord>,
     /// The ids of the records by address; most addresses have one.
     ids_by_address: HashMap<SmolStr, Vec<SmolStr>>,
+    /// The ids of the records by the digest of their notice.
+    ids_by_digest: HashMap<summaries::NoticeDigest, SmolStr>,
+    summary: summaries::DirectorySummary,
     /// When records are next checked for their age.
     next_expiry: Option<Instant>,
 }
@@ -84,12 +89,21 @@
 
     fn insert(&mut self, id: SmolStr, notice: messages::EndpointNotice, received_at: Instant) {
         let address = SmolStr::new(&notice.address);
+        let digest = summaries::NoticeDigest::of(&notice);
         let record = RegistryRecord {
             notice,
             received_at,
         };
         let previous = self.records.insert(id.clone(), record);
-        let previous = previous.map(|record| SmolStr::new(record.notice.address));
+        let previous = previous.map(|record| record.notice);
+        let previous_digest = previous.as_ref().map(summaries::NoticeDigest::of);
+        if previous_digest != Some(digest) {
+            if let Some(previous) = previous_digest {
+                self.remove_digest(previous);
+            }
+            self.add_digest(digest, id.clone());
+        }
+        let previous = previous.map(|notice| SmolStr::new(notice.address));
         if previous.as_ref() == Some(&address) {
             return;
         }
@@ -102,6 +116,53 @@
         }
     }
 
+    fn add_digest(&mut self, digest: summaries::NoticeDigest, id: SmolStr) {
+        self.ids_by_digest.insert(digest, id);
+        self.summary.toggle(digest);
+    }
+
+    fn remove_digest(&mut self, digest: summaries::NoticeDigest) {
+        self.ids_by_digest.remove(&digest);
+        self.summary.toggle(digest);
+    }
+
+    /// Sets the phase of a known endpoint.
+    fn set_phase(&mut self, id: &SmolStr, phase: messages::EndpointPhase) {
+        let Some(record) = self.records.get_mut(id) else {
+            return;
+        };
+        let previous = summaries::NoticeDigest::of(&record.notice);
+        record.notice.phase = phase.into();
+        let digest = summaries::NoticeDigest::of(&record.notice);
+        self.remove_digest(previous);
+        self.add_digest(digest, id.clone());
+    }
+
+    /// Returns the digests of all notices by group.
+    #[must_use]
+    pub const fn summary(&self) -> &summaries::DirectorySummary {
+        &self.summary
+    }
+
+    /// Tells whether a notice is the latest one of its endpoint here.
+    #[must_use]
+    pub fn knows(&self, digest: summaries::NoticeDigest) -> bool {
+        self.ids_by_digest.contains_key(&digest)
+    }
+
+    /// Records that the endpoint with this notice was alive at `received_at`, and returns its id;
+    /// `None` if no such notice is known here.
+    pub fn refresh(
+        &mut self,
+        digest: summaries::NoticeDigest,
+        received_at: Instant,
+    ) -> Option<&SmolStr> {
+        let id = self.ids_by_digest.get(&digest)?;
+        let record = self.records.get_mut(id)?;
+        record.received_at = record.received_at.max(received_at);
+        Some(id)
+    }
+
     fn forget_address(&mut self, address: &SmolStr, id: &SmolStr) {
         if let Some(ids) = self.ids_by_address.get_mut(address) {
             ids.retain(|known| known != id);
@@ -132,12 +193,9 @@
         let Some(ids) = self.ids_by_address.get(notice.address.as_str()) else {
             return;
         };
-        for id in ids {
-            if let Some(record) = self.records.get_mut(id)
-                && record.notice.id != notice.id
-            {
-                record.notice.phase = messages::EndpointPhase::Gone.into();
-            }
+        let others = ids.iter().filter(|id| *id != notice.id.as_str());
+        for id in others.cloned().collect::<Vec<_>>() {
+            self.set_phase(&id, messages::EndpointPhase::Gone);
         }
     }
 
@@ -176,12 +234,12 @@
     /// Marks an endpoint as draining if its known life began at `born` or before and is ready.
     /// Returns its notice then.
     pub fn mark_draining(&mut self, id: &str, born: u64) -> Option<&messages::EndpointNotice> {
-        let known = &mut self.records.get_mut(id)?.notice;
+        let known = &self.records.get(id)?.notice;
         if known.born > born || known.phase() != messages::EndpointPhase::Ready {
             return None;
         }
-        known.phase = messages::EndpointPhase::Draining.into();
-        Some(known)
+        self.set_phase(&SmolStr::new(id), messages::EndpointPhase::Draining);
+        Some(&self.records.get(id)?.notice)
     }
 
     /// Removes endpoints that have been gone or silent for longer than their retention time, and
@@ -203,6 +261,7 @@
         for notice in &expired {
             let address = SmolStr::new(&notice.address);
             self.forget_address(&address, &SmolStr::new(&notice.id));
+            self.remove_digest(summaries::NoticeDigest::of(notice));
         }
         expired
     }
--- a/crates/waxwing-gate/src/gate.rs
+++ b/crates/waxwing-gate/src/gate.rs
@@ -24,7 +24,7 @@
 
 use smol_str::SmolStr;
 use waxwing_core::units;
-use waxwing_fleet::{dialects, registry};
+use waxwing_fleet::{dialects, registry, summaries};
 use waxwing_wire::messages;
 
 use crate::{
@@ -252,6 +252,33 @@
         self.registry.expire(received);
     }
 
+    /// Records that the endpoints with these notices were alive at `received`. Returns the digests
+    /// of which no notice is known here.
+    pub fn observe_refreshes(
+        &mut self,
+        digests: impl IntoIterator<Item = summaries::NoticeDigest>,
+        received: Instant,
+    ) -> Vec<summaries::NoticeDigest> {
+        let mut unknown = Vec::new();
+        for digest in digests {
+            let Some(id) = self.registry.refresh(digest, received) else {
+                unknown.push(digest);
+                continue;
+            };
+            if let Some(view) = self.endpoints.get_mut(id) {
+                view.last_seen = view.last_seen.max(received);
+            }
+        }
+        self.registry.expire(received);
+        unknown
+    }
+
+    /// Returns the latest notices of all endpoints.
+    #[must_use]
+    pub const fn registry(&self) -> &registry::EndpointRegistry {
+        &self.registry
+    }
+
     fn replace_endpoint(
         &mut self,
         notice: &messages::EndpointNotice,
--- a/crates/waxwing-gate/src/lib.rs
+++ b/crates/waxwing-gate/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod baselines;
 pub mod budgets;
 pub mod crashes;
+pub mod directories;
 pub mod endpoints;
 pub mod fetches;
 pub mod gate;
--- a/crates/waxwing-registrar/src/directory.rs
+++ b/crates/waxwing-registrar/src/directory.rs
@@ -6,8 +6,9 @@
     time::{Duration, Instant},
 };
 
+use prost::Message as _;
 use smol_str::SmolStr;
-use waxwing_fleet::registry;
+use waxwing_fleet::{errors, patches, registry, summaries};
 use waxwing_rollout::controller;
 use waxwing_wire::messages;
 
@@ -37,8 +38,8 @@
     departures: departures::DepartureLedger,
     /// Whether these were all that the log held at some time since the process started.
     is_complete: bool,
-    /// Notices without a change that entries have not received yet.
-    refreshes: Vec<messages::EndpointNotice>,
+    /// Notices without a change that entries have not heard of yet.
+    refreshes: Vec<summaries::NoticeDigest>,
     /// The last notice without a change of each endpoint that sent one here since the last relay.
     unrelayed: HashMap<SmolStr, registry::RegistryRecord>,
     /// When these are relayed to the other control hosts; `None` before the first one.
@@ -57,9 +58,9 @@
         }
         let effect = self.registry.observe(notice.clone(), now);
         if effect == registry::NoticeEffect::Refreshed {
-            // Otherwise entries get all notices once the departures are known.
+            // Otherwise entries get the summary once the departures are known.
             if self.is_complete {
-                self.refreshes.push(notice.clone());
+                self.refreshes.push(summaries::NoticeDigest::of(&notice));
             }
             self.next_relay.get_or_insert(now + RELAY_INTERVAL);
             let record = registry::RegistryRecord {
@@ -165,30 +166,69 @@
         with_ages(self.registry.records(), now)
     }
 
-    /// Returns what an entry is told when its link opens: the notices of all endpoints, and the
-    /// recent departures of others. It is told nothing while departures may be missing here.
+    /// Returns the digests of what this host knows, which entries compare with what they know. They
+    /// are told nothing while departures may be missing here.
     #[must_use]
-    pub fn notices_for_entry(&self, now: Instant) -> messages::EndpointNotices {
-        if !self.is_complete {
-            return messages::EndpointNotices::default();
-        }
-        let mut all = self.all_notices(now);
+    pub fn summary(&self) -> Option<messages::DirectorySummary> {
+        self.is_complete
+            .then(|| self.registry.summary().to_message())
+    }
+
+    /// Returns the recent departures of endpoints without a record here, which the summary doesn't
+    /// cover. An entry that was cut off may still use them.
+    #[must_use]
+    pub fn unlisted_departures(&self) -> messages::EndpointNotices {
         let recent = self.departures.newest(RECENT_DEPARTURES);
         let unlisted = recent.filter(|departure| self.registry.record(&departure.id).is_none());
-        all.notices
-            .extend(unlisted.map(|departure| messages::EndpointNotice {
-                id: departure.id,
-                born: departure.born,
-                phase: messages::EndpointPhase::Gone.into(),
-                ..messages::EndpointNotice::default()
-            }));
-        all
-    }
-
-    /// Returns the notices without a change that entries have not received yet.
-    pub fn take_refreshes(&mut self) -> messages::EndpointNotices {
+        let notices = unlisted.map(|departure| messages::EndpointNotice {
+            id: departure.id,
+            born: departure.born,
+            phase: messages::EndpointPhase::Gone.into(),
+            ..messages::EndpointNotice::default()
+        });
         messages::EndpointNotices {
-            notices: std::mem::take(&mut self.refreshes),
+            notices: notices.collect(),
+        }
+    }
+
+    /// Returns the notices of some groups of endpoints, with their ages at `now`, for an entry that
+    /// asks for them; nothing while departures may be missing here.
+    ///
+    /// # Errors
+    /// Fails if the notices can't be compressed.
+    pub fn notice_groups(
+        &self,
+        fetch: messages::FetchNotices,
+        now: Instant,
+    ) -> Result<Option<messages::NoticeGroups>, errors::PatchError> {
+        if !self.is_complete {
+            return Ok(None);
+        }
+        let mut is_wanted = [false; summaries::GROUPS as usize];
+        for group in &fetch.groups {
+            if let Some(is_wanted) = is_wanted.get_mut(*group as usize) {
+                *is_wanted = true;
+            }
+        }
+        let records = self.registry.records();
+        let wanted = records.filter(|record| {
+            let group = summaries::group_of(&record.notice.id) as usize;
+            is_wanted.get(group).copied().unwrap_or_default()
+        });
+        let notices = with_ages(wanted, now).encode_to_vec();
+        Ok(Some(messages::NoticeGroups {
+            groups: fetch.groups,
+            compressed: patches::create(&[], &notices)?,
+            length: notices.len() as u64,
+            digest: patches::digest(&notices),
+        }))
+    }
+
+    /// Returns the digests of the notices without a change that entries have not heard of yet.
+    pub fn take_refreshes(&mut self) -> messages::EndpointRefreshes {
+        let digests = std::mem::take(&mut self.refreshes);
+        messages::EndpointRefreshes {
+            digests: digests.into_iter().map(|digest| digest.to_bits()).collect(),
         }
     }
 
--- a/crates/waxwing-registrar/src/host.rs
+++ b/crates/waxwing-registrar/src/host.rs
@@ -211,19 +211,17 @@
     /// Sends the full state to a process whose link has just opened.
     fn send_full_state(&self, remote: network::RemoteProcess) {
         let address = remote.address;
-        let is_entry = remote.kind == messages::ProcessKind::Entry;
-        let now = self.clock.now();
-        let notices = match is_entry {
-            true => self.directory().notices_for_entry(now),
-            false => self.directory().all_notices(now),
-        };
-        self.network
-            .send(address, messages::Body::EndpointNotices(notices));
         if remote.kind == messages::ProcessKind::Control {
+            let notices = self.directory().all_notices(self.clock.now());
+            self.network
+                .send(address, messages::Body::EndpointNotices(notices));
             self.uninformed().insert(address);
             self.confirmation_wanted.notify_one();
         }
-        if is_entry {
+        if remote.kind == messages::ProcessKind::Entry {
+            for body in self.directory_messages() {
+                self.network.send(address, body);
+            }
             let announcement = self.history().announcement(false);
             self.network
                 .send(address, messages::Body::DeploymentVersion(announcement));
@@ -234,6 +232,37 @@
         }
     }
 
+    /// Returns what entries are told of the endpoints when their link opens, or when this host has
+    /// learnt all departures. They ask for the notices that they lack.
+    pub(crate) fn directory_messages(&self) -> Vec<messages::Body> {
+        let directory = self.directory();
+        let Some(summary) = directory.summary() else {
+            return Vec::new();
+        };
+        let departures = directory.unlisted_departures();
+        vec![
+            messages::Body::EndpointNotices(departures),
+            messages::Body::DirectorySummary(summary),
+        ]
+    }
+
+    /// Sends the notices that an entry asks for.
+    fn send_notices(&self, remote: network::RemoteProcess, fetch: messages::FetchNotices) {
+        let now = self.clock.now();
+        let groups = self.directory().notice_groups(fetch, now);
+        match groups {
+            Ok(Some(groups)) => {
+                let body = messages::Body::NoticeGroups(groups);
+                self.network.send(remote.address, body);
+            }
+            // The entry asks another host.
+            Ok(None) => {}
+            Err(error) => {
+                tracing::error!(event = "fetch-refused", entry = %remote.address, %error);
+            }
+        }
+    }
+
     /// Handles link events until the network shuts down.
     pub(crate) async fn serve_links(self, mut events: mpsc::Receiver<network::NetworkEvent>) {
         while let Some(event) = events.recv().await {
@@ -257,6 +286,7 @@
                 return self.directory().observe_relayed(notices, now);
             }
             messages::Body::FetchDeployment(fetch) => return self.send_chunk(remote, &fetch),
+            messages::Body::FetchNotices(fetch) => return self.send_notices(remote, fetch),
             messages::Body::RecordDepartures(request) => {
                 return self.spawn_recording(request.departures, Some(remote.address));
             }
@@ -435,8 +465,8 @@
             let mut directory = self.directory();
             (directory.take_refreshes(), directory.take_relay(now))
         };
-        if !refreshes.notices.is_empty() {
-            let body = messages::Body::EndpointNotices(refreshes);
+        if !refreshes.digests.is_empty() {
+            let body = messages::Body::EndpointRefreshes(refreshes);
             self.network.broadcast(messages::ProcessKind::Entry, &body);
         }
         if let Some(relay) = relay {
--- a/crates/waxwing-registrar/src/recording.rs
+++ b/crates/waxwing-registrar/src/recording.rs
@@ -120,23 +120,22 @@
     /// Takes committed departures. `whole` tells that the log held no others when a quorum was last
     /// asked; entries are told of the endpoints from then on.
     pub(crate) fn learn_departures(&self, departures: &[messages::EndpointDeparture], whole: bool) {
-        let (notices, completed) = {
+        let (changed, completed) = {
             let mut directory = self.directory();
             let was_complete = directory.is_complete();
             let changed = directory.learn(departures, whole);
-            let completed = !was_complete && directory.is_complete();
-            let notices = match completed {
-                true => directory.notices_for_entry(self.clock.now()),
-                false => changed,
-            };
-            (notices, completed)
+            (changed, !was_complete && directory.is_complete())
         };
         self.departures_changed.notify_waiters();
-        if completed {
+        let messages = if completed {
             tracing::info!(event = "departures-known", departures = departures.len());
-        }
-        if !notices.notices.is_empty() {
-            let body = messages::Body::EndpointNotices(notices);
+            self.directory_messages()
+        } else if changed.notices.is_empty() {
+            Vec::new()
+        } else {
+            vec![messages::Body::EndpointNotices(changed)]
+        };
+        for body in messages {
             self.network.broadcast(messages::ProcessKind::Entry, &body);
         }
     }
--- a/crates/waxwing-registrar/tests/directory.rs
+++ b/crates/waxwing-registrar/tests/directory.rs
@@ -3,13 +3,20 @@
 
 use std::time::{Duration, Instant};
 
+use prost::Message as _;
 use test_case::test_case;
-use waxwing_fleet::registry::{EndpointRegistry, NoticeEffect};
+use waxwing_fleet::{
+    patches,
+    registry::{EndpointRegistry, NoticeEffect},
+    summaries,
+};
 use waxwing_registrar::{
     departures::{DepartureLedger, MAX_DEPARTURES},
     directory::EndpointDirectory,
 };
-use waxwing_wire::messages::{EndpointDeparture, EndpointNotice, EndpointNotices, EndpointPhase};
+use waxwing_wire::messages::{
+    EndpointDeparture, EndpointNotice, EndpointNotices, EndpointPhase, FetchNotices, NoticeGroups,
+};
 
 /// Time between two notices of an endpoint.
 const NOTICE_INTERVAL: Duration = Duration::from_millis(1_200);
@@ -33,6 +40,25 @@
     }
 }
 
+/// Returns what a host tells an entry that knows nothing: the departures that the summary doesn't
+/// cover, and the notices that the entry asks for.
+fn told_to_entry(host: &EndpointDirectory, now: Instant) -> Vec<EndpointNotice> {
+    if host.summary().is_none() {
+        return Vec::new();
+    }
+    let mut told = host.unlisted_departures().notices;
+    let groups = (0..summaries::GROUPS).collect();
+    let part = host.notice_groups(FetchNotices { groups }, now).unwrap();
+    told.extend(read_notices(&part.unwrap()));
+    told
+}
+
+fn read_notices(part: &NoticeGroups) -> Vec<EndpointNotice> {
+    let length = usize::try_from(part.length).unwrap();
+    let notices = patches::apply(&[], &part.compressed, length, part.digest).unwrap();
+    EndpointNotices::decode(notices).unwrap().notices
+}
+
 /// Three control hosts whose messages to each other arrive at once.
 struct SimulatedHosts {
     now: Instant,
@@ -169,12 +195,12 @@
         host.observe(notice(START_MILLIS, 9), now),
         NoticeEffect::Changed
     );
-    assert!(host.notices_for_entry(now).notices.is_empty());
+    assert!(told_to_entry(&host, now).is_empty());
     let changed = host.learn(&[departure("leaving", START_MILLIS)], true);
     assert_eq!(changed.notices[0].phase(), EndpointPhase::Draining);
     let late = host.observe(notice(START_MILLIS, 10), now);
     assert_eq!(late, NoticeEffect::Stale);
-    let known = host.notices_for_entry(now).notices;
+    let known = told_to_entry(&host, now);
     assert_eq!(known.len(), 1);
     assert_eq!(known[0].phase(), EndpointPhase::Draining);
     // The next life of the endpoint is another one.
@@ -191,7 +217,7 @@
     host.learn(&[departure("leaving", START_MILLIS)], true);
     let mut entry = EndpointRegistry::default();
     entry.observe(notice(START_MILLIS, 1), now);
-    for told in host.notices_for_entry(now).notices {
+    for told in told_to_entry(&host, now) {
         entry.observe(told, now);
     }
     assert_eq!(
--- a/crates/waxwing-wire/src/messages.rs
+++ b/crates/waxwing-wire/src/messages.rs
@@ -22,9 +22,10 @@
 };
 pub use self::fleet::{
     AccountUse, BlockedPart, CrashEvidence, CrashUpdate, DeploymentChunk, DeploymentVersion,
-    EndpointDeparture, EndpointNotice, EndpointNotices, EndpointPhase, EndpointUse,
-    FetchDeployment, FleetHosts, JoinGroup, LimitStatement, LoadUpdate, PaceStatement,
-    RecordDepartures, RecordedDepartures, ServiceDemand,
+    DirectorySummary, EndpointDeparture, EndpointNotice, EndpointNotices, EndpointPhase,
+    EndpointRefreshes, EndpointUse, FetchDeployment, FetchNotices, FleetHosts, JoinGroup,
+    LimitStatement, LoadUpdate, NoticeGroups, PaceStatement, RecordDepartures, RecordedDepartures,
+    ServiceDemand,
 };
 pub use self::groups::{AskGroup, GroupInfo, Quorum, Redirect, Submit, Submitted, Unavailable};
 pub use self::links::{Heartbeat, Hello, Leaving, ProcessKind};
@@ -61,7 +62,7 @@
     /// The message.
     #[prost(
         oneof = "Body",
-        tags = "3,4,5,10,11,12,13,14,15,16,17,18,19,20,21,22,23,24,30,31,32,33,34,35,36,37,38,39,40,41,42,43,44,45,46,47,50,51,52,53,54,60,62,63,64,65,66,67,68,69,70,71"
+        tags = "3,4,5,10,11,12,13,14,15,16,17,18,19,20,21,22,23,24,30,31,32,33,34,35,36,37,38,39,40,41,42,43,44,45,46,47,50,51,52,53,54,60,62,63,64,65,66,67,68,69,70,71,72,73,74,75"
     )]
     pub body: Option<Body>,
 }
@@ -225,6 +226,18 @@
     /// Entry to control: what the entry has seen of them.
     #[prost(message, tag = "71")]
     RolloutReports(RolloutReports),
+    /// Control to entry: digests of the endpoints that the sender knows.
+    #[prost(message, tag = "72")]
+    DirectorySummary(DirectorySummary),
+    /// Entry to control: asks for the notices of some groups of endpoints.
+    #[prost(message, tag = "73")]
+    FetchNotices(FetchNotices),
+    /// Control to entry: these notices.
+    #[prost(message, tag = "74")]
+    NoticeGroups(NoticeGroups),
+    /// Control to entry: the endpoints that are alive and unchanged.
+    #[prost(message, tag = "75")]
+    EndpointRefreshes(EndpointRefreshes),
 }
 
 impl Body {
--- a/crates/waxwing-wire/src/messages/fleet.rs
+++ b/crates/waxwing-wire/src/messages/fleet.rs
@@ -132,6 +132,47 @@
     pub notices: Vec<EndpointNotice>,
 }
 
+/// What a control host knows of the endpoints, as digests that an entry compares with its own.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct DirectorySummary {
+    /// A digest of the notices in each group of endpoints.
+    #[prost(fixed64, repeated, tag = "1")]
+    pub digests: Vec<u64>,
+}
+
+/// Asks for the notices of some groups of endpoints.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct FetchNotices {
+    /// The groups.
+    #[prost(uint32, repeated, tag = "1")]
+    pub groups: Vec<u32>,
+}
+
+/// The notices of some groups of endpoints.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct NoticeGroups {
+    /// The groups, as they were asked for.
+    #[prost(uint32, repeated, tag = "1")]
+    pub groups: Vec<u32>,
+    /// A compressed [`EndpointNotices`] message.
+    #[prost(bytes = "bytes", tag = "2")]
+    pub compressed: bytes::Bytes,
+    /// The length of that message in bytes.
+    #[prost(uint64, tag = "3")]
+    pub length: u64,
+    /// The digest of that message.
+    #[prost(fixed64, tag = "4")]
+    pub digest: u64,
+}
+
+/// The endpoints that have sent a notice without a change.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct EndpointRefreshes {
+    /// The digests of what these notices say.
+    #[prost(fixed64, repeated, tag = "1")]
+    pub digests: Vec<u64>,
+}
+
 /// The departure of an endpoint: it drains or has deregistered.
 #[derive(Clone, PartialEq, Eq, Hash, Message)]
 pub struct EndpointDeparture {
@@ -265,7 +306,8 @@
 /// changes after it.
 #[derive(Clone, PartialEq, Eq, Message)]
 pub struct LoadUpdate {
-    /// Endpoints whose use changed since the last load update; all of them in a snapshot.
+    /// Endpoints whose use changed since the last load update; in a snapshot, all that the sender
+    /// uses or has something to tell of.
     #[prost(message, repeated, tag = "1")]
     pub endpoints: Vec<EndpointUse>,
     /// Accounts whose use changed since the last load update; all of them in a snapshot.
--- a/crates/waxwing-wire/tests/frames.rs
+++ b/crates/waxwing-wire/tests/frames.rs
@@ -91,3 +91,14 @@
     let error = framing::encode(0, body).expect_err("too long");
     assert!(matches!(error, errors::FrameError::TooLong { .. }));
 }
+
+/// Guards against a message kind that is not in the envelope's list: its receiver closes the link.
+#[test_case(messages::Body::DirectorySummary(messages::DirectorySummary { digests: vec![1] }); "summary")]
+#[test_case(messages::Body::FetchNotices(messages::FetchNotices { groups: vec![3] }); "fetch")]
+#[test_case(messages::Body::NoticeGroups(messages::NoticeGroups::default()); "groups")]
+#[test_case(messages::Body::EndpointRefreshes(messages::EndpointRefreshes { digests: vec![9] }); "refreshes")]
+fn messages_on_the_directory_are_read_back(body: messages::Body) {
+    let frame = framing::encode(0, body.clone()).expect("encode");
+    let envelope = framing::decode(BytesMut::from(&frame[..])).expect("decode");
+    assert_eq!(envelope.body, Some(body));
+}
