Dial hosts with short time-outs at first, that become longer

Cause (trace): an entry started at 35.689 s; its first attempts met control hosts that were not back yet and dropped all packets. They timed out after 800 ms, so the first link opened at 36.649 s, 0.3 s after the leader was elected. Elections waited for links between control hosts too.

Change: time-outs of 200, 400 and 800 ms and pauses from 40 to 150 ms, doubled with each failure. A process that stays down is dialled as rarely as before.

--- a/crates/waxwing-fleet/src/lib.rs
+++ b/crates/waxwing-fleet/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod checks;
 pub mod deployments;
 pub mod dialects;
+pub mod dials;
 pub mod errors;
 pub mod network;
 pub mod patches;
--- a/crates/waxwing-fleet/src/network.rs
+++ b/crates/waxwing-fleet/src/network.rs
@@ -16,10 +16,7 @@
 use waxwing_core::{clock::Clock, counters};
 use waxwing_wire::{links, messages, security};
 
-use crate::errors;
-
-/// Minimum pause before a process is redialled; a random jitter of up to the same length is added.
-const REDIAL_PAUSE: Duration = Duration::from_millis(150);
+use crate::{dials, errors};
 
 /// Pause after a failed accept, which most often means that file descriptors are exhausted.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
@@ -70,7 +67,7 @@
         let links = links::LinkOptions {
             heartbeat_interval: Duration::from_millis(300),
             idle_timeout: Duration::from_millis(1_200),
-            connect_timeout: Duration::from_millis(800),
+            connect_timeout: dials::MAX_CONNECT_TIMEOUT,
             ..links::LinkOptions::default()
         };
         Self {
@@ -233,11 +230,16 @@
     }
 
     async fn dial(self, address: SocketAddr, stop: CancellationToken) {
+        let mut pacing = dials::DialPacing::default();
         loop {
+            let options = links::LinkOptions {
+                connect_timeout: pacing.connect_timeout(),
+                ..self.options.links.clone()
+            };
             let opening = links::connect(
                 address,
                 self.options.hello(),
-                self.options.links.clone(),
+                options,
                 security::LinkSecurity::Plain,
                 self.clock.clone(),
             );
@@ -247,6 +249,7 @@
             };
             match opened {
                 Ok(link) => {
+                    pacing.record_success();
                     let sender = link.sender.clone();
                     tokio::select! {
                         () = stop.cancelled() => {
@@ -256,10 +259,13 @@
                         () = self.serve_link(link, Some(address)) => {}
                     }
                 }
-                Err(error) => tracing::debug!(%address, %error, "cannot open a link"),
+                Err(error) => {
+                    pacing.record_failure();
+                    tracing::debug!(%address, %error, "cannot open a link");
+                }
             }
-            let pause = REDIAL_PAUSE + REDIAL_PAUSE.mul_f64(rand::random::<f64>());
-            self.clock.sleep(pause).await;
+            let jitter = pacing.pause().mul_f64(rand::random::<f64>());
+            self.clock.sleep(pacing.pause() + jitter).await;
         }
     }
 
