Hold unread events of all streams in one budget, and cut callers who read nothing

What callers saw: 2,000 callers who don't read their streams took 668 MB of an entry whose setting allows 110 MB, which its host ends, and with it the requests of all others; 4 calls of others were answered in 3 s, the slowest after 1.5 s.

Cause: each stream had a queue of 64 KB of its own, its connections read buffers of up to 64 KB, and small chunks kept the allocations alive from which they were split. The slot of such a run stayed taken until its caller's deadline. An endpoint that cuts off an unread answer was counted as failed, and a resumable stream was sent to another one (by reading).

Change: one budget for unread events, an eighth of the memory, which streams share by what is free; bytes count until they are written. Chunks are copied to their size, and connections to endpoints read 8 KB at a time.

--- a/crates/waxwing-conduit/src/answers.rs
+++ b/crates/waxwing-conduit/src/answers.rs
@@ -11,18 +11,10 @@
     Response, StatusCode, body,
     http::{HeaderValue, header},
 };
-use tokio::sync::{self, mpsc};
+use tokio::sync::mpsc;
 use waxwing_fleet::dialects;
 
-use crate::errors;
-
-/// A chunk of a stream that waits until its caller reads. It holds its part of the bytes that may
-/// wait.
-#[derive(Debug)]
-pub(crate) struct QueuedChunk {
-    pub(crate) bytes: Bytes,
-    pub(crate) _permit: sync::OwnedSemaphorePermit,
-}
+use crate::{errors, unread};
 
 /// Body of an answer to a caller.
 #[derive(Debug)]
@@ -30,7 +22,7 @@
     /// The complete body; `None` once it was sent.
     Whole(Option<Bytes>),
     /// A body that is streamed in chunks; an error aborts it.
-    Chunks(mpsc::Receiver<Result<QueuedChunk, errors::RelayError>>),
+    Chunks(mpsc::Receiver<Result<unread::HeldEvents, errors::RelayError>>),
 }
 
 impl AnswerBody {
@@ -54,8 +46,9 @@
             }
             Self::Chunks(chunks) => {
                 let chunk = chunks.poll_recv(context);
+                // The bytes count as unread until they are written to the caller's connection.
                 chunk.map(|chunk| {
-                    chunk.map(|chunk| chunk.map(|chunk| body::Frame::data(chunk.bytes)))
+                    chunk.map(|events| events.map(|events| body::Frame::data(events.into_bytes())))
                 })
             }
         }
--- a/crates/waxwing-conduit/src/events.rs
+++ b/crates/waxwing-conduit/src/events.rs
@@ -27,21 +27,22 @@
     /// the caller already has, for example after a resumption, are left out.
     pub fn push(&mut self, bytes: &[u8]) -> Bytes {
         self.pending.extend_from_slice(bytes);
-        let mut kept = BytesMut::new();
-        while let Some(end) = event_end(&self.pending) {
-            let event = self.pending.split_to(end);
-            match event_id(&event) {
+        let mut kept = Vec::new();
+        let mut complete = 0;
+        while let Some(end) = event_end(&self.pending[complete..]) {
+            let event = &self.pending[complete..complete + end];
+            complete += end;
+            match event_id(event) {
                 Some(id) if self.last_id.is_some_and(|last| id <= last) => continue,
                 Some(id) => self.last_id = Some(id),
                 None => {}
             }
-            if kept.is_empty() {
-                kept = event;
-            } else {
-                kept.extend_from_slice(&event);
-            }
+            kept.extend_from_slice(event);
         }
-        kept.freeze()
+        // Both may be held for long until the caller reads, so they take no more than their size.
+        self.pending = BytesMut::from(&self.pending[complete..]);
+        kept.shrink_to_fit();
+        kept.into()
     }
 
     /// Discards a truncated event.
--- a/crates/waxwing-conduit/src/lib.rs
+++ b/crates/waxwing-conduit/src/lib.rs
@@ -21,4 +21,5 @@
 mod statements;
 pub mod stopping;
 mod suspects;
+pub mod unread;
 mod upstream;
--- a/crates/waxwing-conduit/src/options.rs
+++ b/crates/waxwing-conduit/src/options.rs
@@ -7,10 +7,15 @@
 use waxwing_process::bodies;
 use waxwing_settings::view;
 
+use crate::unread;
+
 /// Share of the memory that the bodies of one direction may take. A body needs half of its size once
 /// more while its buffer grows.
 const BODY_MEMORY_SHARE: f64 = 0.125;
 
+/// Share of the memory that events of streams may take which their callers have not read yet.
+const UNREAD_MEMORY_SHARE: f64 = 0.125;
+
 /// Settings of an entry, read at the start of the process.
 #[derive(Debug, Clone, serde::Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -87,6 +92,18 @@
         bodies::MemoryBudget::of_memory(self.memory_megabytes, BODY_MEMORY_SHARE)
     }
 
+    /// Returns the budget for events of streams that callers have not read yet.
+    #[must_use]
+    #[expect(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        reason = "a negative or huge size is meaningless, so clamping loses nothing"
+    )]
+    pub fn unread_budget(&self) -> unread::UnreadBudget {
+        let megabytes = self.memory_megabytes.max(0.0) * UNREAD_MEMORY_SHARE;
+        unread::UnreadBudget::new((megabytes * 1024.0 * 1024.0) as usize)
+    }
+
     /// Returns the time from the stop signal until the process is killed; zero if the setting is
     /// invalid.
     #[must_use]
--- a/crates/waxwing-conduit/src/relay.rs
+++ b/crates/waxwing-conduit/src/relay.rs
@@ -5,17 +5,19 @@
 
 use http_body_util::BodyExt as _;
 use hyper::{Response, body};
-use tokio::sync::{self, mpsc};
+use tokio::sync::mpsc;
 use waxwing_core::clock::Clock;
 use waxwing_fleet::{deployments, dialects};
 
-use crate::{answers, errors, events, forwarding, intake, state, suspects, upstream};
+use crate::{answers, errors, events, forwarding, intake, state, suspects, unread, upstream};
 
 /// Number of chunks that are buffered for a slow caller; the events of a stream are small.
 const CHUNK_QUEUE_LENGTH: usize = 32;
 
-/// Bytes that are buffered for a slow caller, unless a single chunk is longer.
-const CHUNK_QUEUE_BYTES: u32 = 64 * 1024;
+/// Time for which a caller may read nothing while its events have no room, before its stream is cut.
+/// Endpoints cut off an answer that remains unread for some seconds, which must not count as their
+/// failure, nor make the stream go on elsewhere.
+const UNREAD_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// Shortest time without data after which a stream is resumed at another endpoint.
 const MIN_STALL_TIMEOUT: Duration = Duration::from_millis(1_200);
@@ -23,7 +25,7 @@
 /// Stall timeout of a stream in units of the route's longest allowed pause between two events.
 const STALL_TIMEOUT_PAUSES: u32 = 3;
 
-type ChunkSender = mpsc::Sender<Result<answers::QueuedChunk, errors::RelayError>>;
+type ChunkSender = mpsc::Sender<Result<unread::HeldEvents, errors::RelayError>>;
 
 /// The endpoint's answer that is being relayed, with its connection and slot.
 struct StreamSource<C: Clock, D> {
@@ -71,8 +73,8 @@
 enum Delivery {
     Sent,
     Disconnected,
-    /// The caller read nothing until the deadline.
-    TimedOut,
+    /// The caller read nothing for too long, or until its deadline.
+    Unread,
 }
 
 /// Relays one stream to its caller.
@@ -81,8 +83,8 @@
     request: Arc<intake::AcceptedRequest>,
     history: intake::AttemptHistory,
     chunks: ChunkSender,
-    /// The bytes that may still be buffered for the caller.
-    queue_room: Arc<sync::Semaphore>,
+    /// Room for events that the caller has not read yet.
+    room: unread::StreamRoom,
     splitter: events::EventSplitter,
     /// When the last events arrived, and the longest time between two arrivals.
     last_arrival: Option<std::time::Instant>,
@@ -101,13 +103,14 @@
     let (head, source) = StreamSource::split(usable, state.clock.now());
     let splitter = events::EventSplitter::starting_after(request.facts.last_event);
     let active = state.count_active();
+    let room = state.unread_memory.stream_room();
     let relay = StreamRelay {
         _active: active,
         state,
         request,
         history,
         chunks,
-        queue_room: Arc::new(sync::Semaphore::new(CHUNK_QUEUE_BYTES as usize)),
+        room,
         splitter,
         last_arrival: None,
         longest_pause: Duration::ZERO,
@@ -146,7 +149,7 @@
                     match self.deliver(complete).await {
                         Delivery::Sent => source.progress = self.state.clock.now(),
                         Delivery::Disconnected => return self.log_disconnect(&source),
-                        Delivery::TimedOut => {
+                        Delivery::Unread => {
                             drop(source);
                             return self.abort(errors::RelayError::Deadline, "unread").await;
                         }
@@ -213,29 +216,20 @@
     }
 
     /// Passes events on to the caller. A caller that doesn't read must not hold the slot of its run
-    /// beyond its deadline.
+    /// for long.
     async fn deliver(&self, events: bytes::Bytes) -> Delivery {
         let remaining = intake::remaining_time(&self.state, &self.request);
         tokio::select! {
-            delivery = self.queue_chunk(events) => delivery,
+            delivery = self.queue_events(events) => delivery,
             () = self.chunks.closed() => Delivery::Disconnected,
-            () = self.state.clock.sleep(remaining) => Delivery::TimedOut,
+            () = self.state.clock.sleep(remaining.min(UNREAD_TIMEOUT)) => Delivery::Unread,
         }
     }
 
     /// Queues events for the caller once there is room for them.
-    async fn queue_chunk(&self, events: bytes::Bytes) -> Delivery {
-        let length = u32::try_from(events.len()).unwrap_or(u32::MAX);
-        let length = length.min(CHUNK_QUEUE_BYTES);
-        let room = self.queue_room.clone().acquire_many_owned(length).await;
-        let Ok(permit) = room else {
-            return Delivery::Disconnected;
-        };
-        let chunk = answers::QueuedChunk {
-            bytes: events,
-            _permit: permit,
-        };
-        match self.chunks.send(Ok(chunk)).await {
+    async fn queue_events(&self, events: bytes::Bytes) -> Delivery {
+        let held = self.room.hold(events).await;
+        match self.chunks.send(Ok(held)).await {
             Ok(()) => Delivery::Sent,
             Err(_) => Delivery::Disconnected,
         }
--- a/crates/waxwing-conduit/src/state.rs
+++ b/crates/waxwing-conduit/src/state.rs
@@ -17,7 +17,7 @@
 use waxwing_gate::{gate, rollouts, tickets};
 use waxwing_process::bodies;
 
-use crate::{metrics, options, starting, statements, stopping, upstream};
+use crate::{metrics, options, starting, statements, stopping, unread, upstream};
 
 /// State of one entry process.
 pub(crate) struct EntryState<C, D> {
@@ -30,6 +30,8 @@
     pub(crate) request_memory: bodies::MemoryBudget,
     /// Memory of the answers that are read whole.
     pub(crate) answer_memory: bodies::MemoryBudget,
+    /// Memory of events of streams that callers have not read yet.
+    pub(crate) unread_memory: unread::UnreadBudget,
     pub(crate) metrics: metrics::EntryMetrics,
     gate: Mutex<GateState>,
     /// Wakes the task that sends load updates to the other entries.
@@ -130,6 +132,7 @@
         Self {
             request_memory: options.body_budget(),
             answer_memory: options.body_budget(),
+            unread_memory: options.unread_budget(),
             options,
             clock,
             dialect,
--- a/crates/waxwing-conduit/src/upstream.rs
+++ b/crates/waxwing-conduit/src/upstream.rs
@@ -14,7 +14,6 @@
 use smol_str::SmolStr;
 use tokio::net;
 use waxwing_core::clock::Clock;
-use waxwing_process::bodies;
 
 use crate::{errors, sockets};
 
@@ -34,6 +33,10 @@
 /// request can't be sent again if it meets a connection that the endpoint is just closing.
 const NON_IDEMPOTENT_IDLE_TIMEOUT: Duration = Duration::from_millis(1_500);
 
+/// Size of the read buffer of a connection, and with it the limit on the head of an answer. While a
+/// caller doesn't read, its stream holds this twice.
+const READ_BUFFER_BYTES: usize = 8 * 1024;
+
 type RequestSender = http1::SendRequest<Full<Bytes>>;
 
 /// A connection that is ready for its next request.
@@ -171,7 +174,7 @@
         let stream = connected.map_err(|_| errors::SendError::NotSent("connection refused"))?;
         sockets::prepare(&stream);
         let established = http1::Builder::new()
-            .max_buf_size(bodies::MAX_HEAD_BYTES)
+            .read_buf_exact_size(Some(READ_BUFFER_BYTES))
             .handshake(TokioIo::new(stream))
             .await;
         let (sender, connection) =
