Tell the other control hosts which endpoints are alive

What callers would see: an entry that starts asks one control host for the notices of all endpoints. Each endpoint sends its notices to one host, and the others had last heard of it with the relay, up to 20 s before, so the entry took most endpoints for silent until their next notice, 1.2 s later.

Change: the digests of notices without a change go to the other control hosts as well as to entries, every 300 ms.

Evidence: any_host_tells_which_endpoints_are_alive; the method that it needs is new.

--- a/crates/waxwing-registrar/src/directory.rs
+++ b/crates/waxwing-registrar/src/directory.rs
@@ -38,7 +38,7 @@
     departures: departures::DepartureLedger,
     /// Whether these were all that the log held at some time since the process started.
     is_complete: bool,
-    /// Notices without a change that entries have not heard of yet.
+    /// Notices without a change that entries and the other control hosts have not heard of yet.
     refreshes: Vec<summaries::NoticeDigest>,
     /// The last notice without a change of each endpoint that sent one here since the last relay.
     unrelayed: HashMap<SmolStr, registry::RegistryRecord>,
@@ -129,6 +129,16 @@
         }
     }
 
+    /// Takes the digests of notices without a change that another control host received. An entry may
+    /// ask any host which endpoints are alive.
+    pub fn observe_refreshes(&mut self, refreshes: &messages::EndpointRefreshes, now: Instant) {
+        for digest in &refreshes.digests {
+            // A host that lacks a notice gets it with the next relay.
+            let digest = summaries::NoticeDigest::from_bits(*digest);
+            let _ = self.registry.refresh(digest, now);
+        }
+    }
+
     /// Builds the notice that deregisters an endpoint. `stated_born` is the start time in the call,
     /// and `wall_millis` the wall-clock time, both in Unix milliseconds.
     #[must_use]
@@ -224,7 +234,8 @@
         }))
     }
 
-    /// Returns the digests of the notices without a change that entries have not heard of yet.
+    /// Returns the digests of the notices without a change that entries and the other control hosts
+    /// have not heard of yet.
     pub fn take_refreshes(&mut self) -> messages::EndpointRefreshes {
         let digests = std::mem::take(&mut self.refreshes);
         messages::EndpointRefreshes {
--- a/crates/waxwing-registrar/src/host.rs
+++ b/crates/waxwing-registrar/src/host.rs
@@ -17,8 +17,8 @@
 
 use crate::{departures, directory, errors, handles, history, metrics, options, rollouts};
 
-/// Time for which notices without a change are batched before they are sent to entries, which need
-/// them only to know that the endpoint is alive.
+/// Time for which notices without a change are batched before others are told of them, who need them
+/// only to know that the endpoint is alive.
 const REFRESH_INTERVAL: Duration = Duration::from_millis(300);
 
 /// Time between two checks for expired endpoints and changes of the linked processes.
@@ -285,6 +285,10 @@
                 let now = self.clock.now();
                 return self.directory().observe_relayed(notices, now);
             }
+            messages::Body::EndpointRefreshes(refreshes) => {
+                let now = self.clock.now();
+                return self.directory().observe_refreshes(&refreshes, now);
+            }
             messages::Body::FetchDeployment(fetch) => return self.send_chunk(remote, &fetch),
             messages::Body::FetchNotices(fetch) => return self.send_notices(remote, fetch),
             messages::Body::RecordDepartures(request) => {
@@ -468,6 +472,8 @@
         if !refreshes.digests.is_empty() {
             let body = messages::Body::EndpointRefreshes(refreshes);
             self.network.broadcast(messages::ProcessKind::Entry, &body);
+            self.network
+                .broadcast(messages::ProcessKind::Control, &body);
         }
         if let Some(relay) = relay {
             let body = messages::Body::EndpointNotices(relay);
--- a/crates/waxwing-registrar/tests/large_directory.rs
+++ b/crates/waxwing-registrar/tests/large_directory.rs
@@ -27,6 +27,9 @@
 /// Bytes a second of the slowest entry's link: 10 Mbit/s.
 const LINK_RATE: usize = 10_000_000 / 8;
 
+/// Time between two notices of an endpoint.
+const NOTICE_INTERVAL: Duration = Duration::from_millis(1_200);
+
 /// Time after which both ends of a silent link close it.
 const LINK_TIMEOUT: Duration = Duration::from_millis(1_200);
 
@@ -200,7 +203,7 @@
     let mut fetched = now;
     entry.link(0, &hosts[0]);
     entry.fetch(&hosts, &mut fetched);
-    let later = now + Duration::from_millis(1_200);
+    let later = now + NOTICE_INTERVAL;
     let mut told = HashSet::new();
     for (index, host) in hosts.iter_mut().enumerate() {
         let own = (0..ENDPOINTS).filter(|number| number % usize::from(HOSTS) == index);
@@ -219,6 +222,40 @@
     assert!(records.all(|record| record.received_at == later));
 }
 
+/// Guards against an entry that has just started and takes most endpoints for silent: each sends its
+/// notices to one control host, and the entry asked another one, which had last heard of them with
+/// the relay, up to 20 s before.
+#[test]
+fn any_host_tells_which_endpoints_are_alive() {
+    let mut now = Instant::now();
+    let mut hosts = hosts(now);
+    for sequence in 6..12 {
+        now += NOTICE_INTERVAL;
+        let told: Vec<_> = hosts
+            .iter_mut()
+            .enumerate()
+            .map(|(index, host)| {
+                for number in (index..ENDPOINTS).step_by(usize::from(HOSTS)) {
+                    host.observe(notice(number, sequence), now);
+                }
+                host.take_refreshes()
+            })
+            .collect();
+        for (index, host) in hosts.iter_mut().enumerate() {
+            let others = told.iter().enumerate().filter(|(other, _)| *other != index);
+            for (_, refreshes) in others {
+                host.observe_refreshes(refreshes, now);
+            }
+        }
+    }
+    let mut entry = SimulatedEntry::new();
+    entry.link(3, &hosts[3]);
+    entry.fetch(&hosts, &mut now);
+    let mut records = entry.registry.records();
+    assert!(records.all(|record| now - record.received_at <= NOTICE_INTERVAL));
+    assert_eq!(entry.registry.records().count(), ENDPOINTS);
+}
+
 /// Guards against an entry that stays behind after a message was lost: the next notice without a
 /// change is unknown to it, and it asks for the group of the endpoint, once in a while at most.
 #[test]
@@ -234,7 +271,7 @@
     };
     hosts[0].observe(moved(6), now);
     hosts[0].take_refreshes();
-    now += Duration::from_millis(1_200);
+    now += NOTICE_INTERVAL;
     hosts[0].observe(moved(7), now);
     let refreshes = hosts[0].take_refreshes();
     let digest = NoticeDigest::from_bits(refreshes.digests[0]);
--- a/crates/waxwing-wire/src/messages.rs
+++ b/crates/waxwing-wire/src/messages.rs
@@ -235,7 +235,7 @@
     /// Control to entry: these notices.
     #[prost(message, tag = "74")]
     NoticeGroups(NoticeGroups),
-    /// Control to entry: the endpoints that are alive and unchanged.
+    /// Control to entry and to control: the endpoints that are alive and unchanged.
     #[prost(message, tag = "75")]
     EndpointRefreshes(EndpointRefreshes),
 }
