Let new control hosts find a leader that their settings don't name

No metric said that a voter was missing.

Cause: a host that knows no group asks the control hosts that it is linked to for membership, and those are the ones in its settings. Only the leader heeds the request, and nobody told the new host who leads. With five hosts, the leader is often not among the three in the settings.

Evidence: with three hosts and settings that name one follower, the log shows links between the new host and the follower only, and no member-change in 60 s.

Change: control hosts tell each other which control hosts they know by the log or by a link, as they tell entries, and dial those. The reports of several hosts are combined (HostTable); a host is dialled for 60 s after the last report of it or link to it. The leader counts and logs silent voters, and a host logs that it asks to join.

--- a/crates/waxwing-core/src/events.rs
+++ b/crates/waxwing-core/src/events.rs
@@ -31,7 +31,7 @@
 }
 
 /// All events of the decision log, those of requests first.
-pub const LOG_EVENTS: [LogEvent; 74] = [
+pub const LOG_EVENTS: [LogEvent; 76] = [
     log_event(
         "request-started",
         "the gate gave the request a slot and the entry sent it",
@@ -280,6 +280,14 @@
         "a change of the membership is not possible yet",
     ),
     log_event("join-refused", "a request to join was malformed"),
+    log_event(
+        "join-requested",
+        "the host knows no leader and asks the control hosts that it is linked to for membership",
+    ),
+    log_event(
+        "voters-silent",
+        "the number of voters that the leader doesn't hear changed",
+    ),
     log_event("process-started", "the process read its settings"),
     log_event("process-ended", "the process ends as it was told to"),
     log_event("settings-reload", "SIGHUP came"),
--- a/crates/waxwing-fleet/src/lib.rs
+++ b/crates/waxwing-fleet/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod dialects;
 pub mod dials;
 pub mod errors;
+pub mod hosts;
 pub mod network;
 pub mod patches;
 pub mod registry;
--- a/crates/waxwing-registrar/src/group.rs
+++ b/crates/waxwing-registrar/src/group.rs
@@ -26,6 +26,9 @@
 /// was suspended, which the steady clock doesn't count, or its wall clock was set.
 const CLOCK_GAP: Duration = Duration::from_millis(250);
 
+/// Time between two log lines on requests to join, which are sent several times a second.
+const JOIN_LOG_INTERVAL: Duration = Duration::from_secs(1);
+
 /// The longest wait at shutdown for a successor to take over leadership; enough for one election.
 const TRANSFER_TIMEOUT: Duration = Duration::from_millis(1_000);
 
@@ -45,6 +48,8 @@
     next_tick: Instant,
     /// The steady and the wall clock at the last tick.
     last_clocks: (Instant, SystemTime),
+    /// When a request to join may be logged next.
+    next_join_log: Instant,
 }
 
 impl<'a, C: Clock> GroupTask<'a, C> {
@@ -94,6 +99,7 @@
             tick_interval,
             next_tick: now,
             last_clocks: (now, clock.wall()),
+            next_join_log: now,
             clock,
         })
     }
@@ -127,7 +133,7 @@
         self.next_tick = now + self.tick_interval;
         let elapsed = self.elapsed();
         if self.replica.tick(elapsed) {
-            self.request_to_join();
+            self.request_to_join(now);
         }
         self.publish_view();
     }
@@ -153,8 +159,13 @@
         }
     }
 
-    fn request_to_join(&self) {
+    fn request_to_join(&mut self, now: Instant) {
         let identity = self.replica.node().identity();
+        if now >= self.next_join_log {
+            self.next_join_log = now + JOIN_LOG_INTERVAL;
+            let linked = self.network.linked_addresses(wire::ProcessKind::Control);
+            tracing::info!(event = "join-requested", %identity, linked = linked.len());
+        }
         let join = wire::JoinGroup {
             member: identity.member.0,
             store: Bytes::copy_from_slice(&identity.store.to_bytes()),
@@ -226,6 +237,7 @@
             leads: self.replica.leads(),
             votes: node.members().is_voter(node.identity()),
             voters: node.members().voters().count(),
+            silent_voters: self.replica.silent_voters(),
             leader: node
                 .status()
                 .leader
--- a/crates/waxwing-registrar/src/handles.rs
+++ b/crates/waxwing-registrar/src/handles.rs
@@ -49,6 +49,8 @@
     pub(crate) votes: bool,
     /// The number of voters.
     pub(crate) voters: usize,
+    /// The voters that this host, as the leader, has not heard for some time.
+    pub(crate) silent_voters: usize,
     /// The address at which the leader accepts links.
     pub(crate) leader: Option<SocketAddr>,
     /// The addresses at which the members, voters and learners, accept links.
@@ -152,6 +154,7 @@
     while channels.requests.try_recv().is_ok() {}
     channels.view.send_modify(|view| {
         view.leads = false;
+        view.silent_voters = 0;
         view.leader = None;
     });
 }
--- a/crates/waxwing-registrar/src/host.rs
+++ b/crates/waxwing-registrar/src/host.rs
@@ -11,7 +11,7 @@
 use tokio::sync::{Notify, mpsc, watch};
 use tokio_util::sync::CancellationToken;
 use waxwing_core::clock::Clock;
-use waxwing_fleet::{network, registry};
+use waxwing_fleet::{hosts, network, registry};
 use waxwing_process::bodies;
 use waxwing_wire::messages;
 
@@ -45,6 +45,8 @@
     uninformed: Arc<Mutex<HashSet<SocketAddr>>>,
     /// Departures that were not acknowledged in time and are still tried.
     late_departures: Arc<Mutex<HashSet<messages::EndpointDeparture>>>,
+    /// Control hosts that other ones report. A new host finds the leader by them.
+    reported_hosts: Arc<Mutex<hosts::HostTable>>,
     history: Arc<Mutex<history::DeploymentHistory>>,
     /// Wakes the task that confirms the newest deployment, since an entry waits for it.
     confirmation_wanted: Arc<Notify>,
@@ -73,6 +75,7 @@
             departures_changed: Arc::default(),
             uninformed: Arc::default(),
             late_departures: Arc::default(),
+            reported_hosts: Arc::default(),
             history: Arc::default(),
             confirmation_wanted: Arc::default(),
             seeds,
@@ -103,6 +106,12 @@
             .expect("no thread panics while it holds the lock of the hosts")
     }
 
+    fn reported_hosts(&self) -> MutexGuard<'_, hosts::HostTable> {
+        self.reported_hosts
+            .lock()
+            .expect("no thread panics while it holds the lock of the reported hosts")
+    }
+
     /// Handles the deregistration of an endpoint; `stated_born` is the start time in the call, in
     /// Unix milliseconds.
     ///
@@ -188,7 +197,9 @@
         }
     }
 
-    fn fleet_hosts(&self) -> messages::FleetHosts {
+    /// Returns the control hosts that this one knows by the log or by a link. Hosts that others only
+    /// report are left out, so that hosts don't keep each other's reports of a lost one alive.
+    fn control_hosts(&self) -> messages::FleetHosts {
         let members = self.group.view.borrow().members.clone();
         let mut control: HashSet<_> = members.into_iter().collect();
         control.extend(
@@ -196,15 +207,36 @@
                 .linked_addresses(messages::ProcessKind::Control),
         );
         control.insert(self.options.link_address);
+        messages::FleetHosts {
+            control: sorted_texts(&control),
+            entries: Vec::new(),
+        }
+    }
+
+    fn fleet_hosts(&self) -> messages::FleetHosts {
         let entries = self.network.linked_addresses(messages::ProcessKind::Entry);
-        let sorted_texts = |addresses: HashSet<SocketAddr>| {
-            let mut sorted_texts: Vec<_> = addresses.iter().map(ToString::to_string).collect();
-            sorted_texts.sort_unstable();
-            sorted_texts
-        };
         messages::FleetHosts {
-            control: sorted_texts(control),
-            entries: sorted_texts(entries),
+            entries: sorted_texts(&entries),
+            ..self.control_hosts()
+        }
+    }
+
+    /// Takes the control hosts that another one knows, and dials those that are new here.
+    fn learn_hosts(&self, reporter: SocketAddr, reported: &messages::FleetHosts) {
+        let addresses = reported.control.iter();
+        let addresses = addresses.filter_map(|text| text.parse().ok());
+        let now = self.clock.now();
+        self.reported_hosts()
+            .record(now, reporter, addresses.collect());
+        self.update_links(now);
+    }
+
+    /// Drops what a control host reported once it has no link left.
+    fn handle_closed(&self, remote: network::RemoteProcess) {
+        let linked = self.network.linked_addresses(remote.kind);
+        if remote.kind == messages::ProcessKind::Control && !linked.contains(&remote.address) {
+            self.reported_hosts()
+                .end_report(self.clock.now(), remote.address);
         }
     }
 
@@ -215,6 +247,8 @@
             let notices = self.directory().all_notices(self.clock.now());
             self.network
                 .send(address, messages::Body::EndpointNotices(notices));
+            let hosts = messages::Body::FleetHosts(self.control_hosts());
+            self.network.send(address, hosts);
             self.uninformed().insert(address);
             self.confirmation_wanted.notify_one();
         }
@@ -268,7 +302,7 @@
         while let Some(event) = events.recv().await {
             match event {
                 network::NetworkEvent::Opened(remote) => self.send_full_state(remote),
-                network::NetworkEvent::Closed(_) => {}
+                network::NetworkEvent::Closed(remote) => self.handle_closed(remote),
                 network::NetworkEvent::Received(remote, body) => self.handle_message(remote, *body),
             }
         }
@@ -281,6 +315,7 @@
                 payload: quorum.payload,
             },
             messages::Body::JoinGroup(join) => handles::GroupRequest::Join(join),
+            messages::Body::FleetHosts(hosts) => return self.learn_hosts(remote.address, &hosts),
             messages::Body::EndpointNotices(notices) => {
                 let now = self.clock.now();
                 return self.directory().observe_relayed(notices, now);
@@ -437,8 +472,8 @@
         }
     }
 
-    /// Periodically sends entries the endpoints that are alive and the addresses of the other
-    /// processes, and updates the links to the other control hosts.
+    /// Periodically sends entries the endpoints that are alive, tells processes the addresses of the
+    /// others, and updates the links to the other control hosts.
     pub(crate) async fn run_updates(self, shutdown: CancellationToken) {
         let mut hosts = messages::FleetHosts::default();
         let mut next_hosts = self.clock.now();
@@ -447,8 +482,13 @@
             if now >= next_hosts {
                 next_hosts = now + HOSTS_CHECK_INTERVAL;
                 self.directory().expire(now);
-                self.update_links();
+                self.update_links(now);
                 let current_hosts = self.fleet_hosts();
+                if current_hosts.control != hosts.control {
+                    let body = messages::Body::FleetHosts(self.control_hosts());
+                    self.network
+                        .broadcast(messages::ProcessKind::Control, &body);
+                }
                 if current_hosts != hosts {
                     hosts.clone_from(&current_hosts);
                     let body = messages::Body::FleetHosts(current_hosts);
@@ -482,7 +522,8 @@
         }
     }
 
-    fn update_links(&self) {
+    /// Dials the members of the log, the seeds, and the control hosts that are linked or reported.
+    fn update_links(&self, now: Instant) {
         let mut wanted: HashSet<_> = self.group.view.borrow().members.iter().copied().collect();
         let seeds = self.seeds.borrow().clone();
         wanted.extend(
@@ -490,10 +531,17 @@
                 .into_iter()
                 .map(|seed| self.options.link_address_of(seed)),
         );
-        wanted.extend(
-            self.network
-                .linked_addresses(messages::ProcessKind::Control),
-        );
+        let linked = self
+            .network
+            .linked_addresses(messages::ProcessKind::Control);
+        wanted.extend(self.reported_hosts().targets(now, &linked));
+        wanted.extend(linked);
         self.network.set_dial_targets(&wanted);
     }
 }
+
+fn sorted_texts(addresses: &HashSet<SocketAddr>) -> Vec<String> {
+    let mut sorted_texts: Vec<_> = addresses.iter().map(ToString::to_string).collect();
+    sorted_texts.sort_unstable();
+    sorted_texts
+}
--- a/crates/waxwing-registrar/src/metrics.rs
+++ b/crates/waxwing-registrar/src/metrics.rs
@@ -17,6 +17,7 @@
     leads: IntGauge,
     votes: IntGauge,
     voters: IntGauge,
+    silent_voters: IntGauge,
 }
 
 impl RegistrarMetrics {
@@ -57,6 +58,10 @@
                 "waxwing_registrar_voters",
                 "Hosts that vote in the replicated log.",
             )?,
+            silent_voters: gauge(
+                "waxwing_registrar_silent_voters",
+                "Voters that this host doesn't hear while it leads the replicated log.",
+            )?,
             leads: gauge(
                 "waxwing_registrar_leads",
                 "Whether this host leads the replicated log.",
@@ -85,5 +90,7 @@
         self.votes.set(i64::from(view.votes));
         self.voters
             .set(i64::try_from(view.voters).unwrap_or(i64::MAX));
+        let silent_voters = i64::try_from(view.silent_voters);
+        self.silent_voters.set(silent_voters.unwrap_or(i64::MAX));
     }
 }
--- a/crates/waxwing-registrar/src/repair.rs
+++ b/crates/waxwing-registrar/src/repair.rs
@@ -66,6 +66,14 @@
     pub silence: Duration,
 }
 
+impl MemberView {
+    /// Returns whether it is a voter that may be replaced for its silence.
+    #[must_use]
+    pub fn is_silent_voter(&self) -> bool {
+        self.kind == members::MemberKind::Voter && self.silence >= SILENCE_BEFORE_REMOVAL
+    }
+}
+
 /// Returns the next membership change that repairs the group, if one is needed. `others` holds all
 /// members except the leader, which counts as a responsive voter. Hosts that ask to join are left
 /// to [`admit`].
@@ -73,10 +81,7 @@
 pub fn next_change(others: &[MemberView], bounds: VoterBounds) -> Option<members::MemberChange> {
     let is_voter = |view: &&MemberView| view.kind == members::MemberKind::Voter;
     let voters = others.iter().filter(is_voter).count() + 1;
-    let silent_voters = others
-        .iter()
-        .filter(is_voter)
-        .filter(|view| view.silence >= SILENCE_BEFORE_REMOVAL);
+    let silent_voters = others.iter().filter(|view| view.is_silent_voter());
     let silent = silent_voters.clone().max_by_key(|view| view.silence);
     // A whole data centre may be silent and come back with its disks, so an odd group shrinks only
     // while more voters respond than its quorum needs.
--- a/crates/waxwing-registrar/src/replica.rs
+++ b/crates/waxwing-registrar/src/replica.rs
@@ -109,6 +109,8 @@
     /// When this leader first saw each member in the membership; cleared when this host gains or
     /// loses leadership.
     first_seen: HashMap<members::MemberIdentity, Duration>,
+    /// The voters that the leader has not heard for [`repair::SILENCE_BEFORE_REMOVAL`].
+    silent_voters: usize,
 }
 
 impl<T> DeploymentReplica<T> {
@@ -144,6 +146,7 @@
             last_leader: Duration::ZERO,
             leader_since: None,
             first_seen: HashMap::new(),
+            silent_voters: 0,
         })
     }
 
@@ -182,6 +185,12 @@
         self.leader_since.is_some()
     }
 
+    /// Returns the number of voters that are silent; zero if this host isn't the leader.
+    #[must_use]
+    pub const fn silent_voters(&self) -> usize {
+        self.silent_voters
+    }
+
     /// Returns the calls that were answered since the last call, with their outcomes.
     pub fn take_outcomes(&mut self) -> Vec<(T, CallOutcome)> {
         std::mem::take(&mut self.outcomes)
@@ -229,11 +238,23 @@
                 silence,
             });
         }
+        self.note_silent_voters(&views);
         if let Some(change) = repair::next_change(&views, self.voter_bounds) {
             self.propose_member_change(change);
         }
     }
 
+    /// Counts the silent voters, and logs each change of their number: every one of them uses up a
+    /// loss that the group tolerates.
+    fn note_silent_voters(&mut self, others: &[repair::MemberView]) {
+        let silent = others.iter().filter(|view| view.is_silent_voter()).count();
+        if std::mem::replace(&mut self.silent_voters, silent) == silent {
+            return;
+        }
+        let voters = self.node.members().voters().count();
+        tracing::warn!(event = "voters-silent", silent, voters);
+    }
+
     fn propose_member_change(&mut self, change: members::MemberChange) {
         match self.node.change_members(change) {
             Ok(proposal) => {
@@ -484,6 +505,7 @@
         if leads != self.leader_since.is_some() {
             self.leader_since = leads.then_some(now);
             self.first_seen.clear();
+            self.silent_voters = 0;
         }
         if !leads {
             // A later leader may still commit these entries, so the outcome is unknown.
--- a/crates/waxwing-wire/src/messages/fleet.rs
+++ b/crates/waxwing-wire/src/messages/fleet.rs
@@ -204,13 +204,14 @@
     pub whole: bool,
 }
 
-/// The addresses on which the other processes accept links.
+/// The addresses on which other processes accept links, as far as the sender, a control host, knows
+/// them.
 #[derive(Clone, PartialEq, Eq, Message)]
 pub struct FleetHosts {
     /// The control hosts as `ip:port`.
     #[prost(string, repeated, tag = "1")]
     pub control: Vec<String>,
-    /// The entries as `ip:port`.
+    /// The entries as `ip:port`; control hosts are told none.
     #[prost(string, repeated, tag = "2")]
     pub entries: Vec<String>,
 }
