Let a control host join by a leader that its settings file doesn't list

A control host of the product's own platform with a new disk never votes again while the leader is a host that an operator has added and that the settings file of the first one doesn't list.

Cause: the host asks those in its file for membership. Followers answer with a redirect, which named the leader but not its address, and the joining host ignored it.

Evidence: with a file that lists one follower, the host was no voter after 60 s.

Change: the redirect has the name and the address of the leader. A host that is no member dials it and asks it directly; once it is a member, the replicated state has all addresses.

--- a/crates/waxwing-control/src/hosts.rs
+++ b/crates/waxwing-control/src/hosts.rs
@@ -106,9 +106,7 @@
             result: result.into(),
         }),
         Err(errors::SubmitError::NotLeader { leader }) => {
-            messages::Body::Redirect(messages::Redirect {
-                address: leader.unwrap_or_default(),
-            })
+            messages::Body::Redirect(redirect_to(host, leader.unwrap_or_default()))
         }
         Err(_) => messages::Body::Unavailable(messages::Unavailable {
             retry_after_millis: 100,
@@ -116,6 +114,16 @@
     }
 }
 
+/// Builds the redirect to the leader with this name, which a host that asks to join may not know.
+fn redirect_to<C: Clock>(host: &host::HostState<C>, name: String) -> messages::Redirect {
+    let machine = host.log.shared.read();
+    let info = machine.members().get(&name);
+    messages::Redirect {
+        address: info.map(|info| info.link.clone()).unwrap_or_default(),
+        name,
+    }
+}
+
 /// Maintains links to all other hosts, joins the group and keeps this host's record in the
 /// replicated state current.
 pub(crate) struct HostMaintenance<C> {
@@ -123,10 +131,13 @@
     pub(crate) network: Arc<peers::PeerNetwork>,
     pub(crate) dialer: peers::PeerDialer<C>,
     pub(crate) own: commands::MemberInfo,
+    /// The leader that another host last named while this one is no member; the settings file may
+    /// not list it.
+    pub(crate) reported_leader: Option<(String, SocketAddr)>,
 }
 
 impl<C: Clock> HostMaintenance<C> {
-    pub(crate) async fn run(self, shutdown: CancellationToken) {
+    pub(crate) async fn run(mut self, shutdown: CancellationToken) {
         loop {
             self.update_links();
             tokio::select! {
@@ -140,8 +151,9 @@
         }
     }
 
-    /// Updates the links to the hosts in the settings file and in the replicated state. Addresses
-    /// in the replicated state take precedence because they are newer.
+    /// Updates the links to the hosts in the settings file and in the replicated state, and to the
+    /// leader that another host named. Addresses in the replicated state take precedence because they
+    /// are newer.
     fn update_links(&self) {
         let peers = self.host.options.peers.iter();
         let mut wanted: HashMap<String, peers::PeerLocation> = peers
@@ -154,6 +166,14 @@
                 )
             })
             .collect();
+        if let Some((name, address)) = &self.reported_leader {
+            let region = String::new();
+            let location = peers::PeerLocation {
+                address: *address,
+                region,
+            };
+            wanted.insert(name.clone(), location);
+        }
         let member_infos = self.host.log.shared.read().members().clone();
         for info in member_infos.values() {
             if let Ok(address) = info.link.parse() {
@@ -177,11 +197,15 @@
         });
     }
 
-    async fn update_membership(&self) {
+    async fn update_membership(&mut self) {
         let is_member = self.host.log.shared.status.borrow().is_member;
         if !is_member {
             self.join().await;
-        } else if self.stored_info().as_ref() != Some(&self.own) {
+            return;
+        }
+        // The replicated state has the addresses of all members.
+        self.reported_leader = None;
+        if self.stored_info().as_ref() != Some(&self.own) {
             let action = commands::LogAction::Describe(self.own.clone());
             let _ = self.host.submit(action).await;
         }
@@ -192,8 +216,8 @@
         machine.members().get(&self.own.name).cloned()
     }
 
-    /// Asks each other host in turn to add this one; only the leader can.
-    async fn join(&self) {
+    /// Asks each other host in turn to add this one. Only the leader can; the others name it.
+    async fn join(&mut self) {
         let submission = commands::Submission {
             action: None,
             member: Some(commands::MemberRequest {
@@ -218,6 +242,11 @@
                 tracing::info!(peer = name, ?result, "requested to join the group");
                 return;
             }
+            if let Some(messages::Body::Redirect(redirect)) = response
+                && let Ok(address) = redirect.address.parse()
+            {
+                self.reported_leader = Some((redirect.name, address));
+            }
         }
     }
 }
--- a/crates/waxwing-control/src/roles.rs
+++ b/crates/waxwing-control/src/roles.rs
@@ -201,6 +201,7 @@
                 shutdown: stop_links.clone(),
             },
             own,
+            reported_leader: None,
         };
         tasks.spawn(maintenance.run(shutdown.clone()));
         tasks.spawn(operators::serve(state.clone(), self.http, shutdown.clone()));
--- a/crates/waxwing-control/tests/three_hosts.rs
+++ b/crates/waxwing-control/tests/three_hosts.rs
@@ -98,9 +98,14 @@
     }
 
     async fn restart(&mut self, index: usize) {
+        self.restart_listing(index, self.peers(index)).await;
+    }
+
+    /// Restarts a host whose settings file lists these hosts.
+    async fn restart_listing(&mut self, index: usize, peers: Vec<options::PeerOptions>) {
         let options = self.options(index, self.links[index]);
         let mut host = roles::bind(options, clock::SystemClock).await.unwrap();
-        host.set_peers(self.peers(index));
+        host.set_peers(peers);
         host.set_snapshot_bytes(2_048);
         self.hosts[index] = Some(run(host));
     }
@@ -256,6 +261,24 @@
     assert!(matches!(answer, operations::ChangeAnswer::Changed { .. }));
 }
 
+/// Guards against a host with a wiped disk that never rejoins since its settings file doesn't list the
+/// leader, which an operator has added.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_host_whose_file_does_not_list_the_leader_rejoins() {
+    let mut group = TestGroup::start().await;
+    let leader = group.leader().await;
+    let (wiped, follower) = ((leader + 1) % 3, (leader + 2) % 3);
+    group.stop(wiped).await;
+    std::fs::remove_dir_all(group.folder(wiped)).unwrap();
+    let listed = group.peers(wiped).into_iter();
+    let listed = listed.filter(|peer| peer.name.as_str() == name(follower));
+    group.restart_listing(wiped, listed.collect()).await;
+    let rejoined = group.wait_voters(wiped, 3);
+    tokio::time::timeout(Duration::from_secs(60), rejoined)
+        .await
+        .expect("the host never became a voter");
+}
+
 /// Guards against a client that returns to an older settings version when its control host stops,
 /// and against claims that are lost with that host.
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
--- a/crates/waxwing-wire/src/messages/groups.rs
+++ b/crates/waxwing-wire/src/messages/groups.rs
@@ -6,9 +6,12 @@
 /// Redirects the requester to the leader.
 #[derive(Clone, PartialEq, Eq, Message)]
 pub struct Redirect {
-    /// The address of the leader as `ip:port`; empty if it is not known.
+    /// The address at which the leader accepts links, as `ip:port`; empty if it is not known.
     #[prost(string, tag = "1")]
     pub address: String,
+    /// The name of the leader; empty if it is not known.
+    #[prost(string, tag = "2")]
+    pub name: String,
 }
 
 /// No quorum responds at the moment. Whether the request took effect is unknown.
