Refuse all keys when the list of client accounts is empty

Cause: the adapter read a list that is empty and one that is missing alike, and a deployment without accounts needed no keys.

Change: the parsed document keeps whether there is a list; requests need keys if there is one. The comparison of documents had the same mistake: it left out that the removal of the last key refuses callers, and now tells when requests begin or cease to need a key.

--- a/crates/waxwing-fleet/src/changes.rs
+++ b/crates/waxwing-fleet/src/changes.rs
@@ -221,7 +221,7 @@
         new: &deployments::DeploymentParts,
     ) {
         let owners = |parts: &deployments::DeploymentParts| -> BTreeMap<_, _> {
-            let accounts = parts.accounts.iter();
+            let accounts = parts.listed_accounts().iter();
             let keys = accounts.flat_map(|account| {
                 account
                     .keys
@@ -231,10 +231,22 @@
             keys.collect()
         };
         let (before, after) = (owners(base), owners(new));
+        let needs_keys = |parts: &deployments::DeploymentParts| match parts.accounts {
+            Some(_) => "a key for each request",
+            None => "requests without a key",
+        };
+        let effect = match new.accounts {
+            Some(_) => ChangeEffect::Refuses,
+            None => ChangeEffect::Adds,
+        };
+        self.add_if_changed(effect, "accounts", needs_keys(base), needs_keys(new));
         for (key, owner) in &before {
             let path = format!("accounts/{owner}/keys");
             match after.get(key) {
-                None if !after.is_empty() => self.add(ChangeEffect::Refuses, &path, "a key", ""),
+                // Without a list of accounts, requests need no key.
+                None if new.accounts.is_some() => {
+                    self.add(ChangeEffect::Refuses, &path, "a key", "")
+                }
                 Some(other) if other != owner => {
                     self.add(
                         ChangeEffect::Moves,
@@ -255,11 +267,11 @@
             );
         }
         let olds: BTreeMap<_, _> = base
-            .accounts
+            .listed_accounts()
             .iter()
             .map(|account| (&account.name, account))
             .collect();
-        for account in &new.accounts {
+        for account in new.listed_accounts() {
             let path = format!("accounts/{}", account.name);
             let Some(old) = olds.get(&account.name) else {
                 self.add(ChangeEffect::Adds, &path, "", &account.name);
--- a/crates/waxwing-fleet/src/checks.rs
+++ b/crates/waxwing-fleet/src/checks.rs
@@ -241,7 +241,7 @@
     fn check_accounts(&mut self, parts: &deployments::DeploymentParts) {
         let mut owners: HashMap<&SmolStr, usize> = HashMap::new();
         let mut names = HashSet::new();
-        for (number, account) in parts.accounts.iter().enumerate() {
+        for (number, account) in parts.listed_accounts().iter().enumerate() {
             let path = format_smolstr!("accounts/{}", account.name);
             if !names.insert(&account.name) {
                 self.warn(
@@ -261,7 +261,7 @@
                 // Keys are secrets, so the findings leave them out.
                 match owners.insert(key, number) {
                     Some(first) if first != number => {
-                        let first = &parts.accounts[first].name;
+                        let first = &parts.listed_accounts()[first].name;
                         let found = format_smolstr!("a key of account {first}");
                         self.error(format_smolstr!("{path}/keys"), found, "keys of its own");
                     }
@@ -286,8 +286,7 @@
                 self.check_quota(&path, &quota);
             }
         }
-        let needs_keys =
-            !parts.accounts.is_empty() && parts.routes.iter().any(|route| !route.public);
+        let needs_keys = parts.accounts.is_some() && parts.routes.iter().any(|route| !route.public);
         if needs_keys && owners.is_empty() {
             self.warn(
                 "accounts",
--- a/crates/waxwing-fleet/src/deployments.rs
+++ b/crates/waxwing-fleet/src/deployments.rs
@@ -196,18 +196,29 @@
     pub routes: Vec<ServiceRoute>,
     /// The services that routes refer to.
     pub services: Vec<FleetService>,
-    /// The client accounts; if empty, requests need no key.
-    pub accounts: Vec<ClientAccount>,
+    /// The client accounts. Requests need no key if the document has no such list; with an empty
+    /// list, no key is valid.
+    pub accounts: Option<Vec<ClientAccount>>,
     /// The limits on callers.
     pub limits: IngressLimits,
 }
 
+impl DeploymentParts {
+    /// Returns the client accounts; none if the document has no list of them.
+    #[must_use]
+    pub fn listed_accounts(&self) -> &[ClientAccount] {
+        self.accounts.as_deref().unwrap_or_default()
+    }
+}
+
 /// A valid deployment document, indexed for lookups on the request path.
 #[derive(Debug)]
 pub struct FleetDeployment {
     version: u64,
     routes: HashMap<SmolStr, Vec<Arc<ServiceRoute>>>,
     services: HashMap<SmolStr, FleetService>,
+    /// Whether the document has a list of client accounts, which may be empty.
+    lists_accounts: bool,
     accounts: Vec<Arc<ClientAccount>>,
     keys: HashMap<SmolStr, usize>,
     limits: IngressLimits,
@@ -219,19 +230,22 @@
     /// # Errors
     /// Fails with the first rule that the document violates.
     pub fn new(parts: DeploymentParts) -> Result<Self, errors::DeploymentError> {
+        let lists_accounts = parts.accounts.is_some();
+        let keys = index_keys(parts.listed_accounts());
         let services: HashMap<_, _> = parts
             .services
             .into_iter()
             .map(|service| (service.name.clone(), service))
             .collect();
         let routes = index_routes(parts.routes, &services)?;
-        let keys = index_keys(&parts.accounts)?;
+        let accounts = parts.accounts.into_iter().flatten();
         Ok(Self {
             version: parts.version,
             routes,
             services,
-            accounts: parts.accounts.into_iter().map(Arc::new).collect(),
-            keys,
+            lists_accounts,
+            accounts: accounts.map(Arc::new).collect(),
+            keys: keys?,
             limits: parts.limits,
         })
     }
@@ -265,8 +279,8 @@
 
     /// Returns whether requests need a key, except on public routes.
     #[must_use]
-    pub fn needs_keys(&self) -> bool {
-        !self.accounts.is_empty()
+    pub const fn needs_keys(&self) -> bool {
+        self.lists_accounts
     }
 
     /// Returns the client account with this key.
--- a/crates/waxwing-fleet/tests/checks.rs
+++ b/crates/waxwing-fleet/tests/checks.rs
@@ -43,7 +43,7 @@
             max_connections: 10,
             engine: None,
         }],
-        accounts: vec![account("one", "k1"), account("two", "k2")],
+        accounts: Some(vec![account("one", "k1"), account("two", "k2")]),
         ..DeploymentParts::default()
     }
 }
@@ -60,14 +60,14 @@
 #[test_case(|parts| parts.routes[1].prefix = "/".into(), "routes/orders", true; "same place")]
 #[test_case(|parts| parts.routes[0].targets[0].weight = 0, "routes/all/weights", true; "no weight")]
 #[test_case(|parts| parts.routes[0].timeout = Duration::ZERO, "routes/all/timeout", true; "no time")]
-#[test_case(|parts| parts.accounts[1].keys = vec!["k1".into()], "accounts/two/keys", true; "shared key")]
-#[test_case(|parts| parts.accounts[1].keys.clear(), "accounts/two/keys", false; "no key")]
+#[test_case(|parts| parts.accounts.as_mut().unwrap()[1].keys = vec!["k1".into()], "accounts/two/keys", true; "shared key")]
+#[test_case(|parts| parts.accounts.as_mut().unwrap()[1].keys.clear(), "accounts/two/keys", false; "no key")]
 #[test_case(|parts| parts.routes[0].timeout = Duration::from_millis(50), "routes/all/timeout", false; "timeout below the objective")]
 #[test_case(|parts| parts.routes[0].max_pause = Duration::from_secs(2), "routes/all/max_pause", false; "pause above the timeout")]
 #[test_case(|parts| parts.routes[0].prefix = "orders".into(), "routes/all/prefix", false; "prefix without slashes")]
 #[test_case(|parts| parts.routes[0].host = "".into(), "routes/all/host", false; "no host")]
-#[test_case(|parts| parts.accounts[0].quota.as_mut().unwrap().burst = 10.0, "accounts/one/burst", false; "burst below one request")]
-#[test_case(|parts| parts.accounts[0].quota.as_mut().unwrap().rate = 0.0, "accounts/one/rate", false; "rate of zero")]
+#[test_case(|parts| parts.accounts.as_mut().unwrap()[0].quota.as_mut().unwrap().burst = 10.0, "accounts/one/burst", false; "burst below one request")]
+#[test_case(|parts| parts.accounts.as_mut().unwrap()[0].quota.as_mut().unwrap().rate = 0.0, "accounts/one/rate", false; "rate of zero")]
 #[test_case(|parts| parts.services[0].max_connections = 0, "services/register/max_connections", false; "no connections")]
 #[test_case(|parts| parts.services.push(FleetService { name: "idle".into(), ..parts.services[0].clone() }), "services/idle", false; "unused service")]
 #[test_case(|parts| parts.limits.head_bytes.0 = 0, "limits/head_bytes", false; "no head")]
@@ -85,7 +85,7 @@
 #[test]
 fn findings_hold_no_keys() {
     let mut parts = parts();
-    parts.accounts[1].keys = vec!["k1".into(), "k1".into()];
+    parts.accounts.as_mut().unwrap()[1].keys = vec!["k1".into(), "k1".into()];
     let text = format!("{:?}{:?}", check(&parts), compare(&self::parts(), &parts));
     assert!(!text.contains("k1") && !text.contains("k2"), "{text}");
 }
@@ -99,8 +99,12 @@
     new.routes[0].targets[0].service = "other".into();
     new.routes[0].timeout = Duration::from_millis(500);
     new.routes.push(route("new", "/new/"));
-    new.accounts[0].keys = vec!["k3".into()];
-    new.accounts[1].quota.as_mut().unwrap().rate = 10.0;
+    new.accounts.as_mut().unwrap()[0].keys = vec!["k3".into()];
+    new.accounts.as_mut().unwrap()[1]
+        .quota
+        .as_mut()
+        .unwrap()
+        .rate = 10.0;
     let changes = compare(&parts(), &new);
     let listed: Vec<_> = changes
         .iter()
@@ -123,6 +127,31 @@
     assert!(check_version(&new, &parts()).is_some());
 }
 
+/// Guards against a change that shuts callers out, or lets requests without a key in, and that isn't
+/// listed as such: the removal of the last account, and of the whole list.
+#[test_case(|parts| parts.accounts = Some(Vec::new()), &[
+    (ChangeEffect::Refuses, "accounts/one/keys"),
+    (ChangeEffect::Refuses, "accounts/two/keys"),
+]; "all accounts removed")]
+#[test_case(|parts| parts.accounts = None, &[(ChangeEffect::Adds, "accounts")]; "no list of accounts")]
+fn change_of_who_needs_a_key_is_listed(edit: Edit, expected: &[(ChangeEffect, &str)]) {
+    let mut new = parts();
+    edit(&mut new);
+    let changes = compare(&parts(), &new);
+    let listed: Vec<_> = changes
+        .iter()
+        .map(|change| (change.effect, change.path.as_str()))
+        .collect();
+    assert_eq!(listed, expected);
+    let back = compare(&new, &parts());
+    let refuses = back
+        .iter()
+        .any(|change| change.effect == ChangeEffect::Refuses);
+    assert_eq!(refuses, new.accounts.is_none());
+    let has_warning = check(&new).iter().any(|finding| finding.path == "accounts");
+    assert_eq!(has_warning, new.accounts.is_some());
+}
+
 fn any_route() -> impl Strategy<Value = ServiceRoute> {
     let target = (0_u8..4, 0_u32..3).prop_map(|(service, weight)| RouteTarget {
         service: format_smolstr!("s{service}"),
@@ -168,7 +197,7 @@
     #[test]
     fn check_agrees_with_control_hosts(
         routes in prop::collection::vec(any_route(), 0..6),
-        accounts in prop::collection::vec(any_account(), 0..4),
+        accounts in prop::option::of(prop::collection::vec(any_account(), 0..4)),
         services in 0_u8..4,
     ) {
         let service = |number| FleetService {
--- a/crates/waxwing-fleet/tests/deployments.rs
+++ b/crates/waxwing-fleet/tests/deployments.rs
@@ -32,7 +32,7 @@
             max_connections: 10,
             engine: None,
         }],
-        accounts: vec![account("one", "k1"), account("two", "k2")],
+        accounts: Some(vec![account("one", "k1"), account("two", "k2")]),
         ..DeploymentParts::default()
     }
 }
@@ -56,6 +56,19 @@
     assert!(deployment.account("k3").is_none());
 }
 
+/// Guards against an empty list of accounts that is taken for a missing one: then any key is valid.
+#[test_case(None, false; "no list")]
+#[test_case(Some(Vec::new()), true; "an empty list")]
+#[test_case(Some(vec![account("one", "k1")]), true; "one account")]
+fn keys_are_needed_once_accounts_are_listed(accounts: Option<Vec<ClientAccount>>, needed: bool) {
+    let parts = DeploymentParts {
+        accounts,
+        ..parts()
+    };
+    let deployment = FleetDeployment::new(parts).unwrap();
+    assert_eq!(deployment.needs_keys(), needed);
+}
+
 fn unknown_service(parts: &mut DeploymentParts) {
     parts.routes[0].targets[0].service = SmolStr::new("gone");
 }
@@ -73,7 +86,7 @@
 }
 
 fn shared_key(parts: &mut DeploymentParts) {
-    parts.accounts[1].keys = vec![SmolStr::new("k1")];
+    parts.accounts.as_mut().unwrap()[1].keys = vec![SmolStr::new("k1")];
 }
 
 #[test_case(unknown_service, |error| matches!(error, DeploymentError::UnknownService { .. }))]
