Break answers whose connection ends while the request is being written

Here, a runner that answered a long upload at once with a 200 without a length, sent a part and closed the connection: the caller got the part as the whole answer.

Cause: an endpoint that closes a connection without unread bytes ends the stream in order, and the reset follows when more of the request arrives. The kernel reports the end of the stream alone, and an answer without a length is whole then.

Change: the connection to an endpoint reports a reset in place of the end of the stream if bytes of the request wait to be written or the socket has a pending error. The answer is then broken like any other that is reset.

--- a/crates/waxwing-conduit/src/lib.rs
+++ b/crates/waxwing-conduit/src/lib.rs
@@ -23,4 +23,5 @@
 pub mod stopping;
 mod suspects;
 pub mod unread;
+mod uploads;
 mod upstream;
--- /dev/null
+++ b/crates/waxwing-conduit/src/uploads.rs
@@ -0,0 +1,94 @@
+//! Connections to endpoints that end while a request is still being written.
+
+use std::{
+    io,
+    pin::Pin,
+    task::{Context, Poll, ready},
+};
+
+use tokio::{
+    io::{AsyncRead, AsyncWrite, ReadBuf},
+    net,
+};
+
+/// The connection to an endpoint. Its end counts as a reset if the endpoint hasn't taken the whole
+/// request, or if a reset has arrived.
+///
+/// An answer without a length ends with its connection. An endpoint that closes a connection before it
+/// has read the request sends the end of the stream first and resets the connection when more of the
+/// request arrives. The kernel then reports the end alone, so that the part of an answer would look
+/// whole.
+#[derive(Debug)]
+pub(crate) struct EndpointStream {
+    stream: net::TcpStream,
+    /// Whether bytes of a request wait until the connection takes more.
+    is_writing: bool,
+}
+
+impl EndpointStream {
+    pub(crate) const fn new(stream: net::TcpStream) -> Self {
+        Self {
+            stream,
+            is_writing: false,
+        }
+    }
+
+    /// Returns why the end of the stream is no orderly one, if so.
+    fn reset_error(&self) -> Option<io::Error> {
+        if self.is_writing {
+            return Some(io::ErrorKind::ConnectionReset.into());
+        }
+        self.stream.take_error().unwrap_or_else(Some)
+    }
+
+    fn record_write(&mut self, written: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
+        self.is_writing = written.is_pending();
+        written
+    }
+}
+
+impl AsyncRead for EndpointStream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let filled = buffer.filled().len();
+        ready!(Pin::new(&mut self.stream).poll_read(context, buffer))?;
+        let has_ended = buffer.filled().len() == filled && buffer.remaining() > 0;
+        let error = has_ended.then(|| self.reset_error()).flatten();
+        Poll::Ready(error.map_or(Ok(()), Err))
+    }
+}
+
+impl AsyncWrite for EndpointStream {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        let written = Pin::new(&mut self.stream).poll_write(context, bytes);
+        self.record_write(written)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        slices: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        let written = Pin::new(&mut self.stream).poll_write_vectored(context, slices);
+        self.record_write(written)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(context)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(context)
+    }
+}
--- a/crates/waxwing-conduit/src/upstream.rs
+++ b/crates/waxwing-conduit/src/upstream.rs
@@ -15,7 +15,7 @@
 use tokio::net;
 use waxwing_core::clock::Clock;
 
-use crate::{errors, sockets};
+use crate::{errors, sockets, uploads};
 
 /// Timeout for opening a connection. A lost SYN is retransmitted only after a second; another
 /// endpoint can answer long before that.
@@ -175,7 +175,7 @@
         sockets::prepare(&stream);
         let established = http1::Builder::new()
             .read_buf_exact_size(Some(READ_BUFFER_BYTES))
-            .handshake(TokioIo::new(stream))
+            .handshake(TokioIo::new(uploads::EndpointStream::new(stream)))
             .await;
         let (sender, connection) =
             established.map_err(|_| errors::SendError::NotSent("connection ended"))?;
