Reject answers whose status is no valid final one

Cause: the HTTP client takes each number from 100 to 999 for a status and returns 101 as an answer. The entry checked seal and id only; the agent checked nothing.

Change: such an answer is rejected like one without a seal, and nothing that it states counts. The agent counts it as a failed call.

--- a/crates/waxwing-agent/src/endpoint.rs
+++ b/crates/waxwing-agent/src/endpoint.rs
@@ -253,6 +253,10 @@
 
     async fn read(&mut self, response: Response<Incoming>) -> events::EndpointEvent {
         let status = response.status().as_u16();
+        // The HTTP client also passes on 101, which switches the protocol, and numbers from 600 up.
+        if !(200..600).contains(&status) {
+            return events::EndpointEvent::Failed;
+        }
         let chunked = response.headers().contains_key(header::TRANSFER_ENCODING);
         let headers = header_fields(response.headers());
         self.send_event(events::EndpointEvent::Head { status, headers })
--- a/crates/waxwing-agent/tests/sockets.rs
+++ b/crates/waxwing-agent/tests/sockets.rs
@@ -63,6 +63,11 @@
             "checks_fencing": false, "cache_tokens": 100_000, "prefill_rate": 4000.0,
             "token_millis": 5.0, "block_tokens": 16,
         })),
+        "/v1/chat/completions" if content.windows(3).any(|part| part == b"odd") => {
+            let mut reply = plain(&json!({"error": "trouble"}));
+            *reply.status_mut() = hyper::StatusCode::from_u16(999).expect("three digits");
+            reply
+        }
         "/v1/chat/completions" => stream(content.windows(4).any(|part| part == b"slow")),
         "/events" => plain(&json!({"next": 0, "events": []})),
         _ => plain(&json!({})),
@@ -249,6 +254,24 @@
     assert_eq!(object["usage"]["completion_tokens"], 5);
 }
 
+/// Guards against an answer whose status is no status of HTTP and that reaches its caller as a whole one.
+#[tokio::test]
+async fn answer_without_a_final_status_is_incomplete() {
+    let agent = bound_agent(fake_engine().await).await;
+    let address = agent.address();
+    task::spawn(agent.run(CancellationToken::new()));
+    let mut link = entry_link(address).await;
+    ready(&mut link).await;
+    hand_over(&mut link, ids::RequestId(5), "odd", false).await;
+    let end = next(&mut link, |body| match body {
+        messages::Body::AnswerHead(head) => panic!("an answer with status {}", head.status),
+        messages::Body::AnswerChunk(chunk) => chunk.end,
+        _ => None,
+    })
+    .await;
+    assert!(!end.whole);
+}
+
 /// Guards against bytes that are lost or duplicated when a link breaks in the middle of an answer.
 #[tokio::test]
 async fn answer_resumes_over_another_link() {
--- a/crates/waxwing-conduit/src/forwarding.rs
+++ b/crates/waxwing-conduit/src/forwarding.rs
@@ -3,7 +3,7 @@
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::{
-    Request, Response,
+    Request, Response, StatusCode,
     http::{self, HeaderMap, HeaderName, header},
 };
 use waxwing_core::clock::Clock;
@@ -82,6 +82,12 @@
     names.filter_map(|name| name.trim().parse().ok()).collect()
 }
 
+/// Returns whether a status ends an exchange. The HTTP client also passes on 101, which switches the
+/// protocol, and numbers from 600 up, which are no status of HTTP.
+pub(crate) fn is_final(status: StatusCode) -> bool {
+    (200..600).contains(&status.as_u16())
+}
+
 /// Builds the answer to the caller from the head of the endpoint's answer and a body.
 pub(crate) fn caller_answer(
     head: http::response::Parts,
--- a/crates/waxwing-conduit/src/intake.rs
+++ b/crates/waxwing-conduit/src/intake.rs
@@ -487,11 +487,13 @@
     let (response, connection) = answer.split();
     let (head, incoming) = response.into_parts();
     let facts = state.dialect.answer(&request.facts.id, &head);
-    if facts.id_matches {
+    // What else an answer without a valid status states is as doubtful.
+    let is_own = facts.id_matches && forwarding::is_final(head.status);
+    if is_own {
         run.record_statements(&facts, sent);
     }
     // An endpoint may write the refusal of an earlier request where this one's answer is due.
-    if facts.not_run && facts.id_matches {
+    if facts.not_run && is_own {
         state.metrics.count_attempt("refused");
         tracing::info!(
             event = "endpoint-refused",
@@ -508,7 +510,7 @@
         return Ok(AttemptOutcome::Retry);
     }
     history.possible_runs += 1;
-    if !facts.id_matches || !facts.sealed {
+    if !is_own || !facts.sealed {
         run.record_failure();
         state.metrics.count_attempt("rejected");
         tracing::info!(
