Keep the links of entries to control hosts that one report leaves out

Cause: an entry replaced its list of control hosts by the one reported last and closed the links to all others. A host that has just started reports a list without the leader.

Evidence: with stub control hosts, an entry that got a report without the leader took no message over its link to the leader any more.

Change: entries combine the reports of all control hosts that they are linked to, in the table that control hosts use.

--- a/crates/waxwing-conduit/src/fleet.rs
+++ b/crates/waxwing-conduit/src/fleet.rs
@@ -11,7 +11,7 @@
 use tokio::sync::{Notify, mpsc, watch};
 use tokio_util::sync::CancellationToken;
 use waxwing_core::clock::Clock;
-use waxwing_fleet::{deployments, dialects, network};
+use waxwing_fleet::{deployments, dialects, hosts, network};
 use waxwing_gate::{directories, fetches, pacing};
 use waxwing_wire::messages;
 
@@ -27,20 +27,14 @@
 /// Time between two checks of idle connections and of links to other processes.
 const MAINTENANCE_INTERVAL: Duration = Duration::from_millis(500);
 
-/// Link addresses of other processes, as reported by control hosts.
-#[derive(Debug, Default)]
-struct KnownHosts {
-    control: HashSet<SocketAddr>,
-    entries: HashSet<SocketAddr>,
-}
-
 /// Exchanges messages with control hosts and other entries. Clones share the same state.
 pub(crate) struct FleetMessenger<C, D, T> {
     pub(crate) state: Arc<state::EntryState<C, D>>,
     pub(crate) control_dialect: T,
     pub(crate) network: network::ProcessNetwork<C>,
     pub(crate) seeds: watch::Receiver<Vec<SocketAddr>>,
-    known: Arc<Mutex<KnownHosts>>,
+    /// The control hosts and entries that control hosts report.
+    reported_hosts: Arc<Mutex<hosts::HostTable>>,
     fetcher: Arc<Mutex<fetches::DeploymentFetcher>>,
     pub(crate) directories: Arc<Mutex<directories::DirectoryFetcher>>,
     /// To whom reports on roll-outs go.
@@ -56,7 +50,7 @@
             control_dialect: self.control_dialect.clone(),
             network: self.network.clone(),
             seeds: self.seeds.clone(),
-            known: self.known.clone(),
+            reported_hosts: self.reported_hosts.clone(),
             fetcher: self.fetcher.clone(),
             directories: self.directories.clone(),
             reporter: self.reporter.clone(),
@@ -89,7 +83,7 @@
             control_dialect,
             network,
             seeds,
-            known: Arc::default(),
+            reported_hosts: Arc::default(),
         }
     }
 
@@ -129,6 +123,8 @@
                 self.state.gate().core.forget_peer(now, remote.address);
             }
             messages::ProcessKind::Control => {
+                let now = self.state.clock.now();
+                self.reported_hosts().end_report(now, remote.address);
                 self.fetcher().forget(remote.address);
                 self.send_fetch();
                 self.directories().forget(remote.address);
@@ -197,7 +193,7 @@
             messages::Body::EndpointRefreshes(refreshes) => {
                 self.apply_refreshes(remote.address, &refreshes);
             }
-            messages::Body::FleetHosts(hosts) => self.update_hosts(&hosts),
+            messages::Body::FleetHosts(hosts) => self.update_hosts(remote, &hosts),
             messages::Body::RolloutTerms(terms) => self.apply_rollout_terms(remote, &terms),
             messages::Body::LoadUpdate(update) => {
                 let mut gate = self.state.gate();
@@ -286,38 +282,37 @@
         }
     }
 
-    /// Takes a list of processes from a control host and updates the links.
-    fn update_hosts(&self, hosts: &messages::FleetHosts) {
-        let parse = |texts: &[String]| texts.iter().filter_map(|text| text.parse().ok()).collect();
-        let mut known = self
-            .known
+    fn reported_hosts(&self) -> MutexGuard<'_, hosts::HostTable> {
+        self.reported_hosts
             .lock()
-            .expect("no panic occurs while the host table is locked");
-        known.control = parse(&hosts.control);
-        // Entries are only added: one that is missing here may be linked to another control host.
+            .expect("no panic occurs while the host table is locked")
+    }
+
+    /// Takes a list of processes from a control host and updates the links.
+    fn update_hosts(&self, remote: network::RemoteProcess, hosts: &messages::FleetHosts) {
+        let parse = |texts: &[String]| -> HashSet<SocketAddr> {
+            texts.iter().filter_map(|text| text.parse().ok()).collect()
+        };
+        let mut reported = parse(&hosts.entries);
         let own_address = self.state.options.link_address;
-        let entries: HashSet<SocketAddr> = parse(&hosts.entries);
-        let others: Vec<_> = entries
-            .iter()
-            .filter(|entry| **entry != own_address)
-            .copied()
-            .collect();
-        known.entries.extend(entries);
-        drop(known);
+        let others = reported.iter().filter(|entry| **entry != own_address);
+        let others: Vec<_> = others.copied().collect();
+        reported.extend(parse(&hosts.control));
         let now = self.state.clock.now();
+        self.reported_hosts().record(now, remote.address, reported);
         self.state.gate().core.expect_peers(now, &others);
         self.update_links();
     }
 
-    /// Opens links to all known processes and to the control hosts in the settings, and closes
+    /// Opens links to all reported processes and to the control hosts in the settings, and closes
     /// other links that this entry opened.
     fn update_links(&self) {
-        let known = self
-            .known
-            .lock()
-            .expect("no panic occurs while the host table is locked");
-        let mut wanted: HashSet<_> = known.control.union(&known.entries).copied().collect();
-        drop(known);
+        let mut linked = self
+            .network
+            .linked_addresses(messages::ProcessKind::Control);
+        linked.extend(self.network.linked_addresses(messages::ProcessKind::Entry));
+        let now = self.state.clock.now();
+        let mut wanted: HashSet<_> = self.reported_hosts().targets(now, &linked).collect();
         let seeds = self.seeds.borrow().clone();
         let options = &self.state.options;
         wanted.extend(seeds.into_iter().map(|seed| options.link_address_of(seed)));
