Count only events of its own run when an unframed stream ends

Cause: an answer without a length ends with its connection, and counted as complete if the stream had an event. The last event id told that, which a resumed stream has from the start.

Evidence: with endpoints that close the connection after such a head, a stream resumed by the caller and one resumed by the entry both ended as complete.

Change: without a length or chunks, a stream needs an event of its run. With them, a resumed stream may have none left.

--- a/crates/waxwing-conduit/src/relay.rs
+++ b/crates/waxwing-conduit/src/relay.rs
@@ -4,7 +4,11 @@
 use std::{sync::Arc, time::Duration};
 
 use http_body_util::BodyExt as _;
-use hyper::{Response, body};
+use hyper::{
+    Response,
+    body::{self, Body as _},
+    http::{HeaderMap, header},
+};
 use tokio::sync::mpsc;
 use waxwing_core::clock::Clock;
 use waxwing_fleet::{deployments, dialects};
@@ -25,6 +29,8 @@
 /// The endpoint's answer that is being relayed, with its connection and slot.
 struct StreamSource<C: Clock, D> {
     body: body::Incoming,
+    /// Whether the answer shows its end by a length or by chunks, not by the end of its connection.
+    is_framed: bool,
     connection: upstream::BusyConnection,
     run: state::StartedRun<C, D>,
     sent: std::time::Instant,
@@ -42,6 +48,7 @@
     ) -> (hyper::http::response::Parts, Self) {
         let (head, body) = usable.response.into_parts();
         let source = Self {
+            is_framed: body.size_hint().exact().is_some() || is_chunked(&head.headers),
             body,
             connection: usable.connection,
             run: usable.run,
@@ -53,6 +60,14 @@
     }
 }
 
+/// Returns whether the body of an answer comes in chunks.
+fn is_chunked(headers: &HeaderMap) -> bool {
+    let codings = headers.get_all(header::TRANSFER_ENCODING).iter();
+    let last = codings.last().and_then(|value| value.to_str().ok());
+    let last = last.and_then(|value| value.rsplit(',').next());
+    last.is_some_and(|coding| coding.trim().eq_ignore_ascii_case("chunked"))
+}
+
 /// Outcome of waiting for the next chunk of a stream.
 enum NextChunk<C: Clock, D> {
     Data(bytes::Bytes),
@@ -190,10 +205,12 @@
         }
     }
 
-    /// Tells whether a stream that has ended is complete: it has events and ends after one.
+    /// Tells whether a stream that has ended is complete: it ends after an event of its run. A resumed
+    /// run may have no event left, but an endpoint that crashes before the first one ends an answer
+    /// without a length in the same way, so the answer must show its end.
     fn is_complete(&self, source: &StreamSource<C, D>) -> bool {
-        let has_events = source.first.is_some() || self.splitter.last_id().is_some();
-        has_events && !self.splitter.has_partial()
+        let may_be_empty = source.is_framed && self.splitter.last_id().is_some();
+        (source.first.is_some() || may_be_empty) && !self.splitter.has_partial()
     }
 
     /// Reports the token count and times of a finished stream to the gate. The number of events is
