--- a/crates/waxwing-conduit/src/relay.rs
+++ b/crates/waxwing-conduit/src/relay.rs
@@ -62,8 +62,8 @@
 
 /// Returns whether the body of an answer comes in chunks.
 fn is_chunked(headers: &HeaderMap) -> bool {
-    let codings = headers.get_all(header::TRANSFER_ENCODING).iter();
-    let last = codings.last().and_then(|value| value.to_str().ok());
+    let mut codings = headers.get_all(header::TRANSFER_ENCODING).iter();
+    let last = codings.next_back().and_then(|value| value.to_str().ok());
     let last = last.and_then(|value| value.rsplit(',').next());
     last.is_some_and(|coding| coding.trim().eq_ignore_ascii_case("chunked"))
 }
