Heed the leaving of an endpoint whose clock was put back

Cause: lives are told apart by the time of day at their start. A life with a smaller one was always taken for a former one, so its leaving was acknowledged and had no effect.

Change: a leaving notice of an unknown life with an earlier start marks the known life as draining. Late notices are still no reason to use an endpoint; those of a life known before, or whose departure is committed, change nothing. The known life is ready again with its first notice 10 s later, if it goes on.

--- a/crates/waxwing-fleet/src/registry.rs
+++ b/crates/waxwing-fleet/src/registry.rs
@@ -18,6 +18,11 @@
 /// Time after which an endpoint that sends no notices is removed.
 pub const SILENCE_RETENTION: Duration = Duration::from_secs(60);
 
+/// Time for which no notice of the known life of an endpoint makes it ready, after a life with an
+/// earlier start has said that it leaves. Notices arrive seconds late, so one of these doesn't show
+/// that the known life goes on.
+pub const CONTRADICTION_TIME: Duration = Duration::from_secs(10);
+
 /// Time between two checks of the records for their age; a small part of the retention times.
 const EXPIRY_INTERVAL: Duration = Duration::from_millis(500);
 
@@ -46,6 +51,23 @@
     pub notice: messages::EndpointNotice,
     /// When the notice was received from the endpoint.
     pub received_at: Instant,
+    /// The start time of the life before this one, if that was known here.
+    previous_born: Option<u64>,
+    /// When a life with an earlier start said that it leaves, while this one was taken for ready.
+    contradicted_at: Option<Instant>,
+}
+
+impl RegistryRecord {
+    /// Creates a record of a notice that was received from the endpoint at `received_at`.
+    #[must_use]
+    pub const fn new(notice: messages::EndpointNotice, received_at: Instant) -> Self {
+        Self {
+            notice,
+            received_at,
+            previous_born: None,
+            contradicted_at: None,
+        }
+    }
 }
 
 /// The latest notices of all endpoints, by endpoint id. The work for a notice doesn't grow with the
@@ -75,10 +97,10 @@
         }
         let effect = match self.records.get(&id) {
             None => NoticeEffect::Changed,
-            Some(known) => compare(&known.notice, &notice),
+            Some(known) => compare(known, &notice, received_at),
         };
         if effect == NoticeEffect::Stale {
-            return effect;
+            return self.contradict(&id, &notice, received_at);
         }
         if effect == NoticeEffect::Changed && notice.phase() != messages::EndpointPhase::Gone {
             self.mark_others_gone(&notice);
@@ -87,13 +109,41 @@
         effect
     }
 
+    /// Marks an endpoint as draining whose known life is ready, if a life with an earlier start that
+    /// isn't known here says that it leaves. Either the notice is late, or the endpoint has started again
+    /// after the clock of its host was put back. A request to an endpoint that has left is worse than a
+    /// short pause of one that goes on, whose later notices make it ready again.
+    fn contradict(
+        &mut self,
+        id: &SmolStr,
+        notice: &messages::EndpointNotice,
+        received_at: Instant,
+    ) -> NoticeEffect {
+        let Some(known) = self.records.get_mut(id) else {
+            return NoticeEffect::Stale;
+        };
+        let ready = messages::EndpointPhase::Ready;
+        let is_unknown_life =
+            notice.born < known.notice.born && known.previous_born != Some(notice.born);
+        if !is_unknown_life || notice.phase() == ready || known.notice.phase() != ready {
+            return NoticeEffect::Stale;
+        }
+        known.contradicted_at = Some(received_at);
+        self.set_phase(id, messages::EndpointPhase::Draining);
+        NoticeEffect::Changed
+    }
+
     fn insert(&mut self, id: SmolStr, notice: messages::EndpointNotice, received_at: Instant) {
         let address = SmolStr::new(&notice.address);
         let digest = summaries::NoticeDigest::of(&notice);
-        let record = RegistryRecord {
-            notice,
-            received_at,
-        };
+        let mut record = RegistryRecord::new(notice, received_at);
+        if let Some(known) = self.records.get(&id) {
+            let is_same_life = known.notice.born == record.notice.born;
+            record.previous_born = match is_same_life {
+                true => known.previous_born,
+                false => Some(known.notice.born),
+            };
+        }
         let previous = self.records.insert(id.clone(), record);
         let previous = previous.map(|record| record.notice);
         let previous_digest = previous.as_ref().map(summaries::NoticeDigest::of);
@@ -269,7 +319,12 @@
 
 /// Compares a notice with the known one of the same endpoint id. A later start wins; within one
 /// start, deregistration is final, and otherwise the higher sequence number wins.
-fn compare(known: &messages::EndpointNotice, notice: &messages::EndpointNotice) -> NoticeEffect {
+fn compare(
+    record: &RegistryRecord,
+    notice: &messages::EndpointNotice,
+    received_at: Instant,
+) -> NoticeEffect {
+    let known = &record.notice;
     if notice.born != known.born {
         return match notice.born > known.born {
             true => NoticeEffect::Changed,
@@ -286,6 +341,12 @@
     if notice.sequence <= known.sequence {
         return NoticeEffect::Stale;
     }
+    let is_contradicted = record.contradicted_at.is_some_and(|contradicted_at| {
+        received_at.saturating_duration_since(contradicted_at) < CONTRADICTION_TIME
+    });
+    if is_contradicted && notice.phase() == messages::EndpointPhase::Ready {
+        return NoticeEffect::Stale;
+    }
     let same = notice.phase == known.phase
         && notice.address == known.address
         && notice.service == known.service
--- a/crates/waxwing-fleet/tests/registry.rs
+++ b/crates/waxwing-fleet/tests/registry.rs
@@ -2,9 +2,12 @@
 
 use std::time::{Duration, Instant};
 
-use waxwing_fleet::registry::{EndpointRegistry, NoticeEffect};
+use test_case::test_case;
+use waxwing_fleet::registry::{CONTRADICTION_TIME, EndpointRegistry, NoticeEffect};
 use waxwing_wire::messages::{EndpointNotice, EndpointPhase};
 
+const SECOND: Duration = Duration::from_secs(1);
+
 fn notice(id: &str, born: u64, sequence: u64, phase: EndpointPhase) -> EndpointNotice {
     EndpointNotice {
         id: id.to_owned(),
@@ -62,6 +65,47 @@
     assert_eq!(phase(&registry, "one"), Some(EndpointPhase::Ready));
 }
 
+/// Guards against an endpoint that is used although it said that it leaves: it had crashed soon after
+/// its start, and started again after the clock of its host was put back.
+#[test_case(EndpointPhase::Draining; "draining")]
+#[test_case(EndpointPhase::Gone; "gone")]
+fn leaving_of_a_life_that_seems_earlier_counts(leaving: EndpointPhase) {
+    let now = Instant::now();
+    let mut registry = EndpointRegistry::default();
+    registry.observe(notice("one", 9, 3, EndpointPhase::Ready), now);
+    let restarted = registry.observe(notice("one", 7, 1, EndpointPhase::Ready), now);
+    assert_eq!(restarted, NoticeEffect::Stale);
+    let left = registry.observe(notice("one", 7, 2, leaving), now);
+    assert_eq!(left, NoticeEffect::Changed);
+    assert_eq!(phase(&registry, "one"), Some(EndpointPhase::Draining));
+    // A notice of the first life that was under way when it crashed.
+    let late = registry.observe(notice("one", 9, 4, EndpointPhase::Ready), now + SECOND);
+    assert_eq!(late, NoticeEffect::Stale);
+    // Nor may one that another host received before bring it back later.
+    let relayed = registry.observe(notice("one", 9, 5, EndpointPhase::Ready), now - SECOND);
+    assert_eq!(relayed, NoticeEffect::Stale);
+    assert_eq!(phase(&registry, "one"), Some(EndpointPhase::Draining));
+}
+
+/// Guards against an endpoint that is lost for good since a notice of an earlier life was late: the
+/// later life shows that it goes on.
+#[test]
+fn life_that_goes_on_after_an_earlier_one_has_left_is_used_again() {
+    let now = Instant::now();
+    let mut registry = EndpointRegistry::default();
+    registry.observe(notice("one", 9, 3, EndpointPhase::Ready), now);
+    registry.observe(notice("one", 7, 2, EndpointPhase::Draining), now);
+    let later = now + CONTRADICTION_TIME;
+    let next = registry.observe(notice("one", 9, 12, EndpointPhase::Ready), later);
+    assert_eq!(next, NoticeEffect::Changed);
+    assert_eq!(phase(&registry, "one"), Some(EndpointPhase::Ready));
+    // A later start needs no such time.
+    registry.observe(notice("one", 7, 3, EndpointPhase::Draining), later);
+    let restarted = registry.observe(notice("one", 10, 1, EndpointPhase::Ready), later);
+    assert_eq!(restarted, NoticeEffect::Changed);
+    assert_eq!(phase(&registry, "one"), Some(EndpointPhase::Ready));
+}
+
 /// Guards against requests to a crashed endpoint: another endpoint registers at its address, and
 /// then a notice of the crashed one arrives that a network partition had delayed.
 #[test]
--- a/crates/waxwing-registrar/src/departures.rs
+++ b/crates/waxwing-registrar/src/departures.rs
@@ -56,6 +56,12 @@
         self.born.get(id).is_some_and(|left| born <= *left)
     }
 
+    /// Returns the start time of the last life of an endpoint that has left, in Unix milliseconds.
+    #[must_use]
+    pub fn last_born(&self, id: &str) -> Option<u64> {
+        self.born.get(id).copied()
+    }
+
     /// Returns the newest `count` departures, the oldest of them first.
     pub fn newest(&self, count: usize) -> impl Iterator<Item = messages::EndpointDeparture> {
         let skipped = self.order.len().saturating_sub(count);
--- a/crates/waxwing-registrar/src/directory.rs
+++ b/crates/waxwing-registrar/src/directory.rs
@@ -53,7 +53,7 @@
         notice: messages::EndpointNotice,
         now: Instant,
     ) -> registry::NoticeEffect {
-        if self.has_left(&notice) {
+        if self.has_left(&notice) || self.is_repeated_departure(&notice) {
             return registry::NoticeEffect::Stale;
         }
         let effect = self.registry.observe(notice.clone(), now);
@@ -63,10 +63,7 @@
                 self.refreshes.push(summaries::NoticeDigest::of(&notice));
             }
             self.next_relay.get_or_insert(now + RELAY_INTERVAL);
-            let record = registry::RegistryRecord {
-                received_at: now,
-                notice,
-            };
+            let record = registry::RegistryRecord::new(notice, now);
             self.unrelayed
                 .insert(SmolStr::new(&record.notice.id), record);
         }
@@ -79,6 +76,15 @@
             && self.departures.covers(&notice.id, notice.born)
     }
 
+    /// Tells whether the notice says once more that a life leaves whose departure is committed, while a
+    /// later life is known here. It is late then, and doesn't concern the later one.
+    fn is_repeated_departure(&self, notice: &messages::EndpointNotice) -> bool {
+        let record = self.registry.record(&notice.id);
+        notice.phase() != messages::EndpointPhase::Ready
+            && record.is_some_and(|record| record.notice.born > notice.born)
+            && self.departures.last_born(&notice.id) == Some(notice.born)
+    }
+
     /// Tells whether a departure is known to be committed.
     #[must_use]
     pub fn is_recorded(&self, departure: &messages::EndpointDeparture) -> bool {
@@ -122,7 +128,8 @@
             self.registry.observe(notice, received_at);
             let Some((id, born)) = departed else { continue };
             let record = self.registry.record(&id);
-            if let Some(known) = record.filter(|record| record.notice.phase() != gone) {
+            let ready = messages::EndpointPhase::Ready;
+            if let Some(known) = record.filter(|record| record.notice.phase() == ready) {
                 let known_born = known.notice.born;
                 tracing::info!(event = "departure-ignored", endpoint = id, born, known_born);
             }
--- a/crates/waxwing-registrar/tests/directory.rs
+++ b/crates/waxwing-registrar/tests/directory.rs
@@ -176,6 +176,62 @@
     }
 }
 
+/// Returns a notice that the endpoint leaves.
+fn draining(born: u64, sequence: u64) -> EndpointNotice {
+    EndpointNotice {
+        phase: EndpointPhase::Draining.into(),
+        ..notice(born, sequence)
+    }
+}
+
+/// Guards against an endpoint that is used after it has left, since it had started again after the
+/// clock of its host was put back: its notices seemed to be late ones of an earlier life.
+#[test_case(0; "it leaves at the host of its first notices")]
+#[test_case(1; "it leaves at another host")]
+fn endpoint_that_leaves_after_its_clock_was_put_back_is_not_used(left_at: usize) {
+    let mut simulated = SimulatedHosts::new();
+    for sequence in 1..30 {
+        simulated.send(0, notice(START_MILLIS, sequence));
+        simulated.advance(NOTICE_INTERVAL);
+    }
+    for sequence in 1..5 {
+        simulated.send(0, notice(START_MILLIS - 1_000, sequence));
+        simulated.advance(NOTICE_INTERVAL);
+        assert!(simulated.is_used());
+    }
+    simulated.send(left_at, draining(START_MILLIS - 1_000, 5));
+    for host in &mut simulated.hosts {
+        host.learn(&[departure("leaving", START_MILLIS - 1_000)], true);
+    }
+    assert!(!simulated.is_used());
+    // A late notice of the first life, and what hosts relay of it.
+    simulated.send(2, notice(START_MILLIS, 30));
+    assert!(!simulated.is_used());
+    for sequence in 6..30 {
+        simulated.advance(NOTICE_INTERVAL);
+        simulated.send(left_at, draining(START_MILLIS - 1_000, sequence));
+        assert!(!simulated.is_used());
+    }
+}
+
+/// Guards against an endpoint that is taken out of use by a notice that comes once more and late, of a
+/// life that has left before.
+#[test]
+fn departure_of_an_earlier_life_that_comes_twice_changes_nothing() {
+    let mut simulated = SimulatedHosts::new();
+    simulated.send(0, draining(START_MILLIS, 7));
+    for host in &mut simulated.hosts {
+        host.learn(&[departure("leaving", START_MILLIS)], true);
+        // The hosts forget the life, but not its departure.
+        *host = EndpointDirectory::default();
+        host.learn(&[departure("leaving", START_MILLIS)], true);
+    }
+    simulated.send(0, notice(START_MILLIS + 3_000, 1));
+    assert!(simulated.is_used());
+    simulated.send(1, draining(START_MILLIS, 7));
+    assert!(simulated.is_used());
+}
+
 fn departure(id: &str, born: u64) -> EndpointDeparture {
     EndpointDeparture {
         id: id.to_owned(),
