Let no remembered departure end a later life of an endpoint

Change: a leaving notice with an earlier start counts only if it has an address and was received after the present life was first heard of.

--- a/crates/waxwing-fleet/src/registry.rs
+++ b/crates/waxwing-fleet/src/registry.rs
@@ -51,6 +51,8 @@
     pub notice: messages::EndpointNotice,
     /// When the notice was received from the endpoint.
     pub received_at: Instant,
+    /// When the first notice of this life that came here was received from the endpoint.
+    first_received_at: Instant,
     /// The start time of the life before this one, if that was known here.
     previous_born: Option<u64>,
     /// When a life with an earlier start said that it leaves, while this one was taken for ready.
@@ -64,6 +66,7 @@
         Self {
             notice,
             received_at,
+            first_received_at: received_at,
             previous_born: None,
             contradicted_at: None,
         }
@@ -112,7 +115,9 @@
     /// Marks an endpoint as draining whose known life is ready, if a life with an earlier start that
     /// isn't known here says that it leaves. Either the notice is late, or the endpoint has started again
     /// after the clock of its host was put back. A request to an endpoint that has left is worse than a
-    /// short pause of one that goes on, whose later notices make it ready again.
+    /// short pause of one that goes on, whose later notices make it ready again. A record of a control
+    /// host that missed the known life is older than it, and a departure that a control host tells from
+    /// the log has no address; neither of them marks it.
     fn contradict(
         &mut self,
         id: &SmolStr,
@@ -125,7 +130,12 @@
         let ready = messages::EndpointPhase::Ready;
         let is_unknown_life =
             notice.born < known.notice.born && known.previous_born != Some(notice.born);
-        if !is_unknown_life || notice.phase() == ready || known.notice.phase() != ready {
+        let is_recent = received_at >= known.first_received_at && !notice.address.is_empty();
+        if !is_unknown_life
+            || !is_recent
+            || notice.phase() == ready
+            || known.notice.phase() != ready
+        {
             return NoticeEffect::Stale;
         }
         known.contradicted_at = Some(received_at);
@@ -138,11 +148,12 @@
         let digest = summaries::NoticeDigest::of(&notice);
         let mut record = RegistryRecord::new(notice, received_at);
         if let Some(known) = self.records.get(&id) {
-            let is_same_life = known.notice.born == record.notice.born;
-            record.previous_born = match is_same_life {
-                true => known.previous_born,
-                false => Some(known.notice.born),
-            };
+            if known.notice.born == record.notice.born {
+                record.first_received_at = known.first_received_at;
+                record.previous_born = known.previous_born;
+            } else {
+                record.previous_born = Some(known.notice.born);
+            }
         }
         let previous = self.records.insert(id.clone(), record);
         let previous = previous.map(|record| record.notice);
--- a/crates/waxwing-fleet/tests/registry.rs
+++ b/crates/waxwing-fleet/tests/registry.rs
@@ -87,6 +87,26 @@
     assert_eq!(phase(&registry, "one"), Some(EndpointPhase::Draining));
 }
 
+/// Guards against an endpoint that is taken out of use by what a control host remembers of an earlier
+/// life: its last notice, or its departure in the log, which has no address.
+#[test]
+fn record_of_an_earlier_life_changes_nothing() {
+    let now = Instant::now();
+    let mut registry = EndpointRegistry::default();
+    registry.observe(notice("one", 9, 1, EndpointPhase::Ready), now);
+    registry.observe(notice("one", 9, 2, EndpointPhase::Ready), now + SECOND);
+    let remembered = notice("one", 7, 30, EndpointPhase::Gone);
+    let outdated = registry.observe(remembered.clone(), now - SECOND);
+    assert_eq!(outdated, NoticeEffect::Stale);
+    let departure = EndpointNotice {
+        address: String::new(),
+        ..remembered
+    };
+    let logged = registry.observe(departure, now + SECOND);
+    assert_eq!(logged, NoticeEffect::Stale);
+    assert_eq!(phase(&registry, "one"), Some(EndpointPhase::Ready));
+}
+
 /// Guards against an endpoint that is lost for good since a notice of an earlier life was late: the
 /// later life shows that it goes on.
 #[test]
