Tell entries of committed departures from every control host

What callers would see: requests at an endpoint that has left, by an entry whose link to the control host that acknowledged the departure was down when that host was lost.

Cause: the other control hosts heard of the departure from that host and didn't pass it on, and when it was committed they told entries only of endpoints that they still took for ready.

Evidence: three simulated hosts, of which two heard of a departure before it was committed, told entries nothing at the commit.

Change: each control host tells its entries of each newly committed departure of a life that it knows.

--- a/crates/waxwing-fleet/src/registry.rs
+++ b/crates/waxwing-fleet/src/registry.rs
@@ -292,14 +292,16 @@
         self.records.values()
     }
 
-    /// Marks an endpoint as draining if its known life began at `born` or before and is ready.
-    /// Returns its notice then.
+    /// Marks an endpoint as draining if its known life began at `born` or before and is ready. Returns
+    /// the notice of a life that began by then, whether it was ready or not.
     pub fn mark_draining(&mut self, id: &str, born: u64) -> Option<&messages::EndpointNotice> {
         let known = &self.records.get(id)?.notice;
-        if known.born > born || known.phase() != messages::EndpointPhase::Ready {
+        if known.born > born {
             return None;
         }
-        self.set_phase(&SmolStr::new(id), messages::EndpointPhase::Draining);
+        if known.phase() == messages::EndpointPhase::Ready {
+            self.set_phase(&SmolStr::new(id), messages::EndpointPhase::Draining);
+        }
         Some(&self.records.get(id)?.notice)
     }
 
--- a/crates/waxwing-registrar/src/directory.rs
+++ b/crates/waxwing-registrar/src/directory.rs
@@ -97,8 +97,9 @@
         self.is_complete
     }
 
-    /// Records committed departures, and returns the notices of endpoints that were taken for ready
-    /// until now. `whole` tells that the log held no others when a quorum was last asked.
+    /// Records committed departures, and returns the notices of the endpoints that have left by one that
+    /// is new here. Entries are told of them by every host: the one that took the notice may have lost
+    /// its link to some. `whole` tells that the log held no others when a quorum was last asked.
     pub fn learn(
         &mut self,
         departures: &[messages::EndpointDeparture],
--- a/crates/waxwing-registrar/tests/directory.rs
+++ b/crates/waxwing-registrar/tests/directory.rs
@@ -214,6 +214,32 @@
     }
 }
 
+/// Guards against an entry that never hears of a departure, since the host that acknowledged it had no
+/// link to the entry and was lost: the other hosts knew of it by then and told nobody.
+#[test_case(EndpointPhase::Draining; "draining")]
+#[test_case(EndpointPhase::Gone; "gone")]
+fn every_host_tells_entries_of_a_departure_once_it_is_committed(leaving: EndpointPhase) {
+    let mut simulated = SimulatedHosts::new();
+    simulated.send(0, notice(START_MILLIS, 1));
+    let left = EndpointNotice {
+        phase: leaving.into(),
+        ..notice(START_MILLIS, 2)
+    };
+    simulated.send(0, left.clone());
+    for host in &mut simulated.hosts {
+        let told = host.learn(&[departure("leaving", START_MILLIS)], false);
+        assert_eq!(told.notices, vec![left.clone()]);
+        let repeated = host.learn(&[departure("leaving", START_MILLIS)], false);
+        assert!(repeated.notices.is_empty());
+    }
+    // A later life has not left.
+    simulated.send(0, notice(START_MILLIS + 9_000, 1));
+    for host in &mut simulated.hosts {
+        let told = host.learn(&[departure("leaving", START_MILLIS + 4_000)], false);
+        assert!(told.notices.is_empty());
+    }
+}
+
 /// Guards against an endpoint that is taken out of use by a notice that comes once more and late, of a
 /// life that has left before.
 #[test]
