--- a/crates/waxwing-conduit/src/intake.rs
+++ b/crates/waxwing-conduit/src/intake.rs
@@ -487,7 +487,7 @@
     let (response, connection) = answer.split();
     let (head, incoming) = response.into_parts();
     let facts = state.dialect.answer(&request.facts.id, &head);
-    // What else an answer without a valid status states is as doubtful.
+    // The headers of an answer without a valid status are not trusted either.
     let is_own = facts.id_matches && forwarding::is_final(head.status);
     if is_own {
         run.record_statements(&facts, sent);
--- a/crates/waxwing-registrar/src/host.rs
+++ b/crates/waxwing-registrar/src/host.rs
@@ -213,6 +213,7 @@
         }
     }
 
+    /// Returns what entries are told: the same control hosts, and the linked entries.
     fn fleet_hosts(&self) -> messages::FleetHosts {
         let entries = self.network.linked_addresses(messages::ProcessKind::Entry);
         messages::FleetHosts {
