--- a/crates/waxwing-conduit/src/uploads.rs
+++ b/crates/waxwing-conduit/src/uploads.rs
@@ -23,6 +23,9 @@
     stream: net::TcpStream,
     /// Whether bytes of a request wait until the connection takes more.
     is_writing: bool,
+    /// Whether a reset was reported. Nothing is written from then on, so that the connection closes and
+    /// the rest of the request takes no memory.
+    is_reset: bool,
 }
 
 impl EndpointStream {
@@ -30,6 +33,7 @@
         Self {
             stream,
             is_writing: false,
+            is_reset: false,
         }
     }
 
@@ -41,7 +45,15 @@
         self.stream.take_error().unwrap_or_else(Some)
     }
 
-    fn record_write(&mut self, written: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
+    /// Writes by `write`, unless a reset was reported.
+    fn write(
+        &mut self,
+        write: impl FnOnce(Pin<&mut net::TcpStream>) -> Poll<io::Result<usize>>,
+    ) -> Poll<io::Result<usize>> {
+        if self.is_reset {
+            return Poll::Ready(Err(io::ErrorKind::ConnectionReset.into()));
+        }
+        let written = write(Pin::new(&mut self.stream));
         self.is_writing = written.is_pending();
         written
     }
@@ -57,6 +69,7 @@
         ready!(Pin::new(&mut self.stream).poll_read(context, buffer))?;
         let has_ended = buffer.filled().len() == filled && buffer.remaining() > 0;
         let error = has_ended.then(|| self.reset_error()).flatten();
+        self.is_reset |= error.is_some();
         Poll::Ready(error.map_or(Ok(()), Err))
     }
 }
@@ -67,8 +80,7 @@
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        let written = Pin::new(&mut self.stream).poll_write(context, bytes);
-        self.record_write(written)
+        self.write(|stream| stream.poll_write(context, bytes))
     }
 
     fn poll_write_vectored(
@@ -76,8 +88,7 @@
         context: &mut Context<'_>,
         slices: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        let written = Pin::new(&mut self.stream).poll_write_vectored(context, slices);
-        self.record_write(written)
+        self.write(|stream| stream.poll_write_vectored(context, slices))
     }
 
     fn is_write_vectored(&self) -> bool {
