--- a/crates/waxwing-conduit/src/sockets.rs
+++ b/crates/waxwing-conduit/src/sockets.rs
@@ -19,11 +19,11 @@
 /// Number of unanswered probes after which a connection is closed.
 const KEEPALIVE_PROBES: u32 = 2;
 
-/// Bytes of a request that the kernel may hold without having sent them. While an endpoint doesn't read,
-/// the rest of the request then waits in this process, which so knows that the endpoint hasn't taken it.
+/// Unsent bytes of a request that the kernel may hold. While an endpoint doesn't read, the rest waits in
+/// this process, which can then tell that the endpoint hasn't taken the request.
 const UNSENT_BYTES: u32 = 16 * 1024;
 
-/// Keeps the bytes that the kernel holds unsent few on a connection to an endpoint. Bytes on their way
+/// Limits the unsent bytes that the kernel holds for a connection to an endpoint. Bytes on their way
 /// aren't limited. A failure is only logged.
 pub(crate) fn limit_unsent(stream: &net::TcpStream) {
     let limited = SockRef::from(stream).set_tcp_notsent_lowat(UNSENT_BYTES);
