Let no notice with a higher number undo that an endpoint leaves

Cause: a control host that knows of a departure from the replicated log only tells entries its last notice of the endpoint as draining, with the sequence number of that notice. The registry of an entry that knew a notice with the same or a higher number took it for a late one, also when it was fetched again. An entry that did take it was brought back by any notice with a higher number that another host relayed late.

Change: within one life phases only advance, and the sequence number decides between notices of one phase only. A life that merely paused, and endpoints without a start time, go by the number as before.

Evidence: leaving_of_the_known_life_counts_whatever_its_number (3 of 3 cases), leaving_of_a_paused_life_is_final and departure_in_the_log_alone_reaches_an_entry (2 of 2) failed before and pass now; the tests of waxwing-fleet, -registrar and -gate pass.

--- a/crates/waxwing-fleet/src/registry.rs
+++ b/crates/waxwing-fleet/src/registry.rs
@@ -295,11 +295,13 @@
     /// Marks an endpoint as draining if its known life began at `born` or before and is ready. Returns
     /// the notice of a life that began by then, whether it was ready or not.
     pub fn mark_draining(&mut self, id: &str, born: u64) -> Option<&messages::EndpointNotice> {
-        let known = &self.records.get(id)?.notice;
-        if known.born > born {
+        let record = self.records.get_mut(id)?;
+        if record.notice.born > born {
             return None;
         }
-        if known.phase() == messages::EndpointPhase::Ready {
+        // This life itself has left.
+        record.contradicted_at = None;
+        if record.notice.phase() == messages::EndpointPhase::Ready {
             self.set_phase(&SmolStr::new(id), messages::EndpointPhase::Draining);
         }
         Some(&self.records.get(id)?.notice)
@@ -331,7 +333,7 @@
 }
 
 /// Compares a notice with the known one of the same endpoint id. A later start wins; within one
-/// start, deregistration is final, and otherwise the higher sequence number wins.
+/// start, phases only advance, and otherwise the higher sequence number wins.
 fn compare(
     record: &RegistryRecord,
     notice: &messages::EndpointNotice,
@@ -351,13 +353,10 @@
     if notice.phase() == gone {
         return NoticeEffect::Changed;
     }
-    if notice.sequence <= known.sequence {
-        return NoticeEffect::Stale;
+    if let Some(effect) = compare_leaving(record, notice, received_at) {
+        return effect;
     }
-    let is_contradicted = record.contradicted_at.is_some_and(|contradicted_at| {
-        received_at.saturating_duration_since(contradicted_at) < CONTRADICTION_TIME
-    });
-    if is_contradicted && notice.phase() == messages::EndpointPhase::Ready {
+    if notice.sequence <= known.sequence {
         return NoticeEffect::Stale;
     }
     let same = notice.phase == known.phase
@@ -370,3 +369,32 @@
         false => NoticeEffect::Changed,
     }
 }
+
+/// Compares a notice with the known one of the same life if one of them says that the endpoint leaves.
+/// Leaving is final whatever the sequence numbers: a control host that knows of a departure from the log
+/// only tells it with the number of an earlier notice, and a notice from before the leaving may be
+/// relayed late. Returns `None` if the sequence numbers decide. They do so without a start time too,
+/// since the notice may then be of a later life.
+fn compare_leaving(
+    record: &RegistryRecord,
+    notice: &messages::EndpointNotice,
+    received_at: Instant,
+) -> Option<NoticeEffect> {
+    let ready = messages::EndpointPhase::Ready;
+    if let Some(contradicted_at) = record.contradicted_at {
+        // The known life itself has not said that it leaves.
+        let pause = received_at.saturating_duration_since(contradicted_at);
+        return match notice.phase() == ready {
+            true => (pause < CONTRADICTION_TIME).then_some(NoticeEffect::Stale),
+            false => Some(NoticeEffect::Changed),
+        };
+    }
+    if notice.born == 0 {
+        return None;
+    }
+    match (record.notice.phase() == ready, notice.phase() == ready) {
+        (true, false) => Some(NoticeEffect::Changed),
+        (false, true) => Some(NoticeEffect::Stale),
+        _ => None,
+    }
+}
--- a/crates/waxwing-fleet/tests/registry.rs
+++ b/crates/waxwing-fleet/tests/registry.rs
@@ -41,6 +41,41 @@
     assert_eq!(phase(&registry, "one"), Some(EndpointPhase::Draining));
 }
 
+/// Guards against an endpoint that is used after it has left, since the entry heard of the departure
+/// from a control host that knows it from the log only: that host tells of it with the sequence number
+/// of an earlier notice.
+#[test_case(1; "with the number of a notice before the known one")]
+#[test_case(4; "with the number of the known notice")]
+#[test_case(5; "with the next number")]
+fn leaving_of_the_known_life_counts_whatever_its_number(number: u64) {
+    let now = Instant::now();
+    let mut registry = EndpointRegistry::default();
+    registry.observe(notice("one", 5, 4, EndpointPhase::Ready), now);
+    let left = registry.observe(notice("one", 5, number, EndpointPhase::Draining), now);
+    assert_eq!(left, NoticeEffect::Changed);
+    // A notice from before the leaving, which another control host relays late.
+    let late = registry.observe(notice("one", 5, 9, EndpointPhase::Ready), now);
+    assert_eq!(late, NoticeEffect::Stale);
+    assert_eq!(phase(&registry, "one"), Some(EndpointPhase::Draining));
+    let restarted = registry.observe(notice("one", 6, 1, EndpointPhase::Ready), now);
+    assert_eq!(restarted, NoticeEffect::Changed);
+}
+
+/// Guards against a life that is used again after it has left itself, since the leaving of an earlier
+/// one had only paused it.
+#[test]
+fn leaving_of_a_paused_life_is_final() {
+    let now = Instant::now();
+    let mut registry = EndpointRegistry::default();
+    registry.observe(notice("one", 9, 3, EndpointPhase::Ready), now);
+    registry.observe(notice("one", 7, 2, EndpointPhase::Draining), now);
+    registry.observe(notice("one", 9, 3, EndpointPhase::Draining), now);
+    let later = now + CONTRADICTION_TIME;
+    let late = registry.observe(notice("one", 9, 12, EndpointPhase::Ready), later);
+    assert_eq!(late, NoticeEffect::Stale);
+    assert_eq!(phase(&registry, "one"), Some(EndpointPhase::Draining));
+}
+
 #[test]
 fn late_notice_does_not_undo_a_deregistration() {
     let now = Instant::now();
--- a/crates/waxwing-registrar/tests/directory.rs
+++ b/crates/waxwing-registrar/tests/directory.rs
@@ -240,6 +240,36 @@
     }
 }
 
+/// Guards against an entry that goes on using an endpoint that has left, since the host that took the
+/// notice was lost and the others know of the departure from the log only: what they told had the number
+/// of a notice that the entry knew.
+#[test_case(1; "the entry knows the first notice")]
+#[test_case(9; "the entry knows a later notice than the host")]
+fn departure_in_the_log_alone_reaches_an_entry(known_at_entry: u64) {
+    let now = Instant::now();
+    let mut host = EndpointDirectory::default();
+    host.learn(&[], true);
+    host.observe(notice(START_MILLIS, 1), now);
+    let mut entry = EndpointRegistry::default();
+    entry.observe(notice(START_MILLIS, known_at_entry), now);
+    for told in host
+        .learn(&[departure("leaving", START_MILLIS)], false)
+        .notices
+    {
+        entry.observe(told, now);
+    }
+    let phase = entry.record("leaving").unwrap().notice.phase();
+    assert_ne!(phase, EndpointPhase::Ready);
+    // An entry whose link opens later asks for the notices that it lacks.
+    let mut entry = EndpointRegistry::default();
+    entry.observe(notice(START_MILLIS, known_at_entry), now);
+    for told in told_to_entry(&host, now) {
+        entry.observe(told, now);
+    }
+    let phase = entry.record("leaving").unwrap().notice.phase();
+    assert_ne!(phase, EndpointPhase::Ready);
+}
+
 /// Guards against an endpoint that is taken out of use by a notice that comes once more and late, of a
 /// life that has left before.
 #[test]
