Tell entries of a leaving endpoint from every control host that hears of it

Cause: an entry without a link to the control host that took a leaving notice depends on the other hosts. These told entries of it only once the departure was committed, and only with a record of the endpoint. A host that has just replaced another one has none; a departure without a start time, or without a quorum, is never committed.

A host passes a relayed leaving notice on to its entries if it is new there.

--- a/crates/waxwing-registrar/src/directory.rs
+++ b/crates/waxwing-registrar/src/directory.rs
@@ -107,34 +107,63 @@
     ) -> messages::EndpointNotices {
         self.is_complete |= whole;
         let mut notices = Vec::new();
+        let mut unlisted = Vec::new();
         for departure in departures {
-            if self.departures.record(departure) {
-                let marked = self.registry.mark_draining(&departure.id, departure.born);
-                notices.extend(marked.cloned());
+            if !self.departures.record(departure) {
+                continue;
+            }
+            if self.registry.record(&departure.id).is_none() {
+                unlisted.push(departure_notice(departure.clone()));
+                continue;
             }
+            let marked = self.registry.mark_draining(&departure.id, departure.born);
+            notices.extend(marked.cloned());
         }
+        // A snapshot of the log may bring thousands, of which entries need the recent ones.
+        let skipped = unlisted.len().saturating_sub(RECENT_DEPARTURES);
+        notices.extend(unlisted.into_iter().skip(skipped));
         messages::EndpointNotices { notices }
     }
 
-    /// Applies notices that another control host received.
-    pub fn observe_relayed(&mut self, relayed: messages::EndpointNotices, now: Instant) {
+    /// Applies notices that another control host received. Returns those that say something new here and
+    /// are of endpoints that leave, which entries are told by every host for the same reason as
+    /// committed departures; one that isn't committed yet is as true.
+    pub fn observe_relayed(
+        &mut self,
+        relayed: messages::EndpointNotices,
+        now: Instant,
+    ) -> messages::EndpointNotices {
+        let mut leaving = Vec::new();
         for notice in relayed.notices {
             if self.has_left(&notice) {
                 continue;
             }
             let age = Duration::from_millis(notice.age_millis);
             let received_at = now.checked_sub(age).unwrap_or(now);
-            let gone = messages::EndpointPhase::Gone;
-            let departed = (notice.phase() == gone).then(|| (notice.id.clone(), notice.born));
-            self.registry.observe(notice, received_at);
-            let Some((id, born)) = departed else { continue };
-            let record = self.registry.record(&id);
-            let ready = messages::EndpointPhase::Ready;
-            if let Some(known) = record.filter(|record| record.notice.phase() == ready) {
-                let known_born = known.notice.born;
-                tracing::info!(event = "departure-ignored", endpoint = id, born, known_born);
+            let effect = self.registry.observe(notice.clone(), received_at);
+            self.log_ignored_departure(&notice);
+            if effect == registry::NoticeEffect::Changed
+                && notice.phase() != messages::EndpointPhase::Ready
+            {
+                leaving.push(notice);
             }
         }
+        messages::EndpointNotices { notices: leaving }
+    }
+
+    /// Logs that an endpoint is still taken for ready after a notice that it is gone.
+    fn log_ignored_departure(&self, notice: &messages::EndpointNotice) {
+        let ready = messages::EndpointPhase::Ready;
+        let record = self.registry.record(&notice.id);
+        let known = record.filter(|record| record.notice.phase() == ready);
+        if let Some(known) = known.filter(|_| notice.phase() == messages::EndpointPhase::Gone) {
+            tracing::info!(
+                event = "departure-ignored",
+                endpoint = notice.id,
+                born = notice.born,
+                known_born = known.notice.born
+            );
+        }
     }
 
     /// Takes the digests of notices without a change that another control host received. An entry may
@@ -198,14 +227,8 @@
     pub fn unlisted_departures(&self) -> messages::EndpointNotices {
         let recent = self.departures.newest(RECENT_DEPARTURES);
         let unlisted = recent.filter(|departure| self.registry.record(&departure.id).is_none());
-        let notices = unlisted.map(|departure| messages::EndpointNotice {
-            id: departure.id,
-            born: departure.born,
-            phase: messages::EndpointPhase::Gone.into(),
-            ..messages::EndpointNotice::default()
-        });
         messages::EndpointNotices {
-            notices: notices.collect(),
+            notices: unlisted.map(departure_notice).collect(),
         }
     }
 
@@ -271,6 +294,16 @@
     }
 }
 
+/// Builds the notice of a departure of an endpoint without a record here, which has no address.
+fn departure_notice(departure: messages::EndpointDeparture) -> messages::EndpointNotice {
+    messages::EndpointNotice {
+        id: departure.id,
+        born: departure.born,
+        phase: messages::EndpointPhase::Gone.into(),
+        ..messages::EndpointNotice::default()
+    }
+}
+
 fn with_ages<'a>(
     records: impl Iterator<Item = &'a registry::RegistryRecord>,
     now: Instant,
--- a/crates/waxwing-registrar/src/host.rs
+++ b/crates/waxwing-registrar/src/host.rs
@@ -317,10 +317,7 @@
             },
             messages::Body::JoinGroup(join) => handles::GroupRequest::Join(join),
             messages::Body::FleetHosts(hosts) => return self.learn_hosts(remote.address, &hosts),
-            messages::Body::EndpointNotices(notices) => {
-                let now = self.clock.now();
-                return self.directory().observe_relayed(notices, now);
-            }
+            messages::Body::EndpointNotices(notices) => return self.take_relayed(notices),
             messages::Body::EndpointRefreshes(refreshes) => {
                 let now = self.clock.now();
                 return self.directory().observe_refreshes(&refreshes, now);
@@ -348,6 +345,16 @@
         }
     }
 
+    /// Takes notices that another control host received, and tells entries of the endpoints that leave.
+    fn take_relayed(&self, notices: messages::EndpointNotices) {
+        let now = self.clock.now();
+        let leaving = self.directory().observe_relayed(notices, now);
+        if !leaving.notices.is_empty() {
+            let body = messages::Body::EndpointNotices(leaving);
+            self.network.broadcast(messages::ProcessKind::Entry, &body);
+        }
+    }
+
     /// Sends the part of a deployment that an entry asks for.
     fn send_chunk(&self, remote: network::RemoteProcess, fetch: &messages::FetchDeployment) {
         let chunk = self.history().chunk(fetch);
--- a/crates/waxwing-registrar/tests/directory.rs
+++ b/crates/waxwing-registrar/tests/directory.rs
@@ -270,6 +270,68 @@
     assert_ne!(phase, EndpointPhase::Ready);
 }
 
+/// Guards against an entry that never hears of a departure, since the hosts that it has links to have no
+/// record of the endpoint: they have just started, or missed its notices. They knew of the departure
+/// from the log and told nobody.
+#[test]
+fn host_without_a_record_tells_entries_of_a_departure() {
+    let now = Instant::now();
+    let mut host = EndpointDirectory::default();
+    host.learn(&[departure("other", START_MILLIS)], true);
+    let mut entry = EndpointRegistry::default();
+    entry.observe(notice(START_MILLIS, 3), now);
+    let left = departure("leaving", START_MILLIS);
+    for told in host.learn(std::slice::from_ref(&left), false).notices {
+        entry.observe(told, now);
+    }
+    let phase = entry.record("leaving").unwrap().notice.phase();
+    assert_eq!(phase, EndpointPhase::Gone);
+    assert!(host.learn(&[left], false).notices.is_empty());
+    // A later life has not left.
+    let restarted = entry.observe(notice(START_MILLIS + 5_000, 1), now);
+    assert_eq!(restarted, NoticeEffect::Changed);
+}
+
+/// Guards against an entry whose link is filled by a host that has installed a snapshot of the log with
+/// thousands of departures.
+#[test]
+fn host_that_learns_many_departures_tells_the_recent_ones() {
+    let mut host = EndpointDirectory::default();
+    let departures: Vec<_> = (0..MAX_DEPARTURES)
+        .map(|number| departure(&number.to_string(), START_MILLIS))
+        .collect();
+    let told = host.learn(&departures, false).notices;
+    let unlisted = host.unlisted_departures().notices;
+    assert!(told.len() < MAX_DEPARTURES / 10);
+    assert_eq!(told, unlisted);
+}
+
+/// Guards against an entry that doesn't hear that an endpoint leaves, since it has no link to the host
+/// that took the notice: the other hosts knew at once and told entries only once the departure was
+/// committed, and not at all if it wasn't.
+#[test_case(EndpointPhase::Draining; "draining")]
+#[test_case(EndpointPhase::Gone; "gone")]
+fn relayed_leaving_is_passed_on_once(leaving: EndpointPhase) {
+    let now = Instant::now();
+    let mut host = EndpointDirectory::default();
+    let relayed = |notice| EndpointNotices {
+        notices: vec![notice],
+    };
+    let ready = host.observe_relayed(relayed(notice(START_MILLIS, 1)), now);
+    assert!(ready.notices.is_empty());
+    let left = EndpointNotice {
+        phase: leaving.into(),
+        ..notice(START_MILLIS, 2)
+    };
+    let told = host.observe_relayed(relayed(left.clone()), now);
+    assert_eq!(told.notices, vec![left.clone()]);
+    let again = host.observe_relayed(relayed(left), now);
+    assert!(again.notices.is_empty());
+    // A late notice from before the leaving.
+    let late = host.observe_relayed(relayed(notice(START_MILLIS, 3)), now);
+    assert!(late.notices.is_empty());
+}
+
 /// Guards against an endpoint that is taken out of use by a notice that comes once more and late, of a
 /// life that has left before.
 #[test]
