Drop the records of entries that were lost ten minutes ago

An entry kept a record of every other one that it was ever connected to.

Cause: the gate keeps the totals of a lost entry, with which its reports are compared when it comes back, and had no time after which a record ends. Dropping it alone would charge a returning entry for all that it ever admitted while both ran.

Change: a record ends ten minutes after the entry was lost or last listed; network partitions last seconds. Where both entries have run for longer, an unknown one is charged for nothing that it admitted before, since buckets have been refilled since.

--- a/crates/waxwing-gate/src/gate.rs
+++ b/crates/waxwing-gate/src/gate.rs
@@ -14,7 +14,7 @@
 mod statements;
 mod versions;
 
-pub use self::statements::LimitChange;
+pub use self::{load_updates::LOST_PEER_RECORD_RETENTION, statements::LimitChange};
 
 use std::{
     collections::{BTreeSet, HashMap},
--- a/crates/waxwing-gate/src/gate/load_updates.rs
+++ b/crates/waxwing-gate/src/gate/load_updates.rs
@@ -19,10 +19,20 @@
 /// at the earliest.
 const RESTART_TOLERANCE: Duration = Duration::from_millis(400);
 
+/// Time for which the record of a lost entry is kept, which holds the totals that its reports are compared
+/// with. Network partitions last seconds, and an entry that is gone for longer was most often replaced.
+pub const LOST_PEER_RECORD_RETENTION: Duration = Duration::from_secs(600);
+
 /// Returns the part of a peer's admitted total to count here. A total without a base covers the
 /// whole life of the peer, but this entry's buckets start used up, which already covers everything
 /// before its own start; so only the overlap of the two lifetimes counts.
+///
+/// Where both have run for longer than a record is kept, the peer may be one whose record was dropped.
+/// Nothing of its total is counted then, since buckets have been refilled after most of it.
 fn overlap_share(peer_age: Duration, own_age: Duration) -> f64 {
+    if peer_age.min(own_age) > LOST_PEER_RECORD_RETENTION {
+        return 0.0;
+    }
     let peer_age = peer_age.as_secs_f64().max(f64::MIN_POSITIVE);
     (own_age.as_secs_f64() / peer_age).min(1.0)
 }
@@ -122,6 +132,7 @@
     /// Takes the list of the other entries. Until they are connected, their share of the quotas is
     /// left to them.
     pub fn expect_peers(&mut self, now: Instant, peers: &[SocketAddr]) {
+        self.drop_lost_peers(now);
         for peer in peers {
             if !self.peers.contains_key(peer) {
                 let lost = self.lost_peers.entry(*peer).or_insert(LostPeer {
@@ -135,6 +146,7 @@
 
     /// Drops the usage and demand of an entry whose connection was lost.
     pub fn forget_peer(&mut self, now: Instant, peer: SocketAddr) {
+        self.drop_lost_peers(now);
         let state = self.peers.remove(&peer);
         self.lost_peers.insert(peer, LostPeer { since: now, state });
         for demands in self.demands.values_mut() {
@@ -145,6 +157,19 @@
         }
     }
 
+    /// Drops the records of entries that were lost too long ago to come back.
+    fn drop_lost_peers(&mut self, now: Instant) {
+        self.lost_peers.retain(|_, lost| {
+            now.saturating_duration_since(lost.since) <= LOST_PEER_RECORD_RETENTION
+        });
+    }
+
+    /// Returns the number of other entries of which a record is kept, connected or lost.
+    #[must_use]
+    pub fn peer_records(&self) -> usize {
+        self.peers.len() + self.lost_peers.len()
+    }
+
     /// Returns the changes since the last update, or a snapshot if `snapshot` is set.
     pub fn take_update(&mut self, now: Instant, snapshot: bool) -> messages::LoadUpdate {
         // A snapshot goes to one peer only, so the changes stay pending for the others.
@@ -254,7 +279,7 @@
     /// may be running.
     pub(super) fn entry_counts(&self, now: Instant) -> (u32, u32) {
         let retention = self.options.lost_peer_retention;
-        // Lost peers are not removed here: their totals are the base for when they reconnect.
+        // Their records are kept for longer: the totals are the base for when they reconnect.
         let lost = self
             .lost_peers
             .values()
--- a/crates/waxwing-gate/tests/quotas.rs
+++ b/crates/waxwing-gate/tests/quotas.rs
@@ -7,7 +7,7 @@
 use smol_str::SmolStr;
 use test_case::test_case;
 use waxwing_fleet::deployments;
-use waxwing_gate::{gate, options, quotas};
+use waxwing_gate::{gate, gate::LOST_PEER_RECORD_RETENTION, options, quotas};
 
 use support::{address, millis};
 
@@ -179,6 +179,47 @@
     assert!(admit(&mut entries[0], later, RATE * 0.9, BULK).is_ok());
 }
 
+/// Guards against an entry whose records of others grow by one with each entry that is replaced, for as
+/// long as it runs.
+#[test]
+fn replaced_peers_are_forgotten() {
+    let start = Instant::now();
+    let mut core = entry(start);
+    let mut now = start;
+    for number in 1..=200 {
+        core.expect_peers(now, &[address(number)]);
+        let snapshot = entry(now).take_update(now, true);
+        core.apply_update(now, address(number), snapshot);
+        now += LOST_PEER_RECORD_RETENTION / 10;
+        core.forget_peer(now, address(number));
+        assert!(core.peer_records() <= 11, "{}", core.peer_records());
+    }
+    // An entry that was listed and never connected.
+    core.expect_peers(now, &[address(201)]);
+    now += LOST_PEER_RECORD_RETENTION * 2;
+    core.expect_peers(now, &[]);
+    assert_eq!(core.peer_records(), 0);
+}
+
+/// Guards against a peer that returns after its record was dropped, and is charged for all that it ever
+/// admitted: accounts within their quota would be refused for as long.
+#[test]
+fn peer_that_returns_after_its_record_was_dropped_is_not_charged_for_old_admissions() {
+    let start = Instant::now();
+    let mut entries = [entry(start), entry(start)];
+    connect(&mut entries, start);
+    let from = start + millis(5_000);
+    flood_for(&mut entries, from, 4_000, true);
+    let cut = from + millis(4_000);
+    entries[0].forget_peer(cut, address(1));
+    let later = cut + LOST_PEER_RECORD_RETENTION * 2;
+    entries[0].expect_peers(later, &[]);
+    assert_eq!(entries[0].peer_records(), 0);
+    let snapshot = entries[1].take_update(later, true);
+    entries[0].apply_update(later, address(1), snapshot);
+    assert!(admit(&mut entries[0], later, RATE * 0.9, BULK).is_ok());
+}
+
 /// Guards against a snapshot that consumes the changes pending for all other connections.
 #[test]
 fn snapshot_keeps_pending_changes() {
