Take a control host off the list for departures with its last link

A control host that doesn't lead kept the address of each other one that ever linked to it.

Cause: hosts that may lack departures are put on a list when their link opens; only the leader took them from it.

Change: the list is a type of its own, which follows the links. A host leaves it with its last link, and can't return to it after a failed confirmation without one. Nothing can be sent to it meanwhile, and its next link adds it again.

--- a/crates/waxwing-registrar/src/departures.rs
+++ b/crates/waxwing-registrar/src/departures.rs
@@ -2,7 +2,10 @@
 //! log, so that a late notice can't bring an endpoint back after all processes were lost.
 //! `docs/design.md` lists them among the facts that outlive a process.
 
-use std::collections::{HashMap, VecDeque};
+use std::{
+    collections::{HashMap, HashSet, VecDeque},
+    net::SocketAddr,
+};
 
 use prost::Message;
 use smol_str::SmolStr;
@@ -87,3 +90,53 @@
         }
     }
 }
+
+/// The linked control hosts that may lack departures. The leader tells them all of these after the next
+/// confirmation by a quorum; the other hosts keep the list for when they lead.
+#[derive(Debug, Default)]
+pub struct UninformedHosts {
+    linked: HashSet<SocketAddr>,
+    uninformed: HashSet<SocketAddr>,
+}
+
+impl UninformedHosts {
+    /// Adds a host whose link has opened. It may have started again.
+    pub fn link_opened(&mut self, host: SocketAddr) {
+        self.linked.insert(host);
+        self.uninformed.insert(host);
+    }
+
+    /// Removes a host that has no link left. It is added again with its next link, so that the list
+    /// doesn't grow with each host that is replaced.
+    pub fn link_closed(&mut self, host: SocketAddr) {
+        self.linked.remove(&host);
+        self.uninformed.remove(&host);
+    }
+
+    /// Adds all linked hosts, since an earlier leader may have told them too little.
+    pub fn add_linked(&mut self) {
+        self.uninformed.extend(&self.linked);
+    }
+
+    /// Takes the hosts to tell.
+    pub fn take(&mut self) -> HashSet<SocketAddr> {
+        std::mem::take(&mut self.uninformed)
+    }
+
+    /// Puts hosts back that were not told, unless their links have closed meanwhile.
+    pub fn put_back(&mut self, hosts: &HashSet<SocketAddr>) {
+        self.uninformed.extend(hosts.intersection(&self.linked));
+    }
+
+    /// Returns the number of hosts on the list.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.uninformed.len()
+    }
+
+    /// Returns whether no host is on the list.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.uninformed.is_empty()
+    }
+}
--- a/crates/waxwing-registrar/src/host.rs
+++ b/crates/waxwing-registrar/src/host.rs
@@ -42,7 +42,7 @@
     /// Wakes the calls that wait until a departure is committed.
     pub(crate) departures_changed: Arc<Notify>,
     /// Control hosts to which the departures are sent once a quorum has confirmed them.
-    uninformed: Arc<Mutex<HashSet<SocketAddr>>>,
+    uninformed: Arc<Mutex<departures::UninformedHosts>>,
     /// Departures that were not acknowledged in time and are still tried.
     late_departures: Arc<Mutex<HashSet<messages::EndpointDeparture>>>,
     /// Control hosts that other ones report. A new host finds the leader by them.
@@ -100,7 +100,7 @@
             .expect("no thread panics while it holds the lock of the late departures")
     }
 
-    fn uninformed(&self) -> MutexGuard<'_, HashSet<SocketAddr>> {
+    fn uninformed(&self) -> MutexGuard<'_, departures::UninformedHosts> {
         self.uninformed
             .lock()
             .expect("no thread panics while it holds the lock of the hosts")
@@ -238,6 +238,7 @@
         if remote.kind == messages::ProcessKind::Control && !linked.contains(&remote.address) {
             self.reported_hosts()
                 .end_report(self.clock.now(), remote.address);
+            self.uninformed().link_closed(remote.address);
         }
     }
 
@@ -250,7 +251,7 @@
                 .send(address, messages::Body::EndpointNotices(notices));
             let hosts = messages::Body::FleetHosts(self.control_hosts());
             self.network.send(address, hosts);
-            self.uninformed().insert(address);
+            self.uninformed().link_opened(address);
             self.confirmation_wanted.notify_one();
         }
         if remote.kind == messages::ProcessKind::Entry {
@@ -426,10 +427,7 @@
                 self.confirmation_wanted.notify_one();
             }
             if leads && !led {
-                let controls = self
-                    .network
-                    .linked_addresses(messages::ProcessKind::Control);
-                self.uninformed().extend(controls);
+                self.uninformed().add_linked();
                 self.confirmation_wanted.notify_one();
             }
             led = leads;
@@ -453,7 +451,7 @@
             }
             // A read confirms nothing to a process that has started during it.
             let entries = self.linked_entries();
-            let uninformed = std::mem::take(&mut *self.uninformed());
+            let uninformed = self.uninformed().take();
             let read = tokio::select! {
                 read = self.group.read() => read,
                 () = self.clock.sleep(self.options.call_limit()) => {
@@ -472,7 +470,7 @@
                 }
                 // While the host leads, it tries again until a quorum answers.
                 Err(_) => {
-                    self.uninformed().extend(uninformed);
+                    self.uninformed().put_back(&uninformed);
                     self.confirmation_wanted.notify_one();
                 }
             }
--- a/crates/waxwing-registrar/tests/directory.rs
+++ b/crates/waxwing-registrar/tests/directory.rs
@@ -1,7 +1,10 @@
 //! What several control hosts tell entries of an endpoint whose notices reach one of them. No
 //! network and no clock.
 
-use std::time::{Duration, Instant};
+use std::{
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
 
 use prost::Message as _;
 use test_case::test_case;
@@ -11,7 +14,7 @@
     summaries,
 };
 use waxwing_registrar::{
-    departures::{DepartureLedger, MAX_DEPARTURES},
+    departures::{DepartureLedger, MAX_DEPARTURES, UninformedHosts},
     directory::EndpointDirectory,
 };
 use waxwing_wire::messages::{
@@ -418,3 +421,26 @@
     restored.extend(&ledger.to_list());
     assert_eq!(restored, ledger);
 }
+
+/// Guards against a list of control hosts that grows with each one that is replaced: only the leader
+/// emptied it.
+#[test]
+fn replaced_hosts_await_no_departures() {
+    let host = |number: u8| SocketAddr::from(([10, 0, 0, number], 7600));
+    let mut uninformed = UninformedHosts::default();
+    uninformed.link_opened(host(1));
+    for number in 2..=250 {
+        uninformed.link_opened(host(number));
+        uninformed.link_closed(host(number));
+        assert_eq!(uninformed.len(), 1);
+    }
+    // A host whose link closes while the quorum is asked, which fails.
+    uninformed.link_opened(host(2));
+    let taken = uninformed.take();
+    assert!(uninformed.is_empty());
+    uninformed.link_closed(host(2));
+    uninformed.put_back(&taken);
+    assert_eq!(uninformed.take(), [host(1)].into());
+    uninformed.add_linked();
+    assert_eq!(uninformed.take(), [host(1)].into());
+}
