Refuse notices of endpoints at a control host that reaches nobody

In the test an endpoint that registers at such a host gets no request, though its notice was acknowledged.

Cause: a new control host whose settings name only hosts that are gone has no link. It acknowledged notices of ready endpoints once they were in its own directory. Leaving notices were refused already, since they wait for a commit.

Change: a host that is linked to no other process and doesn't lead answers 503, upon which an endpoint asks another host, and counts the notice as isolated. It keeps the notice for links that open later.

Result (uname -m: x86_64): new_host_without_a_link_acknowledges_no_notice_until_its_settings_name_a_host_that_runs failed before (status 200) and passes; it also shows that the host joins once its settings name a host that runs.

--- a/crates/waxwing-registrar/src/host.rs
+++ b/crates/waxwing-registrar/src/host.rs
@@ -134,7 +134,8 @@
     /// endpoint back once it got its acknowledgement, even if all processes are lost.
     ///
     /// # Errors
-    /// Fails if the endpoint leaves and its departure was not recorded in time.
+    /// Fails if the endpoint leaves and its departure was not recorded in time, or if this host has nobody
+    /// to tell. The endpoint then asks another host.
     pub(crate) async fn handle_notice(
         &self,
         notice: messages::EndpointNotice,
@@ -149,10 +150,23 @@
         self.apply_notice(notice);
         match departure {
             Some(departure) => self.record_departure(departure).await,
+            None if self.is_isolated() => {
+                self.metrics.count_notice("isolated");
+                Err(errors::GroupError::Unavailable)
+            }
             None => Ok(()),
         }
     }
 
+    /// Tells whether this host is linked to no other process and doesn't lead, as a new host whose
+    /// settings name only hosts that are gone. What endpoints tell it reaches no entry.
+    fn is_isolated(&self) -> bool {
+        let is_linked = |kind| !self.network.linked_addresses(kind).is_empty();
+        !self.group.view.borrow().leads
+            && !is_linked(messages::ProcessKind::Control)
+            && !is_linked(messages::ProcessKind::Entry)
+    }
+
     fn apply_notice(&self, notice: messages::EndpointNotice) {
         let (effect, is_complete) = {
             let mut directory = self.directory();
