Let the hosts of the model know only their seeds and what they are told

Cause: it had no links. Change: the hosts dial their seeds, the members of their log and the hosts that linked ones report, with the table of production, and ask those to join that they are linked to. A host that replaces another one starts with settings that name that one and up to two followers.

--- a/crates/waxwing-registrar/tests/durability/main.rs
+++ b/crates/waxwing-registrar/tests/durability/main.rs
@@ -1,6 +1,7 @@
 //! Explores what control hosts answer under orders of changes, syncs, crashes, lost disks, cuts,
 //! stopped hosts and membership changes, within the tolerated losses of disks. The model runs the
-//! replica, the repair and the store of production.
+//! replica, the repair and the store of production, and its table of reported hosts: a host knows of the
+//! others what its settings, its log and their reports say.
 //!
 //! CI plays fixed seeds. To explore more of them by hand:
 //!
@@ -270,6 +271,29 @@
     }
 }
 
+/// Time after which a new host counts as caught up: the users' `catch_up_s` on sites with five hosts.
+const CATCH_UP_LIMIT: Duration = Duration::from_millis(6_000);
+
+/// Guards against a new host that never joins the group, since its settings name only hosts that are gone
+/// or don't lead, and nobody tells it of the leader (`review/6`).
+#[test_case(THREE_HOSTS; "three hosts")]
+#[test_case(FIVE_HOSTS; "five hosts")]
+fn new_hosts_vote_though_their_settings_name_no_leader(fleet: FleetSize) {
+    for seed in 0..10 {
+        let mut model = ControlModel::new(seed, fleet.hosts, fleet.tolerated_disks);
+        model.run(millis(4_000), load);
+        for _ in 0..3 {
+            let leader = model.leader().expect("a leader is elected");
+            let present = model.present();
+            let lost = present.into_iter().find(|host| *host != leader);
+            model.replace(lost.expect("the fleet has a follower"));
+            model.run(CATCH_UP_LIMIT, load);
+            assert!(model.votes(model.size() - 1), "seed {seed}");
+        }
+        assert_eq!(model.recover_and_check().err(), None, "seed {seed}");
+    }
+}
+
 /// Sends reads and larger changes to every host.
 fn press(model: &mut ControlModel) {
     for host in 0..model.size() {
--- a/crates/waxwing-registrar/tests/durability/model.rs
+++ b/crates/waxwing-registrar/tests/durability/model.rs
@@ -3,16 +3,18 @@
 
 mod calls;
 mod faults;
+mod links;
 
 use std::{
     collections::{BTreeMap, BTreeSet, VecDeque},
     net,
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use bytes::Bytes;
 use rand::{RngExt as _, SeedableRng as _, rngs};
 use waxwing_core::{ids, units as core_units};
+use waxwing_fleet::hosts;
 use waxwing_quorum::{messages, ready};
 use waxwing_registrar::{repair, replica};
 use waxwing_store::{errors, memory, store};
@@ -49,6 +51,10 @@
 }
 
 struct HostProcess {
+    /// The control hosts that others report.
+    reported: hosts::HostTable,
+    /// The hosts to which it has a link.
+    linked: BTreeSet<usize>,
     replica: replica::DeploymentReplica<u64>,
     store: store::LogStore<memory::MemoryDisk>,
     /// The host's steady clock at the start of the process.
@@ -58,6 +64,8 @@
 
 struct ControlHost {
     address: net::SocketAddr,
+    /// The hosts in its settings, which are all that it knows of others at its start.
+    seeds: BTreeSet<usize>,
     founder: bool,
     disk: memory::MemoryDisk,
     process: Option<HostProcess>,
@@ -108,7 +116,11 @@
 }
 
 pub(crate) struct ControlModel {
+    /// The start of the model, for code that takes instants.
+    epoch: Instant,
     pub(crate) now: Duration,
+    /// When the links of the hosts are next brought up to date.
+    next_links: Duration,
     pub(crate) random: rngs::StdRng,
     hosts: Vec<ControlHost>,
     /// Messages on their way as sender, receiver and payload, by arrival time and number.
@@ -173,7 +185,9 @@
     /// Starts a fleet of `hosts`, three of which found it.
     pub(crate) fn new(seed: u64, hosts: usize, tolerated_disks: usize) -> Self {
         let mut model = Self {
+            epoch: Instant::now(),
             now: Duration::ZERO,
+            next_links: Duration::ZERO,
             random: rngs::StdRng::seed_from_u64(seed),
             hosts: Vec::new(),
             network: BTreeMap::new(),
@@ -197,15 +211,17 @@
             violation: None,
         };
         for host in 0..hosts {
-            model.add_host(host < FOUNDERS);
+            model.add_host(host < FOUNDERS, (0..FOUNDERS).collect());
         }
         model
     }
 
-    fn add_host(&mut self, founder: bool) -> usize {
+    /// Adds a host with these seeds in its settings.
+    fn add_host(&mut self, founder: bool, seeds: BTreeSet<usize>) -> usize {
         let host = self.hosts.len();
         self.hosts.push(ControlHost {
             address: host_address(host),
+            seeds,
             founder,
             disk: memory::MemoryDisk::new(),
             process: None,
@@ -260,6 +276,8 @@
         .expect("a recovered state is valid");
         let started = self.steady(host);
         self.hosts[host].process = Some(HostProcess {
+            reported: hosts::HostTable::default(),
+            linked: BTreeSet::new(),
             replica,
             store,
             started,
@@ -321,6 +339,7 @@
             }
             // Calls come before messages, as they may at a host that has just woken up.
             load(self);
+            self.update_links();
             self.deliver();
             for host in 0..self.size() {
                 self.tick(host);
@@ -373,9 +392,8 @@
         let joins = process.replica.tick(now).then(|| process.store.identity());
         self.drive(host);
         if let Some(identity) = joins {
-            for other in 0..self.size() {
-                let linked = !self.blocked.contains(&(host, other)) && self.runs(other);
-                if linked && let Some(process) = &mut self.hosts[other].process {
+            for other in self.linked(host) {
+                if let Some(process) = &mut self.hosts[other].process {
                     process.replica.join(identity);
                     self.drive(other);
                 }
--- a/crates/waxwing-registrar/tests/durability/model/faults.rs
+++ b/crates/waxwing-registrar/tests/durability/model/faults.rs
@@ -1,11 +1,11 @@
 //! Faults of hosts, disks and links.
 
-use std::time::Duration;
+use std::{collections::BTreeSet, time::Duration};
 
 use rand::RngExt as _;
 use waxwing_store::memory;
 
-use super::{ControlModel, CutMode, HostStop};
+use super::{ControlModel, CutMode, HostStop, member};
 
 impl ControlModel {
     /// Ends the process of a host, which comes back after `down`. With `power`, its disk loses what
@@ -45,7 +45,8 @@
         self.hosts[host].disk.wipe();
     }
 
-    /// Takes a host away for good; an empty one starts at another address.
+    /// Takes a host away for good; an empty one starts at another address. Its settings name the host that
+    /// is gone and up to two followers, so that it has to learn of the leader.
     pub(crate) fn replace(&mut self, host: usize) {
         if self.hosts[host].removed || !self.tolerates_lost_disk() || self.size() > 8 {
             return;
@@ -55,7 +56,24 @@
         self.kill(host, true, Duration::ZERO);
         self.hosts[host].removed = true;
         self.hosts[host].restart_at = None;
-        self.add_host(false);
+        let leader = self.leader();
+        let named = self.present().into_iter();
+        let followers = named.filter(|other| Some(*other) != leader);
+        let mut seeds: BTreeSet<_> = followers.take(2).collect();
+        seeds.insert(host);
+        self.add_host(false, seeds);
+    }
+
+    /// Returns whether a host votes in the group that the leader knows.
+    pub(crate) fn votes(&self, host: usize) -> bool {
+        let process = self
+            .leader()
+            .and_then(|leader| self.hosts[leader].process.as_ref());
+        process.is_some_and(|process| {
+            let members = process.replica.node().members();
+            let mut voters = members.voters();
+            voters.any(|voter| voter.member == member(host))
+        })
     }
 
     pub(crate) fn stop(&mut self, host: usize, stop: HostStop, time: Duration) {
