Refuse notices for isolation only at hosts that are no members

A host without a link that doesn't lead was taken for isolated. So is each host for a moment after its start, and a member that is cut off, though its log names the others.

Change: only a host whose log is open and that is no member of the group refuses notices while it has no link.

--- a/crates/waxwing-registrar/src/group.rs
+++ b/crates/waxwing-registrar/src/group.rs
@@ -236,6 +236,7 @@
         let view = GroupView {
             leads: self.replica.leads(),
             votes: node.members().is_voter(node.identity()),
+            awaits_membership: node.members().kind(node.identity()).is_none(),
             voters: node.members().voters().count(),
             silent_voters: self.replica.silent_voters(),
             leader: node
--- a/crates/waxwing-registrar/src/handles.rs
+++ b/crates/waxwing-registrar/src/handles.rs
@@ -47,6 +47,8 @@
     pub(crate) leads: bool,
     /// Whether this host is a voter.
     pub(crate) votes: bool,
+    /// Whether the log is open and this host is no member of the group.
+    pub(crate) awaits_membership: bool,
     /// The number of voters.
     pub(crate) voters: usize,
     /// The voters that this host, as the leader, has not heard for some time.
--- a/crates/waxwing-registrar/src/host.rs
+++ b/crates/waxwing-registrar/src/host.rs
@@ -158,11 +158,12 @@
         }
     }
 
-    /// Tells whether this host is linked to no other process and doesn't lead, as a new host whose
-    /// settings name only hosts that are gone. What endpoints tell it reaches no entry.
+    /// Tells whether this host is linked to no other process and has no group, as a new host whose
+    /// settings name only hosts that are gone. What endpoints tell it reaches no entry. A member knows the
+    /// other members by its log, so that its links come back.
     fn is_isolated(&self) -> bool {
         let is_linked = |kind| !self.network.linked_addresses(kind).is_empty();
-        !self.group.view.borrow().leads
+        self.group.view.borrow().awaits_membership
             && !is_linked(messages::ProcessKind::Control)
             && !is_linked(messages::ProcessKind::Entry)
     }
