Tell entries again whose queue was full when an endpoint changed

What callers would see: requests at an endpoint that has left, by an entry that read its link too slowly for less than the 1.2 s after which a link is lost.

Cause: a message to a full queue of 1,024 messages is dropped, and the notice of a change of an endpoint isn't repeated while the link stays open.

Change: a control host keeps the entries that missed a change and tells them of all endpoints once there is room, as when a link opens.

--- a/crates/waxwing-fleet/src/network.rs
+++ b/crates/waxwing-fleet/src/network.rs
@@ -2,7 +2,8 @@
 //!
 //! Each process dials a changing set of peers, redials after a failure, and accepts links. The
 //! messages of all links, dialled or accepted, arrive in one queue. A message to a process without
-//! a link is dropped, because every kind of message here is repeated or replaced by a newer one.
+//! a link, or whose queue is full, is dropped. Most kinds of messages are repeated or replaced by a
+//! newer one; who sends others repeats them to the processes that missed them.
 
 use std::{
     collections::{HashMap, HashSet},
@@ -180,15 +181,24 @@
             .is_some_and(|(remote, sender)| try_send(remote, sender, body))
     }
 
-    /// Sends a message to each linked process with a role, once even if it has two links.
-    pub fn broadcast(&self, kind: messages::ProcessKind, body: &messages::Body) {
+    /// Sends a message to each linked process with a role, once even if it has two links. Returns the
+    /// addresses of those whose queue had no room for it.
+    pub fn broadcast(
+        &self,
+        kind: messages::ProcessKind,
+        body: &messages::Body,
+    ) -> HashSet<SocketAddr> {
         let mut sent = HashSet::new();
+        let mut missed = HashSet::new();
         for (remote, sender) in self.senders().iter() {
             if remote.kind != kind || !sent.insert(remote.address) {
                 continue;
             }
-            try_send(remote, sender, body.clone());
+            if !try_send(remote, sender, body.clone()) {
+                missed.insert(remote.address);
+            }
         }
+        missed
     }
 
     /// Returns the counters of the bytes on all links.
--- a/crates/waxwing-registrar/src/host.rs
+++ b/crates/waxwing-registrar/src/host.rs
@@ -43,6 +43,8 @@
     pub(crate) departures_changed: Arc<Notify>,
     /// Control hosts to which the departures are sent once a quorum has confirmed them.
     uninformed: Arc<Mutex<departures::UninformedHosts>>,
+    /// Entries that may lack changes of endpoints, since their link has just opened or their queue was full.
+    late_entries: Arc<Mutex<HashSet<SocketAddr>>>,
     /// Departures that were not acknowledged in time and are still tried.
     late_departures: Arc<Mutex<HashSet<messages::EndpointDeparture>>>,
     /// Control hosts that other ones report. A new host finds the leader by them.
@@ -74,6 +76,7 @@
             directory: Arc::default(),
             departures_changed: Arc::default(),
             uninformed: Arc::default(),
+            late_entries: Arc::default(),
             late_departures: Arc::default(),
             reported_hosts: Arc::default(),
             history: Arc::default(),
@@ -106,6 +109,12 @@
             .expect("no thread panics while it holds the lock of the hosts")
     }
 
+    fn late_entries(&self) -> MutexGuard<'_, HashSet<SocketAddr>> {
+        self.late_entries
+            .lock()
+            .expect("no thread panics while it holds the lock of the late entries")
+    }
+
     fn reported_hosts(&self) -> MutexGuard<'_, hosts::HostTable> {
         self.reported_hosts
             .lock()
@@ -204,7 +213,7 @@
                 let notices = vec![notice];
                 let body = messages::Body::EndpointNotices(messages::EndpointNotices { notices });
                 if told {
-                    self.network.broadcast(messages::ProcessKind::Entry, &body);
+                    self.tell_entries(&body);
                 }
                 self.network
                     .broadcast(messages::ProcessKind::Control, &body);
@@ -270,9 +279,8 @@
             self.confirmation_wanted.notify_one();
         }
         if remote.kind == messages::ProcessKind::Entry {
-            for body in self.directory_messages() {
-                self.network.send(address, body);
-            }
+            self.late_entries().insert(address);
+            self.tell_late_entries();
             let announcement = self.history().announcement(false);
             self.network
                 .send(address, messages::Body::DeploymentVersion(announcement));
@@ -283,8 +291,37 @@
         }
     }
 
-    /// Returns what entries are told of the endpoints when their link opens, or when this host has
-    /// learnt all departures. They ask for the notices that they lack.
+    /// Tells all linked entries of changes of endpoints. Those whose queue is full are told of all
+    /// endpoints later, since a change isn't repeated.
+    pub(crate) fn tell_entries(&self, body: &messages::Body) {
+        let missed = self.network.broadcast(messages::ProcessKind::Entry, body);
+        self.late_entries().extend(missed);
+    }
+
+    /// Tells entries that may lack changes of all endpoints. Those whose queue is still full stay late.
+    fn tell_late_entries(&self) {
+        let late = std::mem::take(&mut *self.late_entries());
+        if late.is_empty() {
+            return;
+        }
+        let linked = self.linked_entries();
+        let bodies = self.directory_messages();
+        let is_late = |entry: &SocketAddr| {
+            let mut bodies = bodies.iter();
+            !bodies.all(|body| self.network.send(*entry, body.clone()))
+        };
+        let still_late = late.intersection(&linked).filter(|entry| is_late(entry));
+        let still_late: Vec<_> = still_late.copied().collect();
+        tracing::info!(
+            event = "directory-sent",
+            entries = late.len(),
+            full_queues = still_late.len()
+        );
+        self.late_entries().extend(still_late);
+    }
+
+    /// Returns what entries are told of the endpoints when their link opens, when they missed changes,
+    /// or when this host has learnt all departures. They ask for the notices that they lack.
     pub(crate) fn directory_messages(&self) -> Vec<messages::Body> {
         let directory = self.directory();
         let Some(summary) = directory.summary() else {
@@ -366,8 +403,7 @@
         let now = self.clock.now();
         let leaving = self.directory().observe_relayed(notices, now);
         if !leaving.notices.is_empty() {
-            let body = messages::Body::EndpointNotices(leaving);
-            self.network.broadcast(messages::ProcessKind::Entry, &body);
+            self.tell_entries(&messages::Body::EndpointNotices(leaving));
         }
     }
 
@@ -517,6 +553,7 @@
                 }
             }
             self.pass_on_refreshes(now);
+            self.tell_late_entries();
             tokio::select! {
                 () = shutdown.cancelled() => return,
                 () = self.clock.sleep(REFRESH_INTERVAL) => {}
--- a/crates/waxwing-registrar/src/recording.rs
+++ b/crates/waxwing-registrar/src/recording.rs
@@ -135,8 +135,8 @@
         } else {
             vec![messages::Body::EndpointNotices(changed)]
         };
-        for body in messages {
-            self.network.broadcast(messages::ProcessKind::Entry, &body);
+        for body in &messages {
+            self.tell_entries(body);
         }
     }
 
