List the event of entries that are told of all endpoints

Cause: mine, in: the event directory-sent was logged and on the page for operators, and not in the list of the product. No other code reads the list than that which prints it.

--- a/crates/waxwing-core/src/events.rs
+++ b/crates/waxwing-core/src/events.rs
@@ -31,7 +31,7 @@
 }
 
 /// All events of the decision log, those of requests first.
-pub const LOG_EVENTS: [LogEvent; 76] = [
+pub const LOG_EVENTS: [LogEvent; 77] = [
     log_event(
         "request-started",
         "the gate gave the request a slot and the entry sent it",
@@ -153,6 +153,11 @@
         "notices-damaged",
         "the notices that an entry had asked for can't be read; other hosts are asked",
     ),
+    log_event(
+        "directory-sent",
+        "entries whose link opened, or whose queue was full at a change, are told of all endpoints; \
+         `full_queues` of them are tried again",
+    ),
     log_event(
         "directory-unreadable",
         "a control host of another release told what it knows of the endpoints",
