Add review case 12: a first configuration with version 0 is lost

Cause: version 0 stands for no document, so control hosts acknowledge a first document with this version without storing it.

--- a/review/common-3/fleet.rs
+++ b/review/common-3/fleet.rs
@@ -21,7 +21,7 @@
 }
 
 pub const SIGTERM: i32 = 15;
-pub const SIGKILL: i32 = 9;
+
 
 /// The ports, which are the same on all hosts.
 #[derive(Clone, Copy)]
--- a/review/common-3/rig.rs
+++ b/review/common-3/rig.rs
@@ -1,7 +1,9 @@
 //! Runs one case of the review: `rig CASE RECORD`. Exits with 1 if the rule was broken, 0 if it held
 //! and 2 if the case couldn't run. `TROUBLE=0` leaves the disruption out.
 
+mod first_version;
 mod fleet;
+mod invalid_split;
 mod slow_readers;
 
 use std::{process::exit, thread, time::Duration};
@@ -31,6 +33,8 @@
     thread::spawn(move || {
         let verdict = match case.as_str() {
             "slow-readers" => slow_readers::run(&watched, trouble),
+            "first-version" => first_version::run(&watched, trouble),
+            "invalid-split" => invalid_split::run(&watched, trouble),
             other => Verdict::NotRun(format!("no case {other}")),
         };
         let _ = sender.send(verdict);
