--- a/review/common-3/first_version.rs
+++ b/review/common-3/first_version.rs
@@ -30,7 +30,7 @@
     let log = record.clone();
     let answer: fleet::AnswerFunction = Arc::new(move |received| {
         log.note(format!("endpoint runs {}", received.id()));
-        b"ok".to_vec()
+        fleet::Reply::Whole(b"ok".to_vec())
     });
     let _endpoint = fleet::Endpoint::start(&fleet, fleet::FIRST_ENDPOINT, "register", 6, answer)?;
     let version = if trouble { 0 } else { 1 };
--- a/review/common-3/fleet.rs
+++ b/review/common-3/fleet.rs
@@ -6,6 +6,7 @@
     fs, io,
     io::{Read, Write},
     net::{SocketAddr, TcpListener, TcpStream},
+    os::fd::FromRawFd,
     path::PathBuf,
     process::{Child, Command, Stdio},
     sync::{
@@ -18,6 +19,9 @@
 
 extern "C" {
     fn kill(pid: i32, signal: i32) -> i32;
+    fn socket(domain: i32, kind: i32, protocol: i32) -> i32;
+    fn setsockopt(socket: i32, level: i32, name: i32, value: *const i32, length: u32) -> i32;
+    fn connect(socket: i32, address: *const SocketAddress, length: u32) -> i32;
 }
 
 pub const SIGTERM: i32 = 15;
@@ -358,7 +362,26 @@
     stop: Arc<AtomicBool>,
 }
 
-pub type AnswerFunction = Arc<dyn Fn(&Received) -> Vec<u8> + Send + Sync>;
+/// What an endpoint answers.
+pub enum Reply {
+    /// A body with a length.
+    Whole(Vec<u8>),
+    /// A stream of `count` events of `bytes` bytes each, one every `gap`.
+    Events {
+        count: usize,
+        bytes: usize,
+        gap: Duration,
+    },
+}
+
+/// Returns the event with this number.
+pub fn event(number: usize, bytes: usize) -> Vec<u8> {
+    let head = format!("id: {number}\ndata: ");
+    let filler = bytes.saturating_sub(head.len() + 2);
+    format!("{head}{}\n\n", "y".repeat(filler)).into_bytes()
+}
+
+pub type AnswerFunction = Arc<dyn Fn(&Received) -> Reply + Send + Sync>;
 
 impl Endpoint {
     pub fn start(
@@ -436,16 +459,81 @@
         let id = received.id().to_owned();
         let expected = received.headers.get("x-waxwingmill-expect-runner");
         let misdirected = expected.is_some_and(|expected| expected != own_id);
-        let text = if misdirected {
-            format!("HTTP/1.1 421 Misdirected Request\r\nX-Waxwingmill-Attempt-Id: {id}\r\nContent-Length: 0\r\n\r\n").into_bytes()
+        let head = format!("HTTP/1.1 200 OK\r\nX-Waxwingmill-Attempt-Id: {id}\r\nX-Waxwingmill-Runner-Seal: seal.{id}\r\nX-Waxwingmill-Runner-Load: 1,0,{slots}\r\n");
+        let written = if misdirected {
+            let text = format!("HTTP/1.1 421 Misdirected Request\r\nX-Waxwingmill-Attempt-Id: {id}\r\nContent-Length: 0\r\n\r\n");
+            stream.write_all(text.as_bytes())
         } else {
-            let body = answer(&received);
-            let length = body.len();
-            let head = format!("HTTP/1.1 200 OK\r\nX-Waxwingmill-Attempt-Id: {id}\r\nX-Waxwingmill-Runner-Seal: seal.{id}\r\nX-Waxwingmill-Runner-Load: 1,0,{slots}\r\nContent-Length: {length}\r\n\r\n");
-            [head.into_bytes(), body].concat()
+            match answer(&received) {
+                Reply::Whole(body) => {
+                    let head = format!("{head}Content-Length: {}\r\n\r\n", body.len());
+                    stream.write_all(&[head.into_bytes(), body].concat())
+                }
+                Reply::Events { count, bytes, gap } => {
+                    write_events(&mut stream, &head, count, bytes, gap)
+                }
+            }
         };
-        if stream.write_all(&text).is_err() {
+        if written.is_err() {
             return;
         }
     }
 }
+
+fn write_events(
+    stream: &mut TcpStream,
+    head: &str,
+    count: usize,
+    bytes: usize,
+    gap: Duration,
+) -> io::Result<()> {
+    let head = format!(
+        "{head}Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+    );
+    stream.write_all(head.as_bytes())?;
+    for number in 0..count {
+        let event = event(number, bytes);
+        let chunk = [format!("{:x}\r\n", event.len()).into_bytes(), event, b"\r\n".to_vec()];
+        stream.write_all(&chunk.concat())?;
+        thread::sleep(gap);
+    }
+    stream.write_all(b"0\r\n\r\n")
+}
+
+#[repr(C)]
+struct SocketAddress {
+    family: u16,
+    port: [u8; 2],
+    host: [u8; 4],
+    padding: [u8; 8],
+}
+
+/// Connects with a receive buffer of this many bytes, which bounds the window that the peer is given.
+pub fn connect_with_buffer(address: SocketAddr, bytes: i32) -> io::Result<TcpStream> {
+    const AF_INET: i32 = 2;
+    const SOCK_STREAM: i32 = 1;
+    const SOL_SOCKET: i32 = 1;
+    const SO_RCVBUF: i32 = 8;
+    let SocketAddr::V4(address) = address else {
+        return Err(io::ErrorKind::Unsupported.into());
+    };
+    let raw = SocketAddress {
+        family: AF_INET as u16,
+        port: address.port().to_be_bytes(),
+        host: address.ip().octets(),
+        padding: [0; 8],
+    };
+    // SAFETY: the arguments live through the calls, and the descriptor is handed to the stream at once.
+    unsafe {
+        let descriptor = socket(AF_INET, SOCK_STREAM, 0);
+        if descriptor < 0 {
+            return Err(io::Error::last_os_error());
+        }
+        let stream = TcpStream::from_raw_fd(descriptor);
+        let set = setsockopt(descriptor, SOL_SOCKET, SO_RCVBUF, &bytes, 4);
+        if set < 0 || connect(descriptor, &raw, 16) < 0 {
+            return Err(io::Error::last_os_error());
+        }
+        Ok(stream)
+    }
+}
