Replace review case 13: a part of an answer is taken for the whole

Cause: an answer without a length counts as whole if it ends while the last 16 KiB of its request are still in the kernel or on their way.

--- a/review/common-3/fleet.rs
+++ b/review/common-3/fleet.rs
@@ -6,7 +6,7 @@
     fs, io,
     io::{Read, Write},
     net::{SocketAddr, TcpListener, TcpStream},
-    os::fd::FromRawFd,
+    os::fd::{AsRawFd, FromRawFd},
     path::PathBuf,
     process::{Child, Command, Stdio},
     sync::{
@@ -284,20 +284,6 @@
         None
     }
 
-    /// Reads the configuration back.
-    pub fn get(&self) -> Option<String> {
-        for number in 1..=self.controls {
-            let address = self.at(number, self.ports.control);
-            match call(address, "GET", "/config", "") {
-                Ok(answer) if answer.status == 200 => {
-                    return Some(String::from_utf8_lossy(&answer.body).into_owned())
-                }
-                _ => {}
-            }
-        }
-        None
-    }
-
     /// Tells whether an entry says that it is ready.
     pub fn is_ready(&self, number: u8) -> bool {
         let answer = call(self.at(number, self.ports.ready), "GET", "/ready", "");
@@ -343,6 +329,10 @@
     }
 }
 
+fn endpoint_id(number: u8) -> String {
+    format!("i-{number:08x}")
+}
+
 /// What an endpoint was asked.
 pub struct Received {
     pub path: String,
@@ -391,17 +381,21 @@
         slots: u32,
         answer: AnswerFunction,
     ) -> io::Result<Self> {
-        let address = fleet.at(number, fleet.ports.app);
-        let listener = TcpListener::bind(address)?;
-        let id = format!("i-{number:08x}");
-        let stop = Arc::new(AtomicBool::new(false));
-        let endpoint_id = id.clone();
+        let listener = TcpListener::bind(fleet.at(number, fleet.ports.app))?;
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
-                let (answer, id) = (answer.clone(), endpoint_id.clone());
+                let (answer, id) = (answer.clone(), endpoint_id(number));
                 thread::spawn(move || serve(stream, &id, slots, &answer));
             }
         });
+        Ok(Self::announce(fleet, number, service, slots))
+    }
+
+    /// Sends the heartbeats of an endpoint that something else serves.
+    pub fn announce(fleet: &Arc<Fleet>, number: u8, service: &str, slots: u32) -> Self {
+        let address = fleet.at(number, fleet.ports.app);
+        let id = endpoint_id(number);
+        let stop = Arc::new(AtomicBool::new(false));
         let (fleet, service, stopped) = (Arc::downgrade(fleet), service.to_owned(), stop.clone());
         thread::spawn(move || {
             let born = millis_now();
@@ -423,7 +417,7 @@
                 thread::sleep(Duration::from_millis(1_000));
             }
         });
-        Ok(Self { stop })
+        Self { stop }
     }
 }
 
@@ -508,12 +502,33 @@
     padding: [u8; 8],
 }
 
+const SOL_SOCKET: i32 = 1;
+const SO_RCVBUF: i32 = 8;
+const SO_LINGER: i32 = 13;
+
+/// Resets a connection, in both directions and for all its clones.
+pub fn reset(stream: TcpStream) {
+    let linger: [i32; 2] = [1, 0];
+    // SAFETY: the descriptor is open, and the value lives through the call.
+    unsafe { setsockopt(stream.as_raw_fd(), SOL_SOCKET, SO_LINGER, linger.as_ptr(), 8) };
+    drop(stream);
+}
+
+/// Listens with a receive buffer of this many bytes on each accepted connection.
+pub fn listen_with_buffer(address: SocketAddr, bytes: i32) -> io::Result<TcpListener> {
+    let listener = TcpListener::bind(address)?;
+    // SAFETY: the descriptor is open, and the value lives through the call.
+    let set = unsafe { setsockopt(listener.as_raw_fd(), SOL_SOCKET, SO_RCVBUF, &bytes, 4) };
+    match set < 0 {
+        true => Err(io::Error::last_os_error()),
+        false => Ok(listener),
+    }
+}
+
 /// Connects with a receive buffer of this many bytes, which bounds the window that the peer is given.
 pub fn connect_with_buffer(address: SocketAddr, bytes: i32) -> io::Result<TcpStream> {
     const AF_INET: i32 = 2;
     const SOCK_STREAM: i32 = 1;
-    const SOL_SOCKET: i32 = 1;
-    const SO_RCVBUF: i32 = 8;
     let SocketAddr::V4(address) = address else {
         return Err(io::ErrorKind::Unsupported.into());
     };
--- a/review/common-3/rig.rs
+++ b/review/common-3/rig.rs
@@ -1,9 +1,9 @@
 //! Runs one case of the review: `rig CASE RECORD`. Exits with 1 if the rule was broken, 0 if it held
 //! and 2 if the case couldn't run. `TROUBLE=0` leaves the disruption out.
 
+mod early_end;
 mod first_version;
 mod fleet;
-mod invalid_split;
 mod slow_readers;
 
 use std::{process::exit, thread, time::Duration};
@@ -24,6 +24,9 @@
         eprintln!("usage: rig CASE RECORD");
         exit(2);
     };
+    if case == "endpoint" {
+        return early_end::run_endpoint(path);
+    }
     let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
     let record = fleet::Record::new(path);
     record.note(format!("case {case}, disruption: {trouble}"));
@@ -33,8 +36,8 @@
     thread::spawn(move || {
         let verdict = match case.as_str() {
             "slow-readers" => slow_readers::run(&watched, trouble),
+            "early-end" => early_end::run(&watched, trouble),
             "first-version" => first_version::run(&watched, trouble),
-            "invalid-split" => invalid_split::run(&watched, trouble),
             other => Verdict::NotRun(format!("no case {other}")),
         };
         let _ = sender.send(verdict);
