--- a/review/common-3/early_end.rs
+++ b/review/common-3/early_end.rs
@@ -144,7 +144,7 @@
     let fleet = fleet::Fleet::start(record.clone(), 3, 1)?;
     let endpoint = fleet.at(fleet::FIRST_ENDPOINT + 1, fleet.ports.app);
     let mut process = Process(
-        Command::new(std::env::current_exe()?)
+        fleet::end_with_parent(&mut Command::new(std::env::current_exe()?))
             .args(["endpoint", &endpoint.to_string()])
             .stdin(Stdio::null())
             .spawn()?,
--- a/review/common-3/fleet.rs
+++ b/review/common-3/fleet.rs
@@ -6,7 +6,10 @@
     fs, io,
     io::{Read, Write},
     net::{SocketAddr, TcpListener, TcpStream},
-    os::fd::{AsRawFd, FromRawFd},
+    os::{
+        fd::{AsRawFd, FromRawFd},
+        unix::process::CommandExt,
+    },
     path::PathBuf,
     process::{Child, Command, Stdio},
     sync::{
@@ -19,12 +22,14 @@
 
 extern "C" {
     fn kill(pid: i32, signal: i32) -> i32;
+    fn prctl(option: i32, ...) -> i32;
     fn socket(domain: i32, kind: i32, protocol: i32) -> i32;
     fn setsockopt(socket: i32, level: i32, name: i32, value: *const i32, length: u32) -> i32;
     fn connect(socket: i32, address: *const SocketAddress, length: u32) -> i32;
 }
 
 pub const SIGTERM: i32 = 15;
+const SIGKILL: usize = 9;
 
 
 /// The ports, which are the same on all hosts.
@@ -161,6 +166,18 @@
     Err(io::ErrorKind::Other.into())
 }
 
+/// Lets a process be killed when this one ends, in whatever way.
+pub fn end_with_parent(command: &mut Command) -> &mut Command {
+    const PR_SET_PDEATHSIG: i32 = 1;
+    // SAFETY: prctl may be called between fork and exec.
+    unsafe {
+        command.pre_exec(|| {
+            prctl(PR_SET_PDEATHSIG, SIGKILL);
+            Ok(())
+        })
+    }
+}
+
 /// The processes of the project. All are killed when this is dropped.
 pub struct Fleet {
     pub network: String,
@@ -250,7 +267,8 @@
             .create(true)
             .append(true)
             .open(self.folder.join(format!("log-{number}")))?;
-        let child = Command::new("target/release/waxwingmill")
+        let mut command = Command::new("target/release/waxwingmill");
+        let child = end_with_parent(&mut command)
             .arg(role)
             .env("WAXWINGMILL_CONFIG", &file)
             .stdin(Stdio::null())
