Store a first deployment with version 0

Cause: version 0 stood for "no document" in the register, the history, the reads, the entries' fetches and the messages between them. The leader took version 0 for one that it held and acknowledged it without an entry of the log.

Change: whether there is a document is an Option everywhere; the numbers in messages are optional fields, which the older version reads alike.

The durability model now begins at both ends of the range of versions; it began at 1, so it could not meet the fault.

--- a/crates/waxwing-gate/src/fetches.rs
+++ b/crates/waxwing-gate/src/fetches.rs
@@ -63,7 +63,7 @@
 }
 
 /// The document in force.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 struct HeldDocument {
     version: u64,
     digest: u64,
@@ -92,11 +92,16 @@
 
     /// Adds a chunk if it is the next one of this patch, or starts over with the first chunk of
     /// another patch from the host that was asked. `held` is the version in force.
-    fn add(&mut self, control: SocketAddr, chunk: messages::DeploymentChunk, held: u64) -> bool {
+    fn add(
+        &mut self,
+        control: SocketAddr,
+        chunk: messages::DeploymentChunk,
+        held: Option<u64>,
+    ) -> bool {
         let known = self.header.as_ref().map(|header| header.patch_digest);
         let is_next =
             known == Some(chunk.patch_digest) && chunk.offset == self.received.len() as u64;
-        let is_other_patch = known != Some(chunk.patch_digest) && chunk.version > held;
+        let is_other_patch = known != Some(chunk.patch_digest) && Some(chunk.version) > held;
         let restarts = is_other_patch && control == self.control && chunk.offset == 0;
         if !is_next && !restarts {
             return false;
@@ -123,13 +128,13 @@
 #[derive(Debug)]
 pub struct DeploymentFetcher {
     own: SocketAddr,
-    held: HeldDocument,
-    /// The newest version that each linked control host has announced.
-    offers: HashMap<SocketAddr, u64>,
+    held: Option<HeldDocument>,
+    /// The newest version that each linked control host has announced, if any.
+    offers: HashMap<SocketAddr, Option<u64>>,
     /// When a version newer than the held one was first announced.
     newer_since: Option<Instant>,
     /// The newest version that a quorum of the log has confirmed to be the newest.
-    confirmed: u64,
+    confirmed: Option<u64>,
     transfer: Option<PatchTransfer>,
     /// Hosts that stopped sending, in the order in which they did.
     stalled: Vec<SocketAddr>,
@@ -145,10 +150,10 @@
     pub fn new(own: SocketAddr) -> Self {
         Self {
             own,
-            held: HeldDocument::default(),
+            held: None,
             offers: HashMap::new(),
             newer_since: None,
-            confirmed: 0,
+            confirmed: None,
             transfer: None,
             stalled: Vec::new(),
             unreadable: BTreeSet::new(),
@@ -156,16 +161,16 @@
         }
     }
 
-    /// Returns the version in force; zero if there is none.
+    /// Returns the version in force, if there is any.
     #[must_use]
-    pub const fn held_version(&self) -> u64 {
-        self.held.version
+    pub fn held_version(&self) -> Option<u64> {
+        self.held.as_ref().map(|held| held.version)
     }
 
     /// Returns whether the document in force was the newest one when a quorum was last asked.
     #[must_use]
-    pub const fn is_confirmed(&self) -> bool {
-        self.confirmed > 0 && self.held.version >= self.confirmed
+    pub fn is_confirmed(&self) -> bool {
+        self.confirmed.is_some() && self.held_version() >= self.confirmed
     }
 
     /// Takes the announcement of a control host.
@@ -174,7 +179,7 @@
         if offer.confirmed {
             self.confirmed = self.confirmed.max(offer.version);
         }
-        if offer.version > self.held.version {
+        if offer.version > self.held_version() {
             self.newer_since.get_or_insert(now);
         }
     }
@@ -194,14 +199,14 @@
         let transfer = self.transfer.as_mut().filter(|transfer| transfer.asks)?;
         transfer.asks = false;
         transfer.last_progress = now;
-        let is_delta = !self.needs_whole;
+        let base = self.held.as_ref().filter(|_| !self.needs_whole);
         let header = transfer.header.as_ref();
         Some(FetchOrder {
             control: transfer.control,
             fetch: messages::FetchDeployment {
                 version: transfer.version,
-                base_version: if is_delta { self.held.version } else { 0 },
-                base_digest: if is_delta { self.held.digest } else { 0 },
+                base_version: base.map(|held| held.version),
+                base_digest: base.map_or(0, |held| held.digest),
                 patch_digest: header.map_or(0, |header| header.patch_digest),
                 offset: transfer.received.len() as u64,
             },
@@ -229,7 +234,7 @@
         control: SocketAddr,
         chunk: messages::DeploymentChunk,
     ) -> ChunkEffect {
-        let held = self.held.version;
+        let held = self.held_version();
         let Some(transfer) = &mut self.transfer else {
             return ChunkEffect::Ignored;
         };
@@ -253,11 +258,11 @@
 
     /// Records the document that is in force from now on.
     pub fn hold(&mut self, now: Instant, version: u64, body: Bytes) {
-        self.held = HeldDocument {
+        self.held = Some(HeldDocument {
             version,
             digest: patches::digest(&body),
             body,
-        };
+        });
         self.needs_whole = false;
         self.newer_since = self.wanted_version().map(|_| now);
     }
@@ -271,11 +276,11 @@
     fn complete(&mut self, now: Instant) -> Option<FetchedDocument> {
         let transfer = self.transfer.take()?;
         let header = transfer.header?;
-        let is_delta = header.base_version != 0;
-        let base = match is_delta {
-            true if header.base_version != self.held.version => return None,
-            true => self.held.body.clone(),
-            false => Bytes::new(),
+        let is_delta = header.base_version.is_some();
+        let base = match (header.base_version, &self.held) {
+            (None, _) => Bytes::new(),
+            (Some(base), Some(held)) if base == held.version => held.body.clone(),
+            (Some(_), _) => return None,
         };
         let length = usize::try_from(header.length).ok()?;
         let body = patches::apply(&base, &transfer.received, length, header.digest).ok()?;
@@ -290,9 +295,10 @@
 
     /// Returns the newest announced version if it is newer than the held one.
     fn wanted_version(&self) -> Option<u64> {
-        let versions = self.offers.values().copied();
+        let held = self.held_version();
+        let versions = self.offers.values().copied().flatten();
         versions
-            .filter(|version| *version > self.held.version && !self.unreadable.contains(version))
+            .filter(|version| Some(*version) > held && !self.unreadable.contains(version))
             .max()
     }
 
@@ -303,10 +309,10 @@
         let waited = self
             .newer_since
             .map_or(Duration::ZERO, |since| now.saturating_duration_since(since));
-        let preferred = self.preferred_host(0);
+        let preferred = self.preferred_host(None);
         let chosen = match waited < PREFERENCE_DELAY {
-            true => preferred.filter(|host| self.offers[host] >= version),
-            false => self.preferred_host(version),
+            true => preferred.filter(|host| self.offers[host] >= Some(version)),
+            false => self.preferred_host(Some(version)),
         };
         self.transfer = chosen.map(|control| PatchTransfer {
             control,
@@ -334,7 +340,7 @@
             self.stalled.retain(|stalled| *stalled != control);
             self.stalled.push(control);
         }
-        let next = self.preferred_host(version);
+        let next = self.preferred_host(Some(version));
         match (next, &mut self.transfer) {
             (Some(next), Some(transfer)) => {
                 transfer.control = next;
@@ -344,10 +350,10 @@
         }
     }
 
-    /// Returns the host to fetch from among those that hold `version`: one that hasn't stalled, or
-    /// the one that stalled longest ago. The order differs between entries, which spreads their
+    /// Returns the host to fetch from among those that hold `version`, or among all: one that hasn't
+    /// stalled, or the one that stalled longest ago. The order differs between entries, which spreads their
     /// transfers over the hosts.
-    fn preferred_host(&self, version: u64) -> Option<SocketAddr> {
+    fn preferred_host(&self, version: Option<u64>) -> Option<SocketAddr> {
         let holders = self.offers.iter().filter(|(_, held)| **held >= version);
         let hosts = holders.map(|(host, _)| *host);
         hosts.min_by_key(|host| {
--- a/crates/waxwing-registrar/src/group.rs
+++ b/crates/waxwing-registrar/src/group.rs
@@ -89,7 +89,7 @@
         let replica =
             replica::DeploymentReplica::new(identity, replica_options, recovered, rand::random())?;
         let now = clock.now();
-        tracing::info!(event = "log-opened", %identity, version = replica.document().version);
+        tracing::info!(event = "log-opened", %identity, version = replica.document().map(|document| document.version));
         Ok(Self {
             replica,
             started: now,
@@ -246,7 +246,7 @@
             members: members
                 .map(|(identity, _)| repair::link_address(identity.member))
                 .collect(),
-            document: self.replica.document().clone(),
+            document: self.replica.document().cloned(),
             departures: self.replica.departures().clone(),
             rollouts: self.replica.rollouts().clone(),
             term: node.status().term,
--- a/crates/waxwing-registrar/src/handles.rs
+++ b/crates/waxwing-registrar/src/handles.rs
@@ -57,8 +57,8 @@
     pub(crate) leader: Option<SocketAddr>,
     /// The addresses at which the members, voters and learners, accept links.
     pub(crate) members: Vec<SocketAddr>,
-    /// The current deployment document.
-    pub(crate) document: documents::StoredDocument,
+    /// The current deployment document, if there is any.
+    pub(crate) document: Option<documents::StoredDocument>,
     /// The departures of endpoints that are committed.
     pub(crate) departures: Arc<departures::DepartureLedger>,
     /// The roll-outs that are committed.
@@ -79,13 +79,13 @@
     pub(crate) async fn put(
         &self,
         document: documents::StoredDocument,
-    ) -> Result<u64, errors::GroupError> {
+    ) -> Result<Option<u64>, errors::GroupError> {
         let (reply, receiver) = oneshot::channel();
         self.submit(GroupRequest::Put { document, reply }).await?;
         let current = receiver
             .await
             .map_err(|_| errors::GroupError::Unavailable)??;
-        Ok(current.version)
+        Ok(current.map(|document| document.version))
     }
 
     /// Reads the current document, confirmed by a quorum.
--- a/crates/waxwing-registrar/src/history.rs
+++ b/crates/waxwing-registrar/src/history.rs
@@ -47,7 +47,7 @@
 impl DeploymentHistory {
     /// Adds a committed document if it is newer than the newest one.
     pub fn record(&mut self, document: &documents::StoredDocument) {
-        if document.version <= self.newest_version() {
+        if Some(document.version) <= self.newest_version() {
             return;
         }
         self.documents.push_back(KeptDocument {
@@ -64,8 +64,8 @@
         self.documents.iter().map(|kept| kept.body.len()).sum()
     }
 
-    fn newest_version(&self) -> u64 {
-        self.documents.back().map_or(0, |kept| kept.version)
+    fn newest_version(&self) -> Option<u64> {
+        self.documents.back().map(|kept| kept.version)
     }
 
     /// Returns the announcement of the newest document.
@@ -94,7 +94,7 @@
             return Ok(None);
         };
         let base = self.documents.iter().find(|kept| {
-            kept.version == fetch.base_version
+            Some(kept.version) == fetch.base_version
                 && kept.digest == fetch.base_digest
                 && kept.version < target.version
         });
@@ -109,7 +109,7 @@
             version: target.version,
             digest: target.digest,
             length: target.body.len() as u64,
-            base_version: base.map_or(0, |base| base.version),
+            base_version: base.map(|base| base.version),
             patch_digest: patch.digest,
             patch_length: length as u64,
             offset: start as u64,
--- a/crates/waxwing-registrar/src/host.rs
+++ b/crates/waxwing-registrar/src/host.rs
@@ -412,10 +412,9 @@
         let chunk = self.history().chunk(fetch);
         match chunk {
             Ok(Some(chunk)) => {
-                let kind = if chunk.base_version == 0 {
-                    "whole"
-                } else {
-                    "delta"
+                let kind = match chunk.base_version {
+                    Some(_) => "delta",
+                    None => "whole",
                 };
                 self.metrics.count_deployment_bytes(kind, chunk.data.len());
                 self.network
@@ -458,7 +457,7 @@
     /// Announces each new deployment to the entries, and takes the departures that were committed.
     pub(crate) async fn announce_deployments(self, shutdown: CancellationToken) {
         let mut view = self.group.view.clone();
-        let mut announced = 0;
+        let mut announced = None;
         let mut led = false;
         let mut known = Arc::new(departures::DepartureLedger::default());
         loop {
@@ -471,8 +470,9 @@
                 self.learn_departures(&departures.to_list().departures, false);
                 known = departures;
             }
-            if document.version > announced {
-                announced = document.version;
+            let newer = document.filter(|document| Some(document.version) > announced);
+            if let Some(document) = newer {
+                announced = Some(document.version);
                 self.history().record(&document);
                 self.announce(false, &self.linked_entries());
                 self.confirmation_wanted.notify_one();
@@ -514,7 +514,7 @@
                     self.share_departures(uninformed);
                     // An entry serves once the deployment is confirmed, so it hears of roll-outs first.
                     self.send_rollout_terms(&entries);
-                    if document.version > 0 {
+                    if let Some(document) = document {
                         self.history().record(&document);
                         self.announce(true, &entries);
                     }
--- a/crates/waxwing-registrar/src/http.rs
+++ b/crates/waxwing-registrar/src/http.rs
@@ -231,8 +231,8 @@
         () = host.clock.sleep(host.options.call_limit()) => Err(errors::GroupError::Unavailable),
     };
     match read {
-        Ok(document) if document.version > 0 => json_response(StatusCode::OK, document.body),
-        Ok(_) => text_response(StatusCode::SERVICE_UNAVAILABLE, "no deployment yet"),
+        Ok(Some(document)) => json_response(StatusCode::OK, document.body),
+        Ok(None) => text_response(StatusCode::SERVICE_UNAVAILABLE, "no deployment yet"),
         Err(failure) => redirect(host, dialect, path, failure),
     }
 }
--- a/crates/waxwing-registrar/src/metrics.rs
+++ b/crates/waxwing-registrar/src/metrics.rs
@@ -5,6 +5,9 @@
 
 use crate::handles;
 
+/// The value of the version gauge while a host holds no deployment; 0 is a valid version.
+const NO_DEPLOYMENT: i64 = -1;
+
 /// The counters and gauges of a control host; clones share them.
 #[derive(Debug, Clone)]
 pub struct RegistrarMetrics {
@@ -48,7 +51,7 @@
             )?,
             version: gauge(
                 "waxwing_registrar_deployment_version",
-                "The version of the deployment that this host holds.",
+                "The version of the deployment that this host holds; -1 if it holds none.",
             )?,
             votes: gauge(
                 "waxwing_registrar_votes",
@@ -84,8 +87,11 @@
     }
 
     pub(crate) fn record_view(&self, view: &handles::GroupView) {
-        let version = view.document.version;
-        self.version.set(i64::try_from(version).unwrap_or(i64::MAX));
+        let version = view.document.as_ref().map(|document| document.version);
+        let version = version.map_or(NO_DEPLOYMENT, |version| {
+            i64::try_from(version).unwrap_or(i64::MAX)
+        });
+        self.version.set(version);
         self.leads.set(i64::from(view.leads));
         self.votes.set(i64::from(view.votes));
         self.voters
--- a/crates/waxwing-registrar/src/replica.rs
+++ b/crates/waxwing-registrar/src/replica.rs
@@ -30,8 +30,8 @@
 /// crash, and a host with a new disk needs three changes of the membership to vote again.
 const JOIN_INTERVAL: Duration = Duration::from_millis(100);
 
-/// The outcome of a call: the document that is current after it.
-pub type CallOutcome = Result<documents::StoredDocument, errors::GroupError>;
+/// The outcome of a call: the document that is current after it, if there is any.
+pub type CallOutcome = Result<Option<documents::StoredDocument>, errors::GroupError>;
 
 /// Configuration of a replica.
 #[derive(Debug, Clone)]
@@ -161,9 +161,9 @@
         &mut self.node
     }
 
-    /// Returns the document as this replica knows it; a quorum may hold a newer one.
+    /// Returns the document as this replica knows it, if there is any; a quorum may hold a newer one.
     #[must_use]
-    pub const fn document(&self) -> &documents::StoredDocument {
+    pub const fn document(&self) -> Option<&documents::StoredDocument> {
         self.register.current()
     }
 
@@ -311,7 +311,7 @@
             .any(|departure| !self.departures.covers(&departure.id, departure.born));
         if !missing {
             self.outcomes
-                .push((ticket, Ok(self.register.current().clone())));
+                .push((ticket, Ok(self.register.current().cloned())));
             return;
         }
         self.propose_command("departures", list.encode_to_vec(), ticket);
@@ -392,7 +392,7 @@
             }
             if let Some(pending) = self.proposals.remove(&entry.index) {
                 let outcome = if pending.term == entry.term {
-                    Ok(self.register.current().clone())
+                    Ok(self.register.current().cloned())
                 } else {
                     Err(errors::GroupError::Unavailable)
                 };
@@ -435,7 +435,7 @@
         match self.register.apply(&entry.payload) {
             Ok(true) => tracing::info!(
                 event = "deployment-committed",
-                version = self.register.current().version,
+                version = self.register.version(),
                 index = entry.index,
                 term = entry.term
             ),
@@ -448,7 +448,8 @@
 
     fn compact(&mut self) {
         let status = self.node.status();
-        let document_bytes = self.register.current().body.len() as u64;
+        let document = self.register.current();
+        let document_bytes = document.map_or(0, |document| document.body.len() as u64);
         if status.log_bytes < self.snapshot_bytes.0.max(document_bytes) {
             return;
         }
@@ -477,14 +478,15 @@
                 self.fail(call.into_ticket());
                 continue;
             }
-            let current = self.register.current().clone();
+            let current = self.register.current().cloned();
+            let version = self.register.version();
             match call {
                 PendingCall::Read(ticket) => {
-                    let (version, term) = (current.version, status.term);
+                    let term = status.term;
                     tracing::info!(event = "deployment-read", version, index = read.index, term);
                     self.outcomes.push((ticket, Ok(current)));
                 }
-                PendingCall::Put(document, ticket) if document.version <= current.version => {
+                PendingCall::Put(document, ticket) if Some(document.version) <= version => {
                     self.outcomes.push((ticket, Ok(current)));
                 }
                 PendingCall::Put(document, ticket) => {
--- a/crates/waxwing-registrar/src/rollouts.rs
+++ b/crates/waxwing-registrar/src/rollouts.rs
@@ -103,7 +103,7 @@
 }
 
 impl<C: Clock> host::RegistrarHost<C> {
-    async fn confirm_lead(&self) -> Result<crate::documents::StoredDocument, errors::GroupError> {
+    async fn confirm_lead(&self) -> crate::replica::CallOutcome {
         tokio::select! {
             read = self.group.read() => read,
             () = self.clock.sleep(self.options.call_limit()) => {
@@ -140,6 +140,7 @@
         order.check()?;
         let document = self.confirm_lead().await?;
         let unknown = || rollout_errors::OrderError::UnknownService(request.service.clone());
+        let document = document.ok_or_else(unknown)?;
         let parts = dialect.deployment(&document.body).map_err(|_| unknown())?;
         if !parts
             .services
--- a/crates/waxwing-registrar/tests/distribution.rs
+++ b/crates/waxwing-registrar/tests/distribution.rs
@@ -8,6 +8,7 @@
 };
 
 use bytes::Bytes;
+use test_case::test_case;
 use waxwing_gate::fetches;
 use waxwing_registrar::{documents, history};
 use waxwing_wire::messages;
@@ -36,7 +37,7 @@
     let mut body = format!("{{\"version\":{version},\"routes\":[");
     for number in 0..routes {
         let timeout = if number == changed {
-            9_000 + version
+            9_000 + version % 1_000
         } else {
             8_000
         };
@@ -183,7 +184,7 @@
     /// Runs until the entry holds `version`; returns the time that it took.
     fn await_version(&mut self, version: u64) -> Duration {
         let start = self.now;
-        while self.fetcher.held_version() < version {
+        while self.fetcher.held_version() < Some(version) {
             self.step();
             let took = self.now - start;
             assert!(
@@ -277,7 +278,7 @@
             version += 1;
             distribution.commit(0..HOSTS, &document(version, 8_000, 9));
         }
-        if distribution.fetcher.held_version() > 0 {
+        if distribution.fetcher.held_version().is_some() {
             first_held.get_or_insert(distribution.now - start);
         }
     }
@@ -294,7 +295,7 @@
     assert!(!distribution.fetcher.is_confirmed());
     distribution.commit([4], &document(2, 20, 0));
     distribution.announce(4, true);
-    while distribution.fetcher.held_version() < 2 {
+    while distribution.fetcher.held_version() < Some(2) {
         assert!(!distribution.fetcher.is_confirmed());
         distribution.step();
     }
@@ -304,13 +305,49 @@
     assert!(distribution.fetcher.is_confirmed());
 }
 
+/// Guards against a first deployment that no entry fetches, since its version stands for none: all
+/// requests were refused (`review/13`).
+#[test_case(0; "version 0")]
+#[test_case(u64::MAX - 1; "the highest versions")]
+fn first_deployment_is_in_force_whatever_its_version(first: u64) {
+    let mut distribution = Distribution::start();
+    // A host without a deployment confirms nothing.
+    distribution.announce(0, true);
+    for _ in 0..100 {
+        distribution.step();
+    }
+    assert_eq!(distribution.fetcher.held_version(), None);
+    assert!(!distribution.fetcher.is_confirmed());
+    distribution.commit(0..HOSTS, &document(first, 100, 0));
+    distribution.announce(0, true);
+    assert!(distribution.await_version(first) <= APPLY_LIMIT);
+    assert_eq!(distribution.fetcher.held_version(), Some(first));
+    assert!(distribution.fetcher.is_confirmed());
+    distribution.commit(0..HOSTS, &document(first + 1, 100, 0));
+    assert!(distribution.await_version(first + 1) <= APPLY_LIMIT);
+}
+
+/// Guards against a change to version 0 that costs the whole document again.
+#[test]
+fn patches_build_on_version_0() {
+    let mut distribution = Distribution::start();
+    distribution.commit(0..HOSTS, &document(0, 8_000, 0));
+    distribution.await_version(0);
+    let before = distribution.received_bytes;
+    distribution.commit(0..HOSTS, &document(1, 8_000, 400));
+    distribution.await_version(1);
+    let cost = distribution.received_bytes - before;
+    // 25 KB/s a node at the target, with 14,000 changes a day.
+    assert!(cost <= 25_000 * 86_400 / 14_000, "{cost} bytes");
+}
+
 /// Guards against an entry that keeps asking for a version that it can't read.
 #[test]
 fn unreadable_version_is_fetched_once() {
     let now = Instant::now();
     let mut fetcher = fetches::DeploymentFetcher::new(control(99));
     let offer = |version| messages::DeploymentVersion {
-        version,
+        version: Some(version),
         confirmed: false,
     };
     fetcher.offer(now, control(0), offer(3));
--- a/crates/waxwing-registrar/tests/durability/model.rs
+++ b/crates/waxwing-registrar/tests/durability/model.rs
@@ -95,8 +95,8 @@
 /// A call that is not answered yet.
 struct OpenCall {
     kind: CallKind,
-    /// The newest version that had been acknowledged or read when the call was sent.
-    floor: u64,
+    /// The newest version that had been acknowledged or read when the call was sent, if any.
+    floor: Option<u64>,
     /// The number of departures that had been acknowledged then.
     departed: usize,
     /// The number of orders of roll-outs that had been acknowledged then.
@@ -134,15 +134,17 @@
     /// Calls that are not answered yet, by ticket.
     calls: BTreeMap<u64, OpenCall>,
     last_ticket: u64,
-    last_version: u64,
+    next_version: u64,
+    /// The versions that were sent.
+    sent: Vec<u64>,
     last_endpoint: u64,
     /// The endpoints whose departure was acknowledged.
     departed: Vec<u64>,
     last_service: u64,
     /// The services whose roll-out was acknowledged.
     ordered: Vec<u64>,
-    /// The newest version that was acknowledged or read.
-    newest: u64,
+    /// The newest version that was acknowledged or read, if any.
+    newest: Option<u64>,
     /// The disks that may be lost at a time.
     tolerated_disks: usize,
     /// The disks that are lost, until all hosts have run undisturbed for [`CATCH_UP`].
@@ -164,6 +166,23 @@
     repair::member_id(host_address(host)).expect("an IPv4 address")
 }
 
+/// The versions that operators begin with: both ends of the range, and the end of the signed one.
+const FIRST_VERSIONS: [u64; 4] = [
+    0,
+    1,
+    i64::MAX.unsigned_abs() - 2,
+    u64::MAX - MAX_SENT_VERSIONS,
+];
+
+/// More versions than an operator sends in a run.
+const MAX_SENT_VERSIONS: u64 = 100_000;
+
+/// Returns the version that the operator of a run begins with. It uses no random number, so that the
+/// schedules of the seeds stay as they are.
+const fn first_version(seed: u64) -> u64 {
+    FIRST_VERSIONS[(seed % FIRST_VERSIONS.len() as u64) as usize]
+}
+
 fn body(version: u64) -> Bytes {
     Bytes::from(format!("document {version}").into_bytes())
 }
@@ -197,12 +216,13 @@
             held: Vec::new(),
             calls: BTreeMap::new(),
             last_ticket: 0,
-            last_version: 0,
+            next_version: first_version(seed),
+            sent: Vec::new(),
             last_endpoint: 0,
             departed: Vec::new(),
             last_service: 0,
             ordered: Vec::new(),
-            newest: 0,
+            newest: None,
             calm_since: Duration::ZERO,
             tolerated_disks,
             lost_disks: 0,
--- a/crates/waxwing-registrar/tests/durability/model/calls.rs
+++ b/crates/waxwing-registrar/tests/durability/model/calls.rs
@@ -107,15 +107,22 @@
         if !self.runs(host) {
             return;
         }
-        self.last_version += 1;
-        self.send_put(host, self.last_version);
+        let version = self.next_version;
+        self.next_version += 1;
+        self.sent.push(version);
+        self.send_put(host, version);
     }
 
     /// Sends a version that was sent before once more.
     pub(crate) fn resend(&mut self, host: usize) {
-        if self.runs(host) && self.last_version > 0 {
-            let back = self.random.random_range(0..3).min(self.last_version - 1);
-            self.send_put(host, self.last_version - back);
+        if self.runs(host) && !self.sent.is_empty() {
+            let back = match self.random.random_range(0..3_u64) {
+                0 => 0,
+                1 => 1,
+                _ => 2,
+            };
+            let newest = self.sent.len() - 1;
+            self.send_put(host, self.sent[newest.saturating_sub(back)]);
         }
     }
 
@@ -153,10 +160,13 @@
         let (Some(call), Ok(document)) = (self.calls.remove(&ticket), outcome) else {
             return;
         };
-        let version = document.version;
-        if version > 0 && document.body != body(version) {
+        let version = document.as_ref().map(|document| document.version);
+        if let Some(document) = document
+            && document.body != body(document.version)
+        {
             self.report(format!(
-                "host {host} answers version {version} with another document"
+                "host {host} answers version {} with another document",
+                document.version
             ));
         }
         match call.kind {
@@ -170,12 +180,12 @@
             }
             CallKind::Put(stored) => {
                 self.counts.acknowledged += 1;
-                if version < stored {
+                if version < Some(stored) {
                     self.report(format!(
-                        "host {host} acknowledges version {stored} and holds {version}"
+                        "host {host} acknowledges version {stored} and holds {version:?}"
                     ));
                 }
-                self.newest = self.newest.max(stored);
+                self.newest = self.newest.max(Some(stored));
             }
             CallKind::Read => {
                 self.counts.reads += 1;
@@ -184,7 +194,7 @@
                 let floor = call.floor;
                 if version < floor {
                     self.report(format!(
-                        "version {version} is read at host {host}, {floor} had been confirmed"
+                        "version {version:?} is read at host {host}, {floor:?} had been confirmed"
                     ));
                 }
                 self.newest = self.newest.max(version);
--- a/crates/waxwing-registrar/tests/repair.rs
+++ b/crates/waxwing-registrar/tests/repair.rs
@@ -175,8 +175,34 @@
     assert!(register.apply(&command(4, "first")).unwrap());
     assert!(!register.apply(&command(4, "second")).unwrap());
     assert!(!register.apply(&command(3, "older")).unwrap());
-    assert_eq!(register.current().body, "first");
+    assert_eq!(register.current().unwrap().body, "first");
     assert!(register.apply(&command(9, "newer")).unwrap());
     let restored = DocumentRegister::from_snapshot(&register.to_snapshot()).unwrap();
     assert_eq!(restored, register);
 }
+
+/// Guards against a first document that is acknowledged and not stored, since its version stands for none
+/// (`review/13`).
+#[test]
+fn document_of_version_0_is_held_and_restored() {
+    let mut register = DocumentRegister::default();
+    assert_eq!(register.current(), None);
+    let restored = DocumentRegister::from_snapshot(&register.to_snapshot()).unwrap();
+    assert_eq!(restored, register);
+    assert!(register.apply(&command(0, "first")).unwrap());
+    assert!(!register.apply(&command(0, "second")).unwrap());
+    assert_eq!(register.current().unwrap().body, "first");
+    let restored = DocumentRegister::from_snapshot(&register.to_snapshot()).unwrap();
+    assert_eq!(restored, register);
+    assert!(register.apply(&command(1, "newer")).unwrap());
+}
+
+/// Guards against a command without a document that replaces the one held.
+#[test]
+fn command_without_a_document_changes_nothing() {
+    let mut register = DocumentRegister::default();
+    assert!(!register.apply(&command(3, "")).unwrap());
+    assert_eq!(register.current(), None);
+    assert!(!register.apply(&[]).unwrap());
+    assert_eq!(register.current(), None);
+}
--- a/crates/waxwing-wire/src/messages/fleet.rs
+++ b/crates/waxwing-wire/src/messages/fleet.rs
@@ -17,9 +17,9 @@
 /// The newest deployment that the sender holds. Its content is sent on request.
 #[derive(Clone, Copy, PartialEq, Eq, Message)]
 pub struct DeploymentVersion {
-    /// The version; zero if the sender holds none.
-    #[prost(uint64, tag = "1")]
-    pub version: u64,
+    /// The version; absent if the sender holds none.
+    #[prost(uint64, optional, tag = "1")]
+    pub version: Option<u64>,
     /// Whether a quorum of the log has confirmed that no newer deployment was accepted before.
     #[prost(bool, tag = "2")]
     pub confirmed: bool,
@@ -31,9 +31,9 @@
     /// The wanted version. A host that has replaced it sends a newer one.
     #[prost(uint64, tag = "1")]
     pub version: u64,
-    /// The version that the sender holds; zero if it holds none, or none that a patch can build on.
-    #[prost(uint64, tag = "2")]
-    pub base_version: u64,
+    /// The version that the sender holds; absent if it holds none, or none that a patch can build on.
+    #[prost(uint64, optional, tag = "2")]
+    pub base_version: Option<u64>,
     /// The digest of that version.
     #[prost(fixed64, tag = "3")]
     pub base_digest: u64,
@@ -57,9 +57,9 @@
     /// The length of that document in bytes.
     #[prost(uint64, tag = "3")]
     pub length: u64,
-    /// The version that the patch builds on; zero if it holds the whole document.
-    #[prost(uint64, tag = "4")]
-    pub base_version: u64,
+    /// The version that the patch builds on; absent if it holds the whole document.
+    #[prost(uint64, optional, tag = "4")]
+    pub base_version: Option<u64>,
     /// The digest of the patch.
     #[prost(fixed64, tag = "5")]
     pub patch_digest: u64,
