Record the departure of an endpoint that started at 0

What would be seen: an endpoint whose start time is 0 leaves and gets its acknowledgement, but after a restart of all processes a late notice brings it back, and requests go to it.

Change: the start time is optional in notices and in what entries tell each other; one that isn't given sorts before all others, as before. Digests of notices are unchanged for all other start times, so that hosts of two versions agree.

The durability model's lives begin at 0 now.

--- a/crates/waxwing-fleet/src/registry.rs
+++ b/crates/waxwing-fleet/src/registry.rs
@@ -54,7 +54,7 @@
     /// When the first notice of this life that came here was received from the endpoint.
     first_received_at: Instant,
     /// The start time of the life before this one, if that was known here.
-    previous_born: Option<u64>,
+    previous_born: Option<Option<u64>>,
     /// When a life with an earlier start said that it leaves, while this one was taken for ready.
     contradicted_at: Option<Instant>,
 }
@@ -273,11 +273,11 @@
         wall_millis: u64,
     ) -> messages::EndpointNotice {
         let known = self.records.get(id).map(|record| &record.notice);
-        let known_born = known.map_or(wall_millis, |notice| notice.born);
+        let known_born = known.map_or(Some(wall_millis), |notice| notice.born);
         let mut notice = known.cloned().unwrap_or_default();
         id.clone_into(&mut notice.id);
         notice.phase = messages::EndpointPhase::Gone.into();
-        notice.born = stated_born.unwrap_or(known_born);
+        notice.born = stated_born.or(known_born);
         notice
     }
 
@@ -296,7 +296,7 @@
     /// the notice of a life that began by then, whether it was ready or not.
     pub fn mark_draining(&mut self, id: &str, born: u64) -> Option<&messages::EndpointNotice> {
         let record = self.records.get_mut(id)?;
-        if record.notice.born > born {
+        if record.notice.born > Some(born) {
             return None;
         }
         // This life itself has left.
@@ -389,9 +389,7 @@
             false => Some(NoticeEffect::Changed),
         };
     }
-    if notice.born == 0 {
-        return None;
-    }
+    notice.born?;
     match (record.notice.phase() == ready, notice.phase() == ready) {
         (true, false) => Some(NoticeEffect::Changed),
         (false, true) => Some(NoticeEffect::Stale),
--- a/crates/waxwing-fleet/src/summaries.rs
+++ b/crates/waxwing-fleet/src/summaries.rs
@@ -38,7 +38,11 @@
         }
         hasher.update(&notice.slots.to_le_bytes());
         hasher.update(&notice.phase.to_le_bytes());
-        hasher.update(&notice.born.to_le_bytes());
+        hasher.update(&notice.born.unwrap_or_default().to_le_bytes());
+        if notice.born == Some(0) {
+            // Earlier versions have the same digests for all other start times.
+            hasher.update(&[1]);
+        }
         let groups = u64::from(GROUPS);
         let group = u64::from(group_of(&notice.id));
         Self(hasher.digest() / groups * groups + group)
--- a/crates/waxwing-fleet/tests/registry.rs
+++ b/crates/waxwing-fleet/tests/registry.rs
@@ -17,7 +17,7 @@
         slots: 4,
         phase: phase.into(),
         cold_millis: 0,
-        born,
+        born: Some(born),
         sequence,
         age_millis: 0,
         version: String::new(),
@@ -61,6 +61,20 @@
     assert_eq!(restarted, NoticeEffect::Changed);
 }
 
+/// Guards against an endpoint that is used after it has left, since its start time stands for none.
+#[test_case(0; "the lowest start time")]
+#[test_case(u64::MAX; "the highest start time")]
+fn leaving_is_final_whatever_the_start_time(born: u64) {
+    let now = Instant::now();
+    let mut registry = EndpointRegistry::default();
+    registry.observe(notice("one", born, 4, EndpointPhase::Ready), now);
+    let left = registry.observe(notice("one", born, 3, EndpointPhase::Draining), now);
+    assert_eq!(left, NoticeEffect::Changed);
+    let late = registry.observe(notice("one", born, 9, EndpointPhase::Ready), now);
+    assert_eq!(late, NoticeEffect::Stale);
+    assert_eq!(phase(&registry, "one"), Some(EndpointPhase::Draining));
+}
+
 /// Guards against a life that is used again after it has left itself, since the leaving of an earlier
 /// one had only paused it.
 #[test]
--- a/crates/waxwing-gate/src/endpoints.rs
+++ b/crates/waxwing-gate/src/endpoints.rs
@@ -60,8 +60,8 @@
     pub address: SocketAddr,
     /// Data centre of the endpoint.
     pub data_centre: SmolStr,
-    /// When it started, in Unix milliseconds.
-    pub born: u64,
+    /// When it started, in Unix milliseconds, if that was reported.
+    pub born: Option<u64>,
     /// Requests that it serves concurrently.
     pub slots: u32,
     /// Whether its notices say that it accepts new requests.
@@ -340,7 +340,7 @@
     }
 
     /// Forgets the failures and statements of a former life after the endpoint has started again.
-    pub fn restart(&mut self, born: u64) {
+    pub fn restart(&mut self, born: Option<u64>) {
         self.born = born;
         self.failures = 0;
         self.failure_ratio = 0.0;
--- a/crates/waxwing-gate/tests/gate.rs
+++ b/crates/waxwing-gate/tests/gate.rs
@@ -266,7 +266,7 @@
     core.enqueue(ticket(now, 0, 100));
     assert_eq!(granted(&core.decide(now)).len(), 1);
     let moved = messages::EndpointNotice {
-        born: 2,
+        born: Some(2),
         ..notice("one", 7, 1)
     };
     core.observe_notice(moved, now);
@@ -287,7 +287,7 @@
     core.enqueue(ticket(now, 1, 100));
     assert!(granted(&core.decide(now)).is_empty());
     let again = messages::EndpointNotice {
-        born: 2,
+        born: Some(2),
         ..notice("one", 1, 3)
     };
     core.observe_notice(again, now);
@@ -308,7 +308,7 @@
     core.observe_notice(late.clone(), now);
     core.enqueue(ticket(now, 0, 100));
     assert!(granted(&core.decide(now)).is_empty());
-    late.born += 1;
+    late.born = late.born.map(|born| born + 1);
     late.sequence = 1;
     core.observe_notice(late, now);
     assert_eq!(granted(&core.decide(now)).len(), 1);
@@ -415,13 +415,13 @@
     let now = Instant::now();
     let mut core = gate(now, &[]);
     let restarted = messages::EndpointNotice {
-        born: 9,
+        born: Some(9),
         ..notice("one", 1, 3)
     };
     core.observe_notice(restarted, now);
     let departure = |born| messages::EndpointNotice {
         id: "one".to_owned(),
-        born,
+        born: Some(born),
         phase: messages::EndpointPhase::Gone.into(),
         ..messages::EndpointNotice::default()
     };
--- a/crates/waxwing-gate/tests/limits.rs
+++ b/crates/waxwing-gate/tests/limits.rs
@@ -95,7 +95,7 @@
     core.apply_update(now, address(1), behind.take_update(now, true));
     assert_eq!(core.take_limit_changes().len(), 1);
     let mut started = support::notice(LIMITED, 100, 4);
-    started.born += 1;
+    started.born = started.born.map(|born| born + 1);
     core.observe_notice(started, now);
     core.apply_update(now, address(1), behind.take_update(now, true));
     assert_eq!(core.take_limit_changes(), []);
--- a/crates/waxwing-gate/tests/pace.rs
+++ b/crates/waxwing-gate/tests/pace.rs
@@ -160,7 +160,7 @@
         pace: Some(waxwing_wire::messages::PaceStatement {
             percent,
             age_millis: 0,
-            born,
+            born: Some(born),
         }),
         ..waxwing_wire::messages::EndpointUse::default()
     }];
@@ -175,7 +175,7 @@
     let mut core = support::gate(now, &[("one", 1, 4)]);
     core.record_load(now, &SmolStr::new("one"), load(250.0));
     let restarted = waxwing_wire::messages::EndpointNotice {
-        born: 2,
+        born: Some(2),
         ..support::notice("one", 1, 4)
     };
     core.observe_notice(restarted, now);
--- a/crates/waxwing-gate/tests/support/mod.rs
+++ b/crates/waxwing-gate/tests/support/mod.rs
@@ -31,7 +31,7 @@
         slots,
         phase: messages::EndpointPhase::Ready.into(),
         cold_millis: 0,
-        born: 1,
+        born: Some(1),
         sequence: 1,
         age_millis: 0,
         version: "v1".to_owned(),
--- a/crates/waxwing-load/src/replay/entries.rs
+++ b/crates/waxwing-load/src/replay/entries.rs
@@ -113,7 +113,7 @@
         slots: plan.slots,
         phase: messages::EndpointPhase::Ready.into(),
         cold_millis: 0,
-        born: 1,
+        born: Some(1),
         sequence: 1,
         age_millis: 0,
         version: String::new(),
--- a/crates/waxwing-registrar/src/departures.rs
+++ b/crates/waxwing-registrar/src/departures.rs
@@ -38,7 +38,7 @@
     /// Records a departure; returns whether it was new.
     pub fn record(&mut self, departure: &messages::EndpointDeparture) -> bool {
         let id = SmolStr::new(&departure.id);
-        if self.covers(&id, departure.born) {
+        if self.covers(&id, Some(departure.born)) {
             return false;
         }
         if self.born.insert(id.clone(), departure.born).is_some() {
@@ -53,10 +53,11 @@
         true
     }
 
-    /// Tells whether the life of an endpoint that began at `born` has left.
+    /// Tells whether the life of an endpoint that began at `born` has left. One whose start time is not
+    /// known counts as the earliest.
     #[must_use]
-    pub fn covers(&self, id: &str, born: u64) -> bool {
-        self.born.get(id).is_some_and(|left| born <= *left)
+    pub fn covers(&self, id: &str, born: Option<u64>) -> bool {
+        self.last_born(id).is_some_and(|left| born <= Some(left))
     }
 
     /// Returns the start time of the last life of an endpoint that has left, in Unix milliseconds.
--- a/crates/waxwing-registrar/src/directory.rs
+++ b/crates/waxwing-registrar/src/directory.rs
@@ -82,13 +82,14 @@
         let record = self.registry.record(&notice.id);
         notice.phase() != messages::EndpointPhase::Ready
             && record.is_some_and(|record| record.notice.born > notice.born)
-            && self.departures.last_born(&notice.id) == Some(notice.born)
+            && notice.born.is_some()
+            && self.departures.last_born(&notice.id) == notice.born
     }
 
     /// Tells whether a departure is known to be committed.
     #[must_use]
     pub fn is_recorded(&self, departure: &messages::EndpointDeparture) -> bool {
-        self.departures.covers(&departure.id, departure.born)
+        self.departures.covers(&departure.id, Some(departure.born))
     }
 
     /// Returns whether entries may be told of the endpoints.
@@ -298,7 +299,7 @@
 fn departure_notice(departure: messages::EndpointDeparture) -> messages::EndpointNotice {
     messages::EndpointNotice {
         id: departure.id,
-        born: departure.born,
+        born: Some(departure.born),
         phase: messages::EndpointPhase::Gone.into(),
         ..messages::EndpointNotice::default()
     }
--- a/crates/waxwing-registrar/src/host.rs
+++ b/crates/waxwing-registrar/src/host.rs
@@ -152,9 +152,10 @@
         let leaves = notice.phase() != messages::EndpointPhase::Ready;
         // Without a start time, a departure can't be told from that of the next life. The registry
         // then keeps it for as long as the process runs.
-        let departure = (leaves && notice.born > 0).then(|| messages::EndpointDeparture {
+        let born = notice.born.filter(|_| leaves);
+        let departure = born.map(|born| messages::EndpointDeparture {
             id: notice.id.clone(),
-            born: notice.born,
+            born,
         });
         self.apply_notice(notice);
         match departure {
--- a/crates/waxwing-registrar/src/replica.rs
+++ b/crates/waxwing-registrar/src/replica.rs
@@ -308,7 +308,7 @@
         let missing = list
             .departures
             .iter()
-            .any(|departure| !self.departures.covers(&departure.id, departure.born));
+            .any(|departure| !self.departures.covers(&departure.id, Some(departure.born)));
         if !missing {
             self.outcomes
                 .push((ticket, Ok(self.register.current().cloned())));
--- a/crates/waxwing-registrar/tests/directory.rs
+++ b/crates/waxwing-registrar/tests/directory.rs
@@ -36,7 +36,7 @@
         slots: 4,
         phase: EndpointPhase::Ready.into(),
         cold_millis: 0,
-        born,
+        born: Some(born),
         sequence,
         age_millis: 0,
         version: String::new(),
@@ -415,8 +415,12 @@
     assert!(!ledger.record(&departure("0", 4)));
     assert!(ledger.record(&departure("0", 9)));
     assert!(ledger.record(&departure("next", 1)));
-    assert!(!ledger.covers("1", 5));
-    assert!(ledger.covers("0", 9) && ledger.covers("2", 5) && ledger.covers("next", 1));
+    assert!(!ledger.covers("1", Some(5)));
+    assert!(
+        ledger.covers("0", Some(9))
+            && ledger.covers("2", Some(5))
+            && ledger.covers("next", Some(1))
+    );
     let mut restored = DepartureLedger::default();
     restored.extend(&ledger.to_list());
     assert_eq!(restored, ledger);
--- a/crates/waxwing-registrar/tests/durability/model.rs
+++ b/crates/waxwing-registrar/tests/durability/model.rs
@@ -137,7 +137,7 @@
     next_version: u64,
     /// The versions that were sent.
     sent: Vec<u64>,
-    last_endpoint: u64,
+    next_endpoint: u64,
     /// The endpoints whose departure was acknowledged.
     departed: Vec<u64>,
     last_service: u64,
@@ -218,7 +218,7 @@
             last_ticket: 0,
             next_version: first_version(seed),
             sent: Vec::new(),
-            last_endpoint: 0,
+            next_endpoint: 0,
             departed: Vec::new(),
             last_service: 0,
             ordered: Vec::new(),
--- a/crates/waxwing-registrar/tests/durability/model/calls.rs
+++ b/crates/waxwing-registrar/tests/durability/model/calls.rs
@@ -32,8 +32,9 @@
         if !self.runs(host) {
             return;
         }
-        self.last_endpoint += 1;
-        let endpoint = self.last_endpoint;
+        // Lives begin at 0, the lowest start time.
+        let endpoint = self.next_endpoint;
+        self.next_endpoint += 1;
         let ticket = self.open_call(CallKind::Depart(endpoint));
         let list = departures::DepartureList {
             departures: vec![EndpointDeparture {
@@ -95,7 +96,7 @@
         let ledger = process.replica.departures();
         let lost = self.departed[..acknowledged]
             .iter()
-            .find(|endpoint| !ledger.covers(&endpoint.to_string(), **endpoint));
+            .find(|endpoint| !ledger.covers(&endpoint.to_string(), Some(**endpoint)));
         if let Some(lost) = lost {
             let text = format!("host {host} has lost the departure of endpoint {lost}");
             self.report(text);
--- a/crates/waxwing-registrar/tests/large_directory.rs
+++ b/crates/waxwing-registrar/tests/large_directory.rs
@@ -48,7 +48,7 @@
         data_centre: format!("city-{}", number % 4),
         slots: 12,
         phase: EndpointPhase::Ready.into(),
-        born: 1_800_000_000_000 + number as u64 * 7,
+        born: Some(1_800_000_000_000 + number as u64 * 7),
         sequence,
         version: "1.4.2".to_owned(),
         ..EndpointNotice::default()
--- a/crates/waxwing-wire/src/messages/fleet.rs
+++ b/crates/waxwing-wire/src/messages/fleet.rs
@@ -98,9 +98,9 @@
     /// Milliseconds until the end of its warm-up after the start, during which it is slow.
     #[prost(uint64, tag = "7")]
     pub cold_millis: u64,
-    /// Start time in milliseconds since the Unix epoch; zero if it was not reported.
-    #[prost(uint64, tag = "8")]
-    pub born: u64,
+    /// Start time in milliseconds since the Unix epoch; absent if it was not reported.
+    #[prost(uint64, optional, tag = "8")]
+    pub born: Option<u64>,
     /// Increases with each notice between two starts of the endpoint.
     #[prost(uint64, tag = "9")]
     pub sequence: u64,
@@ -246,9 +246,10 @@
     /// Milliseconds since the answer that stated it.
     #[prost(uint64, tag = "2")]
     pub age_millis: u64,
-    /// When the endpoint that stated it was started, in Unix milliseconds.
-    #[prost(uint64, tag = "3")]
-    pub born: u64,
+    /// When the endpoint that stated it was started, in Unix milliseconds; absent if that was not
+    /// reported.
+    #[prost(uint64, optional, tag = "3")]
+    pub born: Option<u64>,
 }
 
 /// What an endpoint stated of the requests that it takes from all entries together.
@@ -260,9 +261,10 @@
     /// Milliseconds since the time for which the statement is known to hold.
     #[prost(uint64, tag = "2")]
     pub age_millis: u64,
-    /// When the endpoint that stated it was started, in Unix milliseconds.
-    #[prost(uint64, tag = "3")]
-    pub born: u64,
+    /// When the endpoint that stated it was started, in Unix milliseconds; absent if that was not
+    /// reported.
+    #[prost(uint64, optional, tag = "3")]
+    pub born: Option<u64>,
 }
 
 /// The total work that one entry has admitted for one client account.
