Keep peers that read slowly, and tell them from vanished ones

Cause: TCP_USER_TIMEOUT (1.2 s) also closes a connection whose data waits for a window, though its peer acknowledges everything. Behind it stood a second limit: a caller was judged by what the kernel took, not by what it acknowledged.

Ruled out: the 2 s of stalls.rs as the first cause, since the streams failed while the kernel held all of them.

A peer has vanished if something that was sent has had no acknowledgement for 1.2 s; a caller has stalled if it acknowledges nothing for 2 s while bytes wait in the process.

--- a/crates/waxwing-conduit/src/roles.rs
+++ b/crates/waxwing-conduit/src/roles.rs
@@ -183,7 +183,7 @@
                 continue;
             }
         };
-        sockets::prepare(&stream);
+        sockets::prepare(&stream, sockets::UNSENT_ANSWER_BYTES);
         let stream = stalls::CallerStream::new(stream, address);
         let state = state.clone();
         let service = service::service_fn(move |request| {
--- a/crates/waxwing-conduit/src/upstream.rs
+++ b/crates/waxwing-conduit/src/upstream.rs
@@ -172,8 +172,7 @@
             }
         };
         let stream = connected.map_err(|_| errors::SendError::NotSent("connection refused"))?;
-        sockets::prepare(&stream);
-        sockets::limit_unsent(&stream);
+        sockets::prepare(&stream, sockets::UNSENT_REQUEST_BYTES);
         let established = http1::Builder::new()
             .read_buf_exact_size(Some(READ_BUFFER_BYTES))
             .handshake(TokioIo::new(uploads::EndpointStream::new(stream)))
--- a/crates/waxwing-core/src/events.rs
+++ b/crates/waxwing-core/src/events.rs
@@ -31,7 +31,7 @@
 }
 
 /// All events of the decision log, those of requests first.
-pub const LOG_EVENTS: [LogEvent; 77] = [
+pub const LOG_EVENTS: [LogEvent; 78] = [
     log_event(
         "request-started",
         "the gate gave the request a slot and the entry sent it",
@@ -102,7 +102,12 @@
     ),
     log_event(
         "caller-stalled",
-        "a caller took nothing of its answer for two seconds, and its connection was closed",
+        "a caller acknowledged nothing of its answer for two seconds, and its connection was closed",
+    ),
+    log_event(
+        "caller-vanished",
+        "a caller left data or a probe without an acknowledgement for over a second, and its \
+         connection was closed",
     ),
     log_event(
         "service-load",
