Hold back the end of an answer until its request is known to be taken

Cause: an endpoint that dies with all received bytes read ends its stream in order; the reset follows with the next bytes of the request. Only bytes that waited in the process told the two apart, not the 16 KiB in the kernel and what was on its way.

A connection whose stream has ended isn't used again.

Ruled out: a check of the socket's error at the end of the stream, which is there already; the reset isn't, at that time.

--- a/crates/waxwing-conduit/src/upstream.rs
+++ b/crates/waxwing-conduit/src/upstream.rs
@@ -37,7 +37,19 @@
 /// caller doesn't read, its stream holds this twice.
 const READ_BUFFER_BYTES: usize = 8 * 1024;
 
-type RequestSender = http1::SendRequest<Full<Bytes>>;
+/// The side of a connection to an endpoint that sends requests.
+#[derive(Debug)]
+struct RequestSender {
+    sender: http1::SendRequest<Full<Bytes>>,
+    end: uploads::StreamEnd,
+}
+
+impl RequestSender {
+    /// Tells whether the connection can't take another request.
+    fn is_closed(&self) -> bool {
+        self.end.has_come() || self.sender.is_closed()
+    }
+}
 
 /// A connection that is ready for its next request.
 #[derive(Debug)]
@@ -80,7 +92,7 @@
             let idle_time = now.saturating_duration_since(connection.since);
             if idle_time < idle_limit
                 && !connection.sender.is_closed()
-                && connection.sender.is_ready()
+                && connection.sender.sender.is_ready()
             {
                 return Some(connection.sender);
             }
@@ -130,7 +142,7 @@
         };
         let mut request = request;
         if let Some(mut sender) = self.take_idle(endpoint, clock.now(), idle_limit) {
-            match sender.try_send_request(request).await {
+            match sender.sender.try_send_request(request).await {
                 Ok(response) => {
                     let endpoint = endpoint.clone();
                     return Ok(EndpointAnswer {
@@ -147,7 +159,7 @@
             }
         }
         let mut sender = self.connect(clock, address).await?;
-        match sender.try_send_request(request).await {
+        match sender.sender.try_send_request(request).await {
             Ok(response) => Ok(EndpointAnswer {
                 response,
                 sender,
@@ -173,9 +185,11 @@
         };
         let stream = connected.map_err(|_| errors::SendError::NotSent("connection refused"))?;
         sockets::prepare(&stream, sockets::UNSENT_REQUEST_BYTES);
+        let stream = uploads::EndpointStream::new(stream);
+        let end = stream.end();
         let established = http1::Builder::new()
             .read_buf_exact_size(Some(READ_BUFFER_BYTES))
-            .handshake(TokioIo::new(uploads::EndpointStream::new(stream)))
+            .handshake(TokioIo::new(stream))
             .await;
         let (sender, connection) =
             established.map_err(|_| errors::SendError::NotSent("connection ended"))?;
@@ -184,13 +198,13 @@
                 tracing::debug!(%address, %error, "a connection to an endpoint ended");
             }
         });
-        Ok(sender)
+        Ok(RequestSender { sender, end })
     }
 
     /// Returns a connection to the pool after the whole answer was read.
     pub(crate) async fn release(&self, mut connection: BusyConnection, now: Instant) {
         // The connection becomes ready once its task has processed the end of the answer.
-        if connection.sender.ready().await.is_ok() {
+        if connection.sender.sender.ready().await.is_ok() {
             self.put_idle(connection.endpoint, connection.sender, now);
         }
     }
