--- a/crates/waxwing-registrar/tests/durability/model/calls.rs
+++ b/crates/waxwing-registrar/tests/durability/model/calls.rs
@@ -103,11 +103,14 @@
         }
     }
 
-    /// Sends a new version to a host.
+    /// Sends a new version to a host, or the first one until it is acknowledged.
     pub(crate) fn put(&mut self, host: usize) {
         if !self.runs(host) {
             return;
         }
+        if let (None, Some(first)) = (self.newest, self.sent.first()) {
+            return self.send_put(host, *first);
+        }
         let version = self.next_version;
         self.next_version += 1;
         self.sent.push(version);
