--- a/crates/waxwing-conduit/src/sockets.rs
+++ b/crates/waxwing-conduit/src/sockets.rs
@@ -21,8 +21,8 @@
 /// this process, which can then tell that the endpoint hasn't taken the request.
 pub const UNSENT_REQUEST_BYTES: u32 = 16 * 1024;
 
-/// Unsent bytes of an answer that the kernel may hold; more than a slow caller reads before its deadline.
-/// The rest waits in this process, which limits the memory for all callers together.
+/// Unsent bytes of an answer that the kernel may hold; more than a slow caller reads before its
+/// deadline. The rest waits in this process, which limits the memory for all callers together.
 pub const UNSENT_ANSWER_BYTES: u32 = 64 * 1024;
 
 /// Sets the TCP options of a connection to an endpoint or a caller, and limits the unsent bytes that
@@ -94,11 +94,13 @@
 
 impl SendState {
     /// Tells whether the peer has acknowledged every byte.
+    #[must_use]
     pub const fn is_acknowledged(&self) -> bool {
         self.unacked_segments == 0 && self.unsent_bytes == 0
     }
 
     /// Tells whether something was sent that the peer should have answered with an acknowledgement.
+    #[must_use]
     pub fn awaits_ack(&self) -> bool {
         self.unanswered_probes > 0
             || (self.unacked_segments > 0 && self.since_sent < self.since_ack)
--- a/crates/waxwing-conduit/src/stalls.rs
+++ b/crates/waxwing-conduit/src/stalls.rs
@@ -15,8 +15,8 @@
 
 use crate::{losses, sockets};
 
-/// Time without a byte that the caller acknowledges, after which its connection is closed while bytes wait
-/// for it. They take memory, and maybe the slot of a run. Endpoints cut off an answer that remains
+/// Time without a byte that the caller acknowledges, after which its connection is closed while bytes
+/// wait for it. They take memory, and maybe the slot of a run. Endpoints cut off an answer that remains
 /// unread for some seconds, which must not count as their failure, nor make a stream go on elsewhere.
 const STALL_TIMEOUT: Duration = Duration::from_secs(2);
 
--- a/crates/waxwing-gate/src/fetches.rs
+++ b/crates/waxwing-gate/src/fetches.rs
@@ -351,8 +351,8 @@
     }
 
     /// Returns the host to fetch from among those that hold `version`, or among all: one that hasn't
-    /// stalled, or the one that stalled longest ago. The order differs between entries, which spreads their
-    /// transfers over the hosts.
+    /// stalled, or the one that stalled longest ago. The order differs between entries, which spreads
+    /// their transfers over the hosts.
     fn preferred_host(&self, version: Option<u64>) -> Option<SocketAddr> {
         let holders = self.offers.iter().filter(|(_, held)| **held >= version);
         let hosts = holders.map(|(host, _)| *host);
--- a/crates/waxwing-registrar/src/group.rs
+++ b/crates/waxwing-registrar/src/group.rs
@@ -89,7 +89,8 @@
         let replica =
             replica::DeploymentReplica::new(identity, replica_options, recovered, rand::random())?;
         let now = clock.now();
-        tracing::info!(event = "log-opened", %identity, version = replica.document().map(|document| document.version));
+        let version = replica.document().map(|document| document.version);
+        tracing::info!(event = "log-opened", %identity, version);
         Ok(Self {
             replica,
             started: now,
